--- /dev/null
+++ b/src/lovageshunt/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Concurrency limits, priorities, queues and shedding beside one target."""
--- /dev/null
+++ b/src/lovageshunt/calls/__init__.py
@@ -0,0 +1,40 @@
+"""What travels with a call and with its answer, hop to hop."""
+
+from lovageshunt.calls._answer import AnswerInfo, LoadReport
+from lovageshunt.calls._codec import (
+    ANSWER_HEADER,
+    CONTEXT_HEADER,
+    decode_answer,
+    decode_context,
+    encode_answer,
+    encode_context,
+)
+from lovageshunt.calls._context import CallContext, HomeStamp
+from lovageshunt.calls._importance import (
+    LOWEST_IMPORTANCE,
+    RANK_COUNT,
+    TOP_IMPORTANCE,
+    level_of,
+    rank_of,
+)
+from lovageshunt.calls._outcome import Outcome, RefusalReason
+
+__all__ = [
+    'ANSWER_HEADER',
+    'CONTEXT_HEADER',
+    'LOWEST_IMPORTANCE',
+    'RANK_COUNT',
+    'TOP_IMPORTANCE',
+    'AnswerInfo',
+    'CallContext',
+    'HomeStamp',
+    'LoadReport',
+    'Outcome',
+    'RefusalReason',
+    'decode_answer',
+    'decode_context',
+    'encode_answer',
+    'encode_context',
+    'level_of',
+    'rank_of',
+]
--- /dev/null
+++ b/src/lovageshunt/calls/_codec.py
@@ -0,0 +1,136 @@
+"""The wire form of contexts and answers: one compact JSON header each."""
+
+from typing import Any, Final
+
+import orjson
+
+from lovageshunt.calls._answer import AnswerInfo, LoadReport
+from lovageshunt.calls._context import CallContext, HomeStamp
+from lovageshunt.calls._importance import LOWEST_IMPORTANCE, RANK_COUNT
+from lovageshunt.calls._outcome import Outcome, RefusalReason
+from lovageshunt.errors import MalformedAnswerError, MalformedContextError
+
+#: The request header that carries a call's context.
+CONTEXT_HEADER: Final = 'lovageshunt-context'
+#: The response header that carries the control part of an answer.
+ANSWER_HEADER: Final = 'lovageshunt-answer'
+#: A header longer than this is refused unread.
+_MAX_HEADER_BYTES: Final = 4096
+#: No counter on the wire may be larger.
+_MAX_COUNT: Final = 2**31
+
+_TEXT_FIELDS: Final = (
+    'request_id',
+    'call_id',
+    'caller',
+    'kind',
+    'trace_parent',
+)
+_COUNT_FIELDS: Final = (
+    'importance',
+    'rank',
+    'timeout_ms',
+    'age_ms',
+    'attempt',
+    'retries_left',
+    'suspicion',
+)
+
+
+def encode_context(context: CallContext) -> str:
+    """Return the header's value for a context; all of it is ASCII."""
+    fields = context.as_dict()
+    if context.home is not None:
+        fields['home'] = context.home.as_dict()
+    return _dump(fields)
+
+
+def decode_context(header: str | bytes) -> CallContext:
+    """Return the context in a header.
+
+    Raises ``MalformedContextError`` when it is no context or a field is out
+    of its range.
+    """
+    try:
+        fields = _load(header)
+    except ValueError as error:
+        raise MalformedContextError(str(error)) from error
+    for name in _TEXT_FIELDS:
+        if not isinstance(fields.get(name, ''), str):
+            raise MalformedContextError(f'{name} is no text')
+    for name in _COUNT_FIELDS:
+        _check_count(name, fields.get(name, 0))
+    _check_level(fields)
+    try:
+        return _context_of(fields)
+    except TypeError as error:
+        raise MalformedContextError(str(error)) from error
+
+
+def encode_answer(info: AnswerInfo) -> str:
+    """Return the header's value for the control part of an answer."""
+    fields = info.as_dict()
+    if info.load is not None:
+        fields['load'] = info.load.as_dict()
+    return _dump(fields)
+
+
+def decode_answer(header: str | bytes, call_id: str) -> AnswerInfo:
+    """Return the control part of the answer to one call.
+
+    Raises ``MalformedAnswerError`` when it is none, or another call's.
+    """
+    try:
+        info = _answer_of(_load(header))
+    except (TypeError, ValueError) as error:
+        raise MalformedAnswerError(str(error)) from error
+    if info.call_id != call_id:
+        raise MalformedAnswerError(
+            f'it answers call {info.call_id!r}, not {call_id!r}',
+        )
+    return info
+
+
+def _context_of(fields: dict[str, Any]) -> CallContext:
+    home = fields.pop('home', None)
+    if home is not None:
+        home = HomeStamp(**home)
+    return CallContext(home=home, **fields)
+
+
+def _answer_of(fields: dict[str, Any]) -> AnswerInfo:
+    load = fields.pop('load', None)
+    reason = fields.pop('reason', None)
+    return AnswerInfo(
+        outcome=Outcome(fields.pop('outcome', '')),
+        reason=None if reason is None else RefusalReason(reason),
+        load=None if load is None else LoadReport(**load),
+        **fields,
+    )
+
+
+def _check_count(name: str, count: object) -> None:
+    if isinstance(count, bool) or not isinstance(count, int):
+        raise MalformedContextError(f'{name} is no whole number')
+    if not 0 <= count <= _MAX_COUNT:
+        raise MalformedContextError(f'{name} is out of range')
+
+
+def _check_level(fields: dict[str, Any]) -> None:
+    if fields.get('importance', 0) > LOWEST_IMPORTANCE:
+        raise MalformedContextError('importance is out of range')
+    if fields.get('rank', 0) >= RANK_COUNT:
+        raise MalformedContextError('rank is out of range')
+
+
+def _dump(fields: dict[str, Any]) -> str:
+    return orjson.dumps(fields).decode('utf-8')
+
+
+def _load(header: str | bytes) -> dict[str, Any]:
+    if len(header) > _MAX_HEADER_BYTES:
+        raise ValueError(f'longer than {_MAX_HEADER_BYTES} bytes')
+    fields = orjson.loads(header)
+    if not isinstance(fields, dict):
+        raise ValueError('no JSON object')
+    return fields
--- /dev/null
+++ b/src/lovageshunt/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts in files, and the adapter that runs them."""
--- /dev/null
+++ b/src/lovageshunt/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of operators."""
--- /dev/null
+++ b/src/lovageshunt/client/__init__.py
@@ -0,0 +1,1 @@
+"""The library that callers and targets embed."""
--- /dev/null
+++ b/src/lovageshunt/errors.py
@@ -0,0 +1,30 @@
+"""Every error that this package raises or returns.
+
+Each message names the value at fault, what was expected and the remedy.
+"""
+
+
+class LovageshuntError(Exception):
+    """The base of all errors of this package."""
+
+
+class MalformedContextError(LovageshuntError):
+    """Raised when a call's context header cannot be decoded."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep the decoder's reason."""
+        super().__init__(
+            f'the context header is malformed ({reason}); send the header that '
+            'lovageshunt.client makes, or none',
+        )
+
+
+class MalformedAnswerError(LovageshuntError):
+    """Raised when an answer's header is missing, cut or not this call's."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep what was wrong with the answer."""
+        super().__init__(
+            f'the answer is malformed ({reason}); the connection is closed and '
+            'the outcome of the call is unknown',
+        )
--- /dev/null
+++ b/src/lovageshunt/node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon beside a target."""
--- /dev/null
+++ b/src/lovageshunt/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and traces."""
--- /dev/null
+++ b/src/lovageshunt/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The reader of what the platform publishes."""
--- /dev/null
+++ b/src/lovageshunt/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The choice of a target from lagging and misleading load and health."""
--- /dev/null
+++ b/src/lovageshunt/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files in INI, checked with one error per fault."""
