--- a/src/lovageshunt/account/__init__.py
+++ b/src/lovageshunt/account/__init__.py
@@ -1,1 +1,1 @@
-"""What was answered, refused, failed and wasted, and the check that it balances."""
+"""What was answered, refused, failed and wasted, and its balance."""
--- a/src/lovageshunt/rules/__init__.py
+++ b/src/lovageshunt/rules/__init__.py
@@ -1,1 +1,1 @@
-"""Rules that operators accept, their versions and which of them are in force."""
+"""Rules that operators accept, their versions and the one in force."""
