--- /dev/null
+++ b/src/lovageshunt/client/_asgi.py
@@ -0,0 +1,152 @@
+"""Reads requests and sends answers at the ASGI border, whole."""
+
+from asyncio import CancelledError, create_task, current_task
+from collections.abc import Awaitable, Callable, Coroutine, MutableMapping
+from typing import Any, Final, TypeVar
+
+from expression import Error, Ok, Result
+
+from lovageshunt._record import Record
+
+ResultT = TypeVar('ResultT')
+
+AsgiMessage = MutableMapping[str, Any]
+AsgiScope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[AsgiMessage]]
+Send = Callable[[AsgiMessage], Awaitable[None]]
+AsgiApp = Callable[[AsgiScope, Receive, Send], Awaitable[None]]
+
+_DISCONNECT: Final = 'http.disconnect'
+
+
+class Inbound(Record):
+    """A request read to its last byte.
+
+    ``target`` is the path with its query as it came; the names in
+    ``headers`` are lower case.
+    """
+
+    __slots__ = ('method', 'path', 'target', 'headers', 'body')
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        path: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+    ) -> None:
+        """Take the parts of the request."""
+        self.method = method
+        self.path = path
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class ReadFault(Record):
+    """Why a request was not read: too large, or its caller went away."""
+
+    __slots__ = ('is_gone',)
+
+    def __init__(self, *, is_gone: bool) -> None:
+        """Say which of the two it is."""
+        self.is_gone = is_gone
+
+
+async def read_inbound(
+    scope: AsgiScope,
+    receive: Receive,
+    max_body_bytes: int,
+) -> Result[Inbound, ReadFault]:
+    """Read a whole request; a body above the bound is refused."""
+    chunks = []
+    size = 0
+    is_more = True
+    while is_more:
+        message = await receive()
+        if message['type'] == _DISCONNECT:
+            return Error(ReadFault(is_gone=True))
+        chunks.append(message.get('body', b''))
+        size += len(chunks[-1])
+        if size > max_body_bytes:
+            return Error(ReadFault(is_gone=False))
+        is_more = message.get('more_body', False)
+    return Ok(_inbound_of(scope, b''.join(chunks)))
+
+
+async def respond(
+    send: Send,
+    *,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+    body: bytes,
+) -> None:
+    """Send a whole answer with its length."""
+    length = str(len(body)).encode()
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': [*headers, (b'content-length', length)],
+        },
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+async def until_disconnect(
+    receive: Receive,
+    work: Coroutine[Any, Any, ResultT],
+) -> ResultT | None:
+    """Run the work; cancel it and return None when its caller goes away."""
+    watch = _DisconnectWatch(receive)
+    watcher = create_task(watch.run())
+    try:
+        return await work
+    except CancelledError:
+        if not watch.is_gone:
+            raise
+        watch.worker.uncancel()
+        return None
+    finally:
+        watcher.cancel()
+
+
+class _DisconnectWatch:
+    """Cancels the task that made it when the caller goes away."""
+
+    __slots__ = ('is_gone', 'worker', '_receive')
+
+    def __init__(self, receive: Receive) -> None:
+        task = current_task()
+        if task is None:
+            raise RuntimeError('no task is running; await this in a task')
+        self.worker = task
+        self.is_gone = False
+        self._receive = receive
+
+    async def run(self) -> None:
+        message = await self._receive()
+        while message['type'] != _DISCONNECT:
+            message = await self._receive()
+        self.is_gone = True
+        self.worker.cancel()
+
+
+def _inbound_of(scope: AsgiScope, body: bytes) -> Inbound:
+    raw_path = scope.get('raw_path') or scope['path'].encode()
+    target = raw_path.decode('latin-1')
+    query = scope.get('query_string', b'')
+    if query:
+        target = f'{target}?{query.decode("latin-1")}'
+    return Inbound(
+        method=scope['method'],
+        path=scope['path'],
+        target=target,
+        headers={
+            name.decode('latin-1'): text.decode('latin-1')
+            for name, text in scope['headers']
+        },
+        body=body,
+    )
--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -28,3 +28,15 @@
             f'the answer is malformed ({reason}); the connection is closed and '
             'the outcome of the call is unknown',
         )
+
+
+class PlatformUnavailableError(LovageshuntError):
+    """Returned when a published value could not be read."""
+
+    def __init__(self, name: str, address: str, detail: str) -> None:
+        """Name the value, the address asked and what happened."""
+        super().__init__(
+            f'the platform at {address} did not give {name!r} ({detail}); '
+            'the last picture stays in use, see that the address in '
+            '[platform] is right and answers',
+        )
