--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, for tests, demo and benchmarks."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,298 @@
+"""Starts a small deployment as processes: platform, nodes and targets.
+
+The product starts no process; this stand-in plays the operators' part.
+"""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import orjson
+
+_START_SECONDS = 30.0
+_POLL_SECONDS = 0.1
+_STOP_SECONDS = 20.0
+_FAILURE_DOMAINS = ('a', 'b', 'c')
+
+
+class ServicePlan:
+    """One service of a deployment."""
+
+    __slots__ = ('name', 'instances', 'slots', 'service_ms', 'calls')
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        instances: int,
+        slots: int,
+        service_ms: float,
+        calls: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Take the sizes; ``calls`` are pairs of service and path."""
+        self.name = name
+        self.instances = instances
+        self.slots = slots
+        self.service_ms = service_ms
+        self.calls = calls
+
+
+class Vm:
+    """One VM: a node and its target, and their addresses."""
+
+    __slots__ = (
+        'name',
+        'plan',
+        'failure_domain',
+        'ingress',
+        'admin',
+        'target',
+        'state',
+        'node_process',
+        'target_process',
+    )
+
+    def __init__(self, name: str, plan: ServicePlan, domain: str) -> None:
+        """Give the VM free ports."""
+        self.name = name
+        self.plan = plan
+        self.failure_domain = domain
+        self.ingress = free_address()
+        self.admin = free_address()
+        self.target = free_address()
+        self.state = 'live'
+        self.node_process: asyncio.subprocess.Process | None = None
+        self.target_process: asyncio.subprocess.Process | None = None
+
+    def listing(self) -> dict[str, str]:
+        """Return the VM's entry in the published list."""
+        return {
+            'name': self.name,
+            'service': self.plan.name,
+            'failure_domain': self.failure_domain,
+            'region': 'one',
+            'address': self.ingress,
+            'admin_address': self.admin,
+            'state': self.state,
+        }
+
+
+class Fleet:
+    """A deployment that runs, and what may befall it."""
+
+    def __init__(self, folder: Path, plans: list[ServicePlan]) -> None:
+        """Plan the VMs; ``start`` brings them up."""
+        self.folder = folder
+        self.platform_address = free_address()
+        self.vms = [
+            Vm(f'{plan.name}-{index + 1}', plan, _domain(index))
+            for plan in plans
+            for index in range(plan.instances)
+        ]
+        self.by_name = {vm.name: vm for vm in self.vms}
+        self._platform: asyncio.subprocess.Process | None = None
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self, rules: dict[str, Any] | None = None) -> None:
+        """Start the platform, publish, start all VMs, wait for the nodes."""
+        self._session = aiohttp.ClientSession()
+        self._platform = await self._spawn(
+            'platform', '-m', 'standins.platform', self.platform_address
+        )
+        await self._until_up(f'http://{self.platform_address}/v1/values/none')
+        if rules is not None:
+            await self.publish('rules', rules)
+        await self.publish_vms()
+        for vm in self.vms:
+            await self.start_vm(vm.name)
+        for vm in self.vms:
+            await self.wait_for(vm.name)
+
+    async def stop(self) -> None:
+        """Stop whatever still runs, all at once."""
+        running = [
+            one
+            for vm in self.vms
+            for one in (vm.node_process, vm.target_process)
+        ]
+        for process in (*running, self._platform):
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+        if self._session is not None:
+            await self._session.close()
+
+    async def start_vm(self, name: str) -> None:
+        """Start a VM's node and target; they keep nothing of an earlier."""
+        await self.start_node(name)
+        await self.start_target(name)
+
+    async def start_node(self, name: str) -> None:
+        """Start a VM's node."""
+        vm = self.by_name[name]
+        path = self.folder / f'{name}.ini'
+        path.write_text(self._node_settings(vm), encoding='utf-8')
+        vm.node_process = await self._spawn(
+            f'{name}.node',
+            '-m',
+            'lovageshunt.cli',
+            'node',
+            f'--settings={path}',
+        )
+
+    async def start_target(self, name: str) -> None:
+        """Start a VM's target."""
+        vm = self.by_name[name]
+        path = self.folder / f'{name}.json'
+        path.write_bytes(orjson.dumps(self._target_spec(vm)))
+        vm.target_process = await self._spawn(
+            f'{name}.target', '-m', 'standins.target', str(path)
+        )
+
+    async def wait_for(self, name: str) -> None:
+        """Wait until a VM's node and target serve."""
+        vm = self.by_name[name]
+        await self._until_up(f'http://{vm.target}/health')
+        await self._until_up(f'http://{vm.admin}/v1/ready')
+
+    async def publish(self, name: str, document: object) -> None:
+        """Publish a value, as the operators' publishing step does."""
+        await self.order({'publish': {name: document}})
+
+    async def publish_vms(self) -> None:
+        """Publish the list of VMs as it is."""
+        await self.publish('vms', [vm.listing() for vm in self.vms])
+
+    async def order(self, order: dict[str, Any]) -> None:
+        """Order the platform to publish, fail, go stale or restart."""
+        await self._post(f'http://{self.platform_address}/control', order)
+
+    async def control_target(self, name: str, **fields: Any) -> None:
+        """Change how a target behaves."""
+        vm = self.by_name[name]
+        await self._post(f'http://{vm.target}/control', fields)
+
+    async def stop_node(self, name: str) -> int:
+        """Stop a node as planned; return its exit code."""
+        process = self._node(name)
+        process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(process.wait(), _STOP_SECONDS)
+
+    async def kill_vm(self, name: str) -> None:
+        """Kill a VM's node and target at once."""
+        vm = self.by_name[name]
+        for process in (vm.node_process, vm.target_process):
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    def freeze_node(self, name: str) -> None:
+        """Suspend a node's process."""
+        self._node(name).send_signal(signal.SIGSTOP)
+
+    def thaw_node(self, name: str) -> None:
+        """Let a suspended node's process go on."""
+        self._node(name).send_signal(signal.SIGCONT)
+
+    async def admin(self, name: str, path: str) -> Any:
+        """Read from a node's admin API."""
+        url = f'http://{self.by_name[name].admin}{path}'
+        async with self._client().get(url) as response:
+            return orjson.loads(await response.read())
+
+    def executions(self, service: str) -> Counter[str]:
+        """Return how often each call of a service ran, on any target."""
+        ran: Counter[str] = Counter()
+        for path in self.folder.glob(f'{service}-*.witness'):
+            for line in path.read_text(encoding='utf-8').splitlines():
+                what, _, _, call_id = line.split(' ')
+                ran[call_id] += what == 'ran'
+        return ran
+
+    def _node(self, name: str) -> asyncio.subprocess.Process:
+        process = self.by_name[name].node_process
+        if process is None:
+            raise RuntimeError(f'{name} was not started; start it first')
+        return process
+
+    async def _spawn(self, log: str, *command: str) -> Any:
+        with (self.folder / f'{log}.log').open('ab') as output:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                *command,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+                env={
+                    **os.environ,
+                    'PYTHONPATH': os.pathsep.join(['src', '.']),
+                },
+            )
+
+    async def _until_up(self, url: str) -> None:
+        async with asyncio.timeout(_START_SECONDS):
+            while not await self._answers(url):
+                await asyncio.sleep(_POLL_SECONDS)  # noqa: ASYNC110
+
+    async def _answers(self, url: str) -> bool:
+        try:
+            async with self._client().get(url) as response:
+                return response.status < 500
+        except aiohttp.ClientError:
+            return False
+
+    async def _post(self, url: str, order: dict[str, Any]) -> None:
+        async with self._client().post(
+            url, data=orjson.dumps(order)
+        ) as response:
+            response.raise_for_status()
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            raise RuntimeError('the fleet is not started; await start()')
+        return self._session
+
+    def _node_settings(self, vm: Vm) -> str:
+        called = ', '.join(service for service, _ in vm.plan.calls)
+        return (
+            f'[node]\nname = {vm.name}\nservice = {vm.plan.name}\n'
+            f'failure_domain = {vm.failure_domain}\nregion = one\n'
+            f'[listen]\ningress = {vm.ingress}\nadmin = {vm.admin}\n'
+            f'[target]\naddress = {vm.target}\nslots = {vm.plan.slots}\n'
+            f'connections = {vm.plan.slots * 8}\n'
+            f'[platform]\naddresses = {self.platform_address}\n'
+            f'[calls]\nservices = {called}\n'
+        )
+
+    def _target_spec(self, vm: Vm) -> dict[str, Any]:
+        return {
+            'name': vm.name,
+            'service': vm.plan.name,
+            'listen': vm.target,
+            'node': vm.ingress,
+            'failure_domain': vm.failure_domain,
+            'slots': vm.plan.slots,
+            'service_ms': vm.plan.service_ms,
+            'calls': [
+                {'service': service, 'path': path}
+                for service, path in vm.plan.calls
+            ],
+            'witness': str(self.folder / f'{vm.name}.witness'),
+        }
+
+
+def free_address() -> str:
+    """Return a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def _domain(index: int) -> str:
+    return _FAILURE_DOMAINS[index % len(_FAILURE_DOMAINS)]
