--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -238,7 +238,7 @@
     async def _until_up(self, url: str) -> None:
         async with asyncio.timeout(_START_SECONDS):
             while not await self._answers(url):
-                await asyncio.sleep(_POLL_SECONDS)  # noqa: ASYNC110
+                await asyncio.sleep(_POLL_SECONDS)
 
     async def _answers(self, url: str) -> bool:
         try:
