Add rules documents, their order and the settings of nodes

Rules are addressed by service and each part has its own digest, so that a node can hold only what it needs and still check that parts belong to one version. A version in force is always whole: parts of a newer one wait.

--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -28,3 +28,14 @@
             f'the answer is malformed ({reason}); the connection is closed and '
             'the outcome of the call is unknown',
         )
+
+
+class MalformedRulesError(LovageshuntError):
+    """Returned when a rules document or a part of one cannot be decoded."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep what was wrong with the document."""
+        super().__init__(
+            f'the rules document is malformed ({reason}); publish the file '
+            'that "lovageshunt rules accept" writes, unchanged',
+        )
--- /dev/null
+++ b/src/lovageshunt/settings/_keys.py
@@ -0,0 +1,352 @@
+"""The table of every section and key, which the reference page repeats."""
+
+from typing import Final
+
+from lovageshunt._record import Record
+from lovageshunt.settings._kinds import (
+    ADDRESS,
+    ADDRESSES,
+    NAMES,
+    TEXT,
+    URL_PATH,
+    ValueKind,
+    number,
+    one_of,
+    whole_number,
+)
+
+#: The default of a key that must be given.
+REQUIRED: Final = '(required)'
+#: The default of a key that may be left out and then is ``None``.
+ABSENT: Final = '(none)'
+
+_MAX_COUNT: Final = 1_000_000
+_DAY_SECONDS: Final = 86400
+
+
+class Key(Record):
+    """One key: its name, kind, default, unit and meaning."""
+
+    __slots__ = ('name', 'kind', 'default', 'unit', 'meaning')
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        kind: ValueKind,
+        meaning: str,
+        default: str = REQUIRED,
+        unit: str = '',
+    ) -> None:
+        """Take every field by name."""
+        self.name = name
+        self.kind = kind
+        self.default = default
+        self.unit = unit
+        self.meaning = meaning
+
+
+class SectionTable(Record):
+    """One section and its keys."""
+
+    __slots__ = ('name', 'meaning', 'keys')
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        meaning: str,
+        keys: tuple[Key, ...],
+    ) -> None:
+        """Take every field by name."""
+        self.name = name
+        self.meaning = meaning
+        self.keys = keys
+
+
+_FAILURE_DOMAIN: Final = Key(
+    name='failure_domain',
+    kind=TEXT,
+    meaning='The failure domain that the VM stands in.',
+)
+_REGION: Final = Key(
+    name='region',
+    kind=TEXT,
+    default='default',
+    meaning='The region of that failure domain.',
+)
+
+_NODE: Final = SectionTable(
+    name='node',
+    meaning='Who this node is.',
+    keys=(
+        Key(
+            name='name',
+            kind=TEXT,
+            meaning='The name that the published list of VMs has for it.',
+        ),
+        Key(name='service', kind=TEXT, meaning='The service of its target.'),
+        _FAILURE_DOMAIN,
+        _REGION,
+    ),
+)
+
+_LISTEN: Final = SectionTable(
+    name='listen',
+    meaning='Where this node listens.',
+    keys=(
+        Key(name='ingress', kind=ADDRESS, meaning='Calls to the target.'),
+        Key(
+            name='admin',
+            kind=ADDRESS,
+            meaning='The admin API and the exchange with other nodes.',
+        ),
+        Key(
+            name='egress',
+            kind=ADDRESS,
+            default=ABSENT,
+            meaning='Calls of a target that does not embed the client.',
+        ),
+    ),
+)
+
+_TARGET: Final = SectionTable(
+    name='target',
+    meaning='The target beside this node.',
+    keys=(
+        Key(name='address', kind=ADDRESS, meaning='Where it listens.'),
+        Key(
+            name='slots',
+            kind=whole_number(1, _MAX_COUNT),
+            unit='calls',
+            meaning='How many calls it says that it can run at once.',
+        ),
+        Key(
+            name='connections',
+            kind=whole_number(1, _MAX_COUNT),
+            unit='connections',
+            meaning='How many connections it accepts.',
+        ),
+        Key(
+            name='health_path',
+            kind=URL_PATH,
+            default='/health',
+            meaning='Its health endpoint.',
+        ),
+        Key(
+            name='load_path',
+            kind=URL_PATH,
+            default='/load',
+            meaning='Its load endpoint.',
+        ),
+    ),
+)
+
+_PLATFORM: Final = SectionTable(
+    name='platform',
+    meaning='What the platform publishes, and how often it is read.',
+    keys=(
+        Key(
+            name='addresses',
+            kind=ADDRESSES,
+            meaning='The configuration service; tried in this order.',
+        ),
+        Key(
+            name='poll_seconds',
+            kind=number(0.1, _DAY_SECONDS),
+            default='5',
+            unit='seconds',
+            meaning='How often a reader reads when no watch answers.',
+        ),
+        Key(
+            name='readers_per_failure_domain',
+            kind=whole_number(1, 100),
+            default='3',
+            unit='nodes',
+            meaning='How many nodes of a failure domain read for the others.',
+        ),
+    ),
+)
+
+_CALLS: Final = SectionTable(
+    name='calls',
+    meaning='What the target calls.',
+    keys=(
+        Key(
+            name='services',
+            kind=NAMES,
+            default='',
+            meaning='The services that it calls.',
+        ),
+    ),
+)
+
+_ADMISSION: Final = SectionTable(
+    name='admission',
+    meaning='How calls wait for the target.',
+    keys=(
+        Key(
+            name='queue_target_ms',
+            kind=number(1, 60_000),
+            default='20',
+            unit='milliseconds',
+            meaning='The wait above which calls are refused by level.',
+        ),
+        Key(
+            name='interval_ms',
+            kind=number(10, 60_000),
+            default='100',
+            unit='milliseconds',
+            meaning='How often the limit and the threshold are corrected.',
+        ),
+    ),
+)
+
+_SECURITY: Final = SectionTable(
+    name='security',
+    meaning='Who may use the admin API, and TLS for it and between nodes.',
+    keys=(
+        Key(
+            name='admin_token_file',
+            kind=TEXT,
+            default=ABSENT,
+            meaning='The file with the token; without it, loopback only.',
+        ),
+        Key(
+            name='certificate_file',
+            kind=TEXT,
+            default=ABSENT,
+            meaning='The certificate of this node, in PEM.',
+        ),
+        Key(
+            name='key_file',
+            kind=TEXT,
+            default=ABSENT,
+            meaning='The private key of that certificate, in PEM.',
+        ),
+        Key(
+            name='authority_file',
+            kind=TEXT,
+            default=ABSENT,
+            meaning='The authority that other nodes are checked against.',
+        ),
+    ),
+)
+
+_TRACES: Final = SectionTable(
+    name='traces',
+    meaning='Spans; refused, unknown and slow calls are always kept.',
+    keys=(
+        Key(
+            name='sample_ratio',
+            kind=number(0, 1),
+            default='0.01',
+            meaning='The share of other root requests that is traced.',
+        ),
+    ),
+)
+
+_LOGS: Final = SectionTable(
+    name='logs',
+    meaning='Log lines in JSON.',
+    keys=(
+        Key(
+            name='level',
+            kind=one_of('debug', 'info', 'warning', 'error'),
+            default='info',
+            meaning='The least level that is written.',
+        ),
+        Key(
+            name='records_per_second',
+            kind=number(1, _MAX_COUNT),
+            default='50',
+            unit='lines a second',
+            meaning='The rate above which lines are dropped and counted.',
+        ),
+    ),
+)
+
+_LIMITS: Final = SectionTable(
+    name='limits',
+    meaning='Bounds on memory and on time.',
+    keys=(
+        Key(
+            name='table_entries',
+            kind=whole_number(100, 10_000_000),
+            default='20000',
+            unit='calls',
+            meaning='How many calls that run at most once are remembered.',
+        ),
+        Key(
+            name='body_bytes',
+            kind=whole_number(1024, 1_000_000_000),
+            default='1048576',
+            unit='bytes',
+            meaning='The largest body of a request or an answer.',
+        ),
+        Key(
+            name='retention_seconds',
+            kind=number(1, _DAY_SECONDS),
+            default='600',
+            unit='seconds',
+            meaning='How long the outcome of such a call is remembered.',
+        ),
+        Key(
+            name='leave_seconds',
+            kind=number(0, _DAY_SECONDS),
+            default='3',
+            unit='seconds',
+            meaning='How long a leaving node still answers with "not run".',
+        ),
+        Key(
+            name='drain_seconds',
+            kind=number(0, _DAY_SECONDS),
+            default='30',
+            unit='seconds',
+            meaning='How long a leaving node waits for calls in progress.',
+        ),
+    ),
+)
+
+_CLIENT: Final = SectionTable(
+    name='client',
+    meaning='Who this caller is.',
+    keys=(
+        Key(name='name', kind=TEXT, meaning='The name that the rules use.'),
+        _FAILURE_DOMAIN,
+        _REGION,
+    ),
+)
+
+_NODES: Final = SectionTable(
+    name='nodes',
+    meaning='How this caller finds nodes.',
+    keys=(
+        Key(
+            name='seeds',
+            kind=ADDRESSES,
+            meaning='Admin addresses of a few nodes; the rest is learned.',
+        ),
+        Key(
+            name='services',
+            kind=NAMES,
+            meaning='The services that this caller calls.',
+        ),
+    ),
+)
+
+#: The sections of a node's file.
+NODE_TABLES: Final = (
+    _NODE,
+    _LISTEN,
+    _TARGET,
+    _PLATFORM,
+    _CALLS,
+    _ADMISSION,
+    _SECURITY,
+    _TRACES,
+    _LOGS,
+    _LIMITS,
+)
+#: The sections of a caller's file.
+CLIENT_TABLES: Final = (_CLIENT, _NODES)
--- /dev/null
+++ b/src/lovageshunt/settings/_sections.py
@@ -0,0 +1,259 @@
+"""The settings as typed records, one for each section."""
+
+from lovageshunt._record import Record
+from lovageshunt.settings._kinds import Address
+
+
+class NodeSection(Record):
+    """Who this node is."""
+
+    __slots__ = ('name', 'service', 'failure_domain', 'region')
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        failure_domain: str,
+        region: str,
+    ) -> None:
+        """Take every key."""
+        self.name = name
+        self.service = service
+        self.failure_domain = failure_domain
+        self.region = region
+
+
+class ListenSection(Record):
+    """Where this node listens."""
+
+    __slots__ = ('ingress', 'admin', 'egress')
+
+    def __init__(
+        self,
+        *,
+        ingress: Address,
+        admin: Address,
+        egress: Address | None,
+    ) -> None:
+        """Take every key."""
+        self.ingress = ingress
+        self.admin = admin
+        self.egress = egress
+
+
+class TargetSection(Record):
+    """The target beside this node."""
+
+    __slots__ = ('address', 'slots', 'connections', 'health_path', 'load_path')
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        slots: int,
+        connections: int,
+        health_path: str,
+        load_path: str,
+    ) -> None:
+        """Take every key."""
+        self.address = address
+        self.slots = slots
+        self.connections = connections
+        self.health_path = health_path
+        self.load_path = load_path
+
+
+class PlatformSection(Record):
+    """What the platform publishes, and how often it is read."""
+
+    __slots__ = ('addresses', 'poll_seconds', 'readers_per_failure_domain')
+
+    def __init__(
+        self,
+        *,
+        addresses: tuple[Address, ...],
+        poll_seconds: float,
+        readers_per_failure_domain: int,
+    ) -> None:
+        """Take every key."""
+        self.addresses = addresses
+        self.poll_seconds = poll_seconds
+        self.readers_per_failure_domain = readers_per_failure_domain
+
+
+class CallsSection(Record):
+    """What the target calls."""
+
+    __slots__ = ('services',)
+
+    def __init__(self, *, services: tuple[str, ...]) -> None:
+        """Take every key."""
+        self.services = services
+
+
+class AdmissionSection(Record):
+    """How calls wait for the target."""
+
+    __slots__ = ('queue_target_ms', 'interval_ms')
+
+    def __init__(self, *, queue_target_ms: float, interval_ms: float) -> None:
+        """Take every key."""
+        self.queue_target_ms = queue_target_ms
+        self.interval_ms = interval_ms
+
+
+class SecuritySection(Record):
+    """Who may use the admin API, and TLS for it and between nodes."""
+
+    __slots__ = (
+        'admin_token_file',
+        'certificate_file',
+        'key_file',
+        'authority_file',
+    )
+
+    def __init__(
+        self,
+        *,
+        admin_token_file: str | None,
+        certificate_file: str | None,
+        key_file: str | None,
+        authority_file: str | None,
+    ) -> None:
+        """Take every key."""
+        self.admin_token_file = admin_token_file
+        self.certificate_file = certificate_file
+        self.key_file = key_file
+        self.authority_file = authority_file
+
+
+class TracesSection(Record):
+    """Spans; refused, unknown and slow calls are always kept."""
+
+    __slots__ = ('sample_ratio',)
+
+    def __init__(self, *, sample_ratio: float) -> None:
+        """Take every key."""
+        self.sample_ratio = sample_ratio
+
+
+class LogsSection(Record):
+    """Log lines in JSON."""
+
+    __slots__ = ('level', 'records_per_second')
+
+    def __init__(self, *, level: str, records_per_second: float) -> None:
+        """Take every key."""
+        self.level = level
+        self.records_per_second = records_per_second
+
+
+class LimitsSection(Record):
+    """Bounds on memory and on time."""
+
+    __slots__ = (
+        'table_entries',
+        'body_bytes',
+        'retention_seconds',
+        'leave_seconds',
+        'drain_seconds',
+    )
+
+    def __init__(
+        self,
+        *,
+        table_entries: int,
+        body_bytes: int,
+        retention_seconds: float,
+        leave_seconds: float,
+        drain_seconds: float,
+    ) -> None:
+        """Take every key."""
+        self.table_entries = table_entries
+        self.body_bytes = body_bytes
+        self.retention_seconds = retention_seconds
+        self.leave_seconds = leave_seconds
+        self.drain_seconds = drain_seconds
+
+
+class NodeSettings(Record):
+    """A node's whole settings."""
+
+    __slots__ = (
+        'node',
+        'listen',
+        'target',
+        'platform',
+        'calls',
+        'admission',
+        'security',
+        'traces',
+        'logs',
+        'limits',
+    )
+
+    def __init__(
+        self,
+        *,
+        node: NodeSection,
+        listen: ListenSection,
+        target: TargetSection,
+        platform: PlatformSection,
+        calls: CallsSection,
+        admission: AdmissionSection,
+        security: SecuritySection,
+        traces: TracesSection,
+        logs: LogsSection,
+        limits: LimitsSection,
+    ) -> None:
+        """Take every section."""
+        self.node = node
+        self.listen = listen
+        self.target = target
+        self.platform = platform
+        self.calls = calls
+        self.admission = admission
+        self.security = security
+        self.traces = traces
+        self.logs = logs
+        self.limits = limits
+
+
+class ClientSection(Record):
+    """Who this caller is."""
+
+    __slots__ = ('name', 'failure_domain', 'region')
+
+    def __init__(self, *, name: str, failure_domain: str, region: str) -> None:
+        """Take every key."""
+        self.name = name
+        self.failure_domain = failure_domain
+        self.region = region
+
+
+class NodesSection(Record):
+    """How this caller finds nodes."""
+
+    __slots__ = ('seeds', 'services')
+
+    def __init__(
+        self,
+        *,
+        seeds: tuple[Address, ...],
+        services: tuple[str, ...],
+    ) -> None:
+        """Take every key."""
+        self.seeds = seeds
+        self.services = services
+
+
+class ClientSettings(Record):
+    """A caller's whole settings."""
+
+    __slots__ = ('client', 'nodes')
+
+    def __init__(self, *, client: ClientSection, nodes: NodesSection) -> None:
+        """Take every section."""
+        self.client = client
+        self.nodes = nodes
--- /dev/null
+++ b/tests/rules/test_in_force.py
@@ -0,0 +1,139 @@
+"""Which rules a node serves under."""
+
+from lovageshunt.rules import (
+    KindRule,
+    RulesDocument,
+    RulesInForce,
+    ServiceRules,
+    Verdict,
+    manifest_of,
+    version_of,
+)
+
+
+def rules_of(service, timeout_ms=1000):
+    """Return the rules of one service with one kind."""
+    rule = KindRule(
+        service=service,
+        kind='read',
+        method='GET',
+        path='/',
+        importance=3,
+        is_repeatable=True,
+        timeout_ms=timeout_ms,
+        retry_bound=2,
+    )
+    return ServiceRules(service=service, by_kind={'read': rule})
+
+
+def document_of(generation, timeout_ms=1000):
+    """Return a document with two services."""
+    return RulesDocument(
+        deployment='test',
+        generation=generation,
+        by_service={
+            'stock': rules_of('stock', timeout_ms),
+            'precios': rules_of('precios', timeout_ms),
+        },
+    )
+
+
+def offer(in_force, document, revision=1, now=1):
+    """Offer a whole document as read at a revision."""
+    return in_force.offer(version_of(document, revision), document, now)
+
+
+class TestOffer:
+    """Whole documents."""
+
+    def test_first_is_adopted(self):
+        """The first document is in force at once."""
+        in_force = RulesInForce()
+
+        assert offer(in_force, document_of(1), now=7).verdict == Verdict.ADOPTED
+        assert in_force.in_force_since == 7
+        assert in_force.current == document_of(1)
+
+    def test_older_is_refused(self):
+        """An older generation is refused whatever its revision."""
+        in_force = RulesInForce()
+        offer(in_force, document_of(2))
+
+        older = offer(in_force, document_of(1), revision=99)
+
+        assert older.verdict == Verdict.OLDER
+        assert in_force.current == document_of(2)
+
+    def test_same_rules_at_another_revision(self):
+        """The same document read again is the same, with its time kept."""
+        in_force = RulesInForce()
+        offer(in_force, document_of(2), revision=1, now=1)
+
+        again = offer(in_force, document_of(2), revision=5, now=9)
+
+        assert again.verdict == Verdict.SAME
+        assert in_force.in_force_since == 1
+        assert in_force.version.revision == 5
+
+    def test_conflict_has_one_winner_and_is_on_record(self):
+        """Two documents of one generation leave the greater and a record."""
+        first, second = document_of(3, 1000), document_of(3, 2000)
+        one, other = RulesInForce(), RulesInForce()
+        offer(one, first)
+        offer(one, second)
+        offer(other, second)
+        offer(other, first)
+
+        assert one.version == other.version
+        assert len(one.conflicts) == len(other.conflicts) == 1
+
+
+class TestParts:
+    """Rules that arrive service by service."""
+
+    def test_version_waits_for_all_needed_parts(self):
+        """The old version stays whole until every needed part is there."""
+        document = document_of(2, 2000)
+        manifest = manifest_of(document, version_of(document, 1))
+        in_force = RulesInForce(frozenset(('stock', 'precios')))
+        offer(in_force, document_of(1))
+
+        half = {'stock': document.by_service['stock']}
+        rest = {'precios': document.by_service['precios']}
+
+        waiting = in_force.offer_parts(manifest, half, 2)
+        assert waiting.verdict == Verdict.WAITING
+        assert in_force.current == document_of(1)
+        assert in_force.missing_now() == ('precios',)
+        adopted = in_force.offer_parts(manifest, rest, 3)
+        assert adopted.verdict == Verdict.ADOPTED
+        assert in_force.current == document
+
+    def test_only_needed_parts_are_missed(self):
+        """A node misses only the services that it serves and calls."""
+        document = document_of(2)
+        manifest = manifest_of(document, version_of(document, 1))
+        in_force = RulesInForce(frozenset(('stock',)))
+
+        in_force.hear(manifest, 1)
+
+        assert in_force.missing_now() == ('stock',)
+
+    def test_nothing_older_than_a_manifest_heard(self):
+        """A manifest counts as heard before its parts are there."""
+        newer = document_of(5)
+        in_force = RulesInForce()
+        in_force.hear(manifest_of(newer, version_of(newer, 1)), 1)
+
+        assert offer(in_force, document_of(4)).verdict == Verdict.OLDER
+        assert in_force.current is None
+
+    def test_digests_that_contradict_are_refused(self):
+        """A manifest that its version's digest does not cover is refused."""
+        document = document_of(1)
+        manifest = manifest_of(document, version_of(document, 1))
+        manifest.digest_by_service['stock'] = '0'
+        in_force = RulesInForce()
+
+        assert in_force.hear(manifest, 1).verdict == Verdict.UNSOUND
+        assert in_force.heard is None
