--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -39,4 +39,12 @@
             f'the platform at {address} did not give {name!r} ({detail}); '
             'the last picture stays in use, see that the address in '
             '[platform] is right and answers',
+class MalformedRulesError(LovageshuntError):
+    """Returned when a rules document or a part of one cannot be decoded."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep what was wrong with the document."""
+        super().__init__(
+            f'the rules document is malformed ({reason}); publish the file '
+            'that "lovageshunt rules accept" writes, unchanged',
         )
