Add admission beside a target and the choice of a target, first version

Admission holds a concurrency limit that starts at the published slots, a queue ordered by level and deadline, and a threshold over levels steered by queue time and by the demand of each importance. Callers remember thresholds for each called service and refuse a kind only for the services that answers to that kind named. The router takes the better of two random choices by latency, calls in flight and reported load, prefers the own failure domain while it has room, ejects with a cap and distrusts a picture in which most targets look bad.

State machines drive both. Not yet shown to bite: order of the queue, the lateness check at dispatch, departures told by answers, the cap on ejection and the distrust.

--- a/src/lovageshunt/admission/__init__.py
+++ b/src/lovageshunt/admission/__init__.py
@@ -1,1 +1,39 @@
 """Concurrency limits, priorities, queues and shedding beside one target."""
+
+from lovageshunt.admission._admission import Admission
+from lovageshunt.admission._caller import CallerThresholds
+from lovageshunt.admission._events import (
+    Abort,
+    Action,
+    Arrived,
+    Cancelled,
+    Dispatch,
+    DrainStarted,
+    Event,
+    Finished,
+    LoadReported,
+    Refuse,
+    Ticked,
+)
+from lovageshunt.admission._levels import OPEN_THRESHOLD, is_refused
+from lovageshunt.admission._settings import AdmissionSettings, CallerSettings
+
+__all__ = [
+    'OPEN_THRESHOLD',
+    'Abort',
+    'Action',
+    'Admission',
+    'AdmissionSettings',
+    'Arrived',
+    'CallerSettings',
+    'CallerThresholds',
+    'Cancelled',
+    'Dispatch',
+    'DrainStarted',
+    'Event',
+    'Finished',
+    'LoadReported',
+    'Refuse',
+    'Ticked',
+    'is_refused',
+]
--- /dev/null
+++ b/src/lovageshunt/admission/_admission.py
@@ -0,0 +1,205 @@
+"""Which calls run beside one target, which wait and which are refused."""
+
+from functools import singledispatchmethod
+from heapq import heappop, heappush
+from typing import Final
+
+from lovageshunt.admission._control import TargetControl
+from lovageshunt.admission._events import (
+    Action,
+    Arrived,
+    Cancelled,
+    Dispatch,
+    DrainStarted,
+    Event,
+    Finished,
+    Refuse,
+)
+from lovageshunt.admission._levels import is_refused, order_of
+from lovageshunt.admission._queue import WaitingCall, WaitingQueue
+from lovageshunt.admission._running import RunningCalls
+from lovageshunt.admission._settings import AdmissionSettings
+from lovageshunt.calls import LoadReport, RefusalReason
+from lovageshunt.errors import DuplicateCallError
+
+_MS_PER_SECOND: Final = 1000
+
+
+class Admission:
+    """Admits the calls to one target.
+
+    Every ``Arrived`` is answered by exactly one ``Dispatch`` or ``Refuse``,
+    unless its caller cancels it while it waits. Every ``Dispatch`` must be
+    followed by one ``Finished``, also after an ``Abort``.
+    """
+
+    __slots__ = (
+        '_settings',
+        '_control',
+        '_queue',
+        '_running',
+        '_deadlines',
+        '_now',
+        '_drain_ends_at',
+    )
+
+    def __init__(self, settings: AdmissionSettings, now: float) -> None:
+        """Start calm, with the published slots as the limit."""
+        self._settings = settings
+        self._control = TargetControl(settings, now)
+        self._queue = WaitingQueue()
+        self._running = RunningCalls()
+        self._deadlines: list[tuple[float, str]] = []
+        self._now = now
+        self._drain_ends_at: float | None = None
+
+    @property
+    def threshold(self) -> int:
+        """Return the threshold; levels at or above it are refused."""
+        return self._control.threshold
+
+    @property
+    def is_drained(self) -> bool:
+        """Tell whether a drain was started and nothing is left."""
+        is_idle = not self._running and not self._queue
+        return self._drain_ends_at is not None and is_idle
+
+    def load(self) -> LoadReport:
+        """Return the load for the next answer."""
+        return LoadReport(
+            running=len(self._running),
+            waiting=len(self._queue),
+            limit=self._control.slots,
+            service_ms=self._control.service_seconds * _MS_PER_SECOND,
+        )
+
+    def next_wake(self, now: float) -> float:
+        """Return the time by which ``Ticked`` is due."""
+        due = max(now, self._control.window_ends_at)
+        if self._deadlines:
+            due = min(due, max(now, self._deadlines[0][0]))
+        return due
+
+    def handle(self, event: Event, now: float) -> list[Action]:
+        """Take an event and return what is to be done, in order."""
+        self._now = max(self._now, now)
+        actions: list[Action] = []
+        self._expire(actions)
+        self._control.advance(self._now, waiting=len(self._queue))
+        self._take(event, actions)
+        self._fill(actions)
+        return actions
+
+    @singledispatchmethod
+    def _take(self, event: Event, actions: list[Action]) -> None:
+        """Take no more from an event than that time has passed.
+
+        A load report is such an event: latency and refusals are seen here,
+        the report is only said, and late.
+        """
+
+    @_take.register
+    def _arrived(self, event: Arrived, actions: list[Action]) -> None:
+        if event.call_id in self._queue or event.call_id in self._running:
+            raise DuplicateCallError(event.call_id)
+        self._control.record_arrival(event.level)
+        call = WaitingCall(
+            call_id=event.call_id,
+            level=event.level,
+            order=order_of(event.level, self._settings.floor_ranks),
+            arrived_at=self._now,
+            deadline=event.deadline,
+        )
+        reason = self._reason_against(call)
+        if reason is not None:
+            actions.append(self._refusal(call, reason))
+            return
+        self._queue.add(call)
+        heappush(self._deadlines, (call.deadline, call.call_id))
+        if len(self._queue) > self._settings.most_waiting:
+            last = self._queue.remove(self._queue.last().call_id)
+            actions.append(self._refusal(last, RefusalReason.QUEUE_FULL))
+
+    @_take.register
+    def _finished(self, event: Finished, actions: list[Action]) -> None:
+        call = self._running.finish(event.call_id)
+        if call is None:
+            return
+        self._control.record_finish(
+            self._now - call.started_at,
+            was_good=event.was_good,
+            is_aborted=call.is_aborted,
+        )
+
+    @_take.register
+    def _cancelled(self, event: Cancelled, actions: list[Action]) -> None:
+        if event.call_id in self._queue:
+            self._queue.remove(event.call_id)
+            return
+        actions.extend(self._running.abort(event.call_id))
+
+    @_take.register
+    def _drain_started(
+        self,
+        event: DrainStarted,
+        actions: list[Action],
+    ) -> None:
+        if self._drain_ends_at is None:
+            self._drain_ends_at = self._now + self._settings.drain_seconds
+        for call in self._queue.ordered():
+            self._queue.remove(call.call_id)
+            actions.append(self._refusal(call, RefusalReason.LEAVING))
+
+    def _reason_against(self, call: WaitingCall) -> RefusalReason | None:
+        if self._drain_ends_at is not None:
+            return RefusalReason.LEAVING
+        floor = self._settings.floor_ranks
+        if is_refused(call.level, self.threshold, floor):
+            return RefusalReason.OVERLOAD
+        if not self._can_finish(call):
+            return RefusalReason.DEADLINE
+        return None
+
+    def _can_finish(self, call: WaitingCall) -> bool:
+        if not self._running:
+            # The estimate may be stale, and only a call can tell.
+            return self._now < call.deadline
+        finish = self._control.finish_time(
+            self._now,
+            running=len(self._running),
+            ahead=self._queue.ahead_of(call),
+        )
+        return finish <= call.deadline
+
+    def _fill(self, actions: list[Action]) -> None:
+        while self._queue and len(self._running) < self._control.slots:
+            call = self._queue.remove(self._queue.first().call_id)
+            if not self._can_finish(call):
+                actions.append(self._refusal(call, RefusalReason.DEADLINE))
+                continue
+            self._running.start(
+                call.call_id,
+                now=self._now,
+                deadline=call.deadline,
+            )
+            actions.append(Dispatch(call.call_id))
+        if self._queue:
+            self._control.record_saturation()
+
+    def _expire(self, actions: list[Action]) -> None:
+        while self._deadlines and self._deadlines[0][0] <= self._now:
+            call_id = heappop(self._deadlines)[1]
+            if self._queue.is_late(call_id, self._now):
+                call = self._queue.remove(call_id)
+                actions.append(self._refusal(call, RefusalReason.DEADLINE))
+            if self._running.is_late(call_id, self._now):
+                actions.extend(self._running.abort(call_id))
+        if self._drain_ends_at is not None and self._now >= self._drain_ends_at:
+            actions.extend(self._running.abort_all())
+
+    def _refusal(self, call: WaitingCall, reason: RefusalReason) -> Refuse:
+        return Refuse(
+            call_id=call.call_id,
+            reason=reason,
+            retry_after_ms=self._control.retry_after_ms(call.level),
+        )
--- /dev/null
+++ b/src/lovageshunt/admission/_caller.py
@@ -0,0 +1,95 @@
+"""What a caller remembers of the thresholds that answers told it."""
+
+from typing import Final
+
+from lovageshunt._record import Record
+from lovageshunt.admission._levels import OPEN_THRESHOLD, is_refused
+from lovageshunt.admission._settings import CallerSettings
+from lovageshunt.calls import RANK_COUNT
+
+_MS_PER_SECOND: Final = 1000
+
+
+class _Heard(Record):
+    __slots__ = ('threshold', 'heard_at')
+
+    def __init__(self, *, threshold: float, heard_at: float) -> None:
+        self.threshold = threshold
+        self.heard_at = heard_at
+
+
+class CallerThresholds:
+    """Refuses at the caller what a service below would refuse.
+
+    Thresholds are kept for each called service. A kind of request is refused
+    for a service only when answers to that kind named the service.
+    """
+
+    __slots__ = ('_settings', '_heard_by_service', '_needs_by_kind')
+
+    def __init__(self, settings: CallerSettings | None = None) -> None:
+        """Start knowing nothing, which refuses nothing."""
+        self._settings = settings or CallerSettings()
+        self._heard_by_service: dict[str, _Heard] = {}
+        self._needs_by_kind: dict[str, dict[str, float]] = {}
+
+    def learn(self, service: str, threshold: int, now: float) -> None:
+        """Take a threshold from an answer; one target's word counts a share."""
+        known = self._threshold(service, now)
+        change = self._settings.smoothing * (threshold - known)
+        self._heard_by_service[service] = _Heard(
+            threshold=known + change,
+            heard_at=now,
+        )
+
+    def learn_needs(self, kind: str, services: list[str], now: float) -> None:
+        """Remember which services an answer to a kind of request named."""
+        needs = self._needs_by_kind.setdefault(kind, {})
+        for service in services:
+            needs[service] = now
+
+    def verdict(self, service: str, level: int, now: float) -> int | None:
+        """Return when to come back in ms, or nothing if the call may go."""
+        threshold = int(self._threshold(service, now))
+        if not is_refused(level, threshold, self._settings.floor_ranks):
+            return None
+        spread = 0.5 + level % RANK_COUNT / RANK_COUNT
+        seconds = self._settings.retry_after_seconds * spread
+        return max(1, int(seconds * _MS_PER_SECOND))
+
+    def verdict_of_kind(self, kind: str, level: int, now: float) -> int | None:
+        """Return the verdict of all services that the kind needs."""
+        waits = [
+            self.verdict(service, level, now)
+            for service in self.needs(kind, now)
+        ]
+        return max((wait for wait in waits if wait is not None), default=None)
+
+    def needs(self, kind: str, now: float) -> list[str]:
+        """Return the services that answers to a kind named lately."""
+        since = now - self._settings.memory_seconds
+        needs = self._needs_by_kind.get(kind, {})
+        return [service for service, at in needs.items() if at >= since]
+
+    def merged(self, now: float) -> dict[str, int]:
+        """Return the thresholds below every level, to ride on answers."""
+        by_service = {
+            service: int(self._threshold(service, now))
+            for service in self._heard_by_service
+        }
+        return {
+            service: threshold
+            for service, threshold in by_service.items()
+            if threshold < OPEN_THRESHOLD
+        }
+
+    def _threshold(self, service: str, now: float) -> float:
+        heard = self._heard_by_service.get(service)
+        if heard is None:
+            return OPEN_THRESHOLD
+        silence = now - heard.heard_at - self._settings.hold_seconds
+        if silence <= 0:
+            return heard.threshold
+        doublings = min(silence / self._settings.doubling_seconds, 30)
+        risen = self._settings.probe_ranks * 2**doublings
+        return min(OPEN_THRESHOLD, heard.threshold + risen)
--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -28,3 +28,14 @@
             f'the answer is malformed ({reason}); the connection is closed and '
             'the outcome of the call is unknown',
         )
+
+
+class DuplicateCallError(LovageshuntError):
+    """Raised when a call arrives under the id of one that is still here."""
+
+    def __init__(self, call_id: str) -> None:
+        """Keep the id."""
+        super().__init__(
+            f'call {call_id!r} already waits or runs here; give each attempt '
+            'an id of its own within the node',
+        )
--- /dev/null
+++ b/tests/admission/test_admission.py
@@ -0,0 +1,259 @@
+"""Admission beside one target."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from lovageshunt.admission import (
+    OPEN_THRESHOLD,
+    Abort,
+    Admission,
+    AdmissionSettings,
+    Arrived,
+    Cancelled,
+    Dispatch,
+    DrainStarted,
+    Finished,
+    Refuse,
+    Ticked,
+)
+from lovageshunt.calls import RANK_COUNT, RefusalReason
+from lovageshunt.errors import DuplicateCallError
+
+SLOTS = 4
+FLOOR = 328
+NEVER = 1e9
+MIDDLE = RANK_COUNT // 2
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Drives admission with any events and checks what always holds."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = float(0)
+        self.settings = AdmissionSettings(slots=SLOTS, most_waiting=20)
+        self.admission = Admission(self.settings, self.now)
+        self.calls = {}
+        self.waiting = set()
+        self.running = set()
+        self.aborted = set()
+        self.refused_levels = []
+
+    @rule(
+        importance=st.integers(0, 7),
+        rank=st.integers(0, RANK_COUNT - 1),
+        seconds=st.sampled_from((0, 0.01, 0.1, 1, 5)),
+        count=st.integers(1, 8),
+    )
+    def arrive(self, importance, rank, seconds, count):
+        for number in range(count):
+            level = importance * RANK_COUNT + (rank + number) % RANK_COUNT
+            call_id = str(len(self.calls))
+            self.calls[call_id] = (level, self.now + seconds)
+            self.waiting.add(call_id)
+            self.send(
+                Arrived(
+                    call_id=call_id,
+                    level=level,
+                    deadline=self.now + seconds,
+                ),
+            )
+
+    @precondition(lambda machine: machine.running)
+    @rule(pick=st.randoms(use_true_random=False), was_good=st.booleans())
+    def finish(self, pick, was_good):
+        call_id = pick.choice(sorted(self.running))
+        self.running.discard(call_id)
+        self.send(Finished(call_id, was_good=was_good))
+
+    @precondition(lambda machine: machine.running or machine.waiting)
+    @rule(pick=st.randoms(use_true_random=False))
+    def cancel(self, pick):
+        call_id = pick.choice(sorted(self.waiting | self.running))
+        self.waiting.discard(call_id)
+        self.send(Cancelled(call_id))
+        assert call_id in self.aborted or call_id not in self.running
+
+    @rule(seconds=st.sampled_from((0.001, 0.05, 0.1, 0.5, 3)))
+    def wait(self, seconds):
+        self.now += seconds
+        self.refused_levels.clear()
+        self.send(Ticked())
+
+    @rule()
+    def drain(self):
+        if self.now > 10:
+            self.send(DrainStarted())
+
+    @invariant()
+    def all_calls_are_accounted_for(self):
+        load = self.admission.load()
+        assert load.running == len(self.running)
+        assert load.waiting == len(self.waiting)
+
+    @invariant()
+    def late_calls_do_not_linger(self):
+        late = {
+            call_id
+            for call_id in self.waiting | self.running
+            if self.calls[call_id][1] < self.now
+        }
+        assert late <= self.aborted
+
+    def send(self, event):
+        for action in self.admission.handle(event, self.now):
+            self.check(action)
+        assert len(self.running) <= SLOTS * self.settings.most_share
+        assert self.admission.next_wake(self.now) >= self.now
+
+    def check(self, action):
+        level, deadline = self.calls[action.call_id]
+        if isinstance(action, Abort):
+            assert action.call_id in self.running - self.aborted
+            self.aborted.add(action.call_id)
+            return
+        self.waiting.remove(action.call_id)
+        if isinstance(action, Dispatch):
+            assert self.now < deadline
+            self.running.add(action.call_id)
+            beyond_floor = level % RANK_COUNT >= FLOOR
+            worst = min(self.refused_levels, default=NEVER)
+            assert not (beyond_floor and level > worst)
+            return
+        assert action.retry_after_ms > 0
+        if action.reason is RefusalReason.OVERLOAD:
+            self.refused_levels.append(level)
+
+
+AdmissionMachine.TestCase.settings = settings(
+    max_examples=120,
+    stateful_step_count=40,
+)
+TestAlways = AdmissionMachine.TestCase
+
+
+def level_of(importance, rank=MIDDLE):
+    return importance * RANK_COUNT + rank
+
+
+def arrive(admission, call_id, now, *, level=0, seconds=10.0):
+    event = Arrived(call_id=call_id, level=level, deadline=now + seconds)
+    return admission.handle(event, now)
+
+
+class TestOrder:
+    """Which call goes first and which is refused."""
+
+    def test_free_slot_is_used_at_once(self):
+        """A call that finds a free slot is dispatched by the same event."""
+        admission = Admission(AdmissionSettings(slots=1), 0)
+
+        assert arrive(admission, 'a', 0) == [Dispatch('a')]
+
+    def test_importance_goes_before_arrival(self):
+        """A freed slot goes to the most important waiting call."""
+        admission = Admission(AdmissionSettings(slots=1), 0)
+        arrive(admission, 'a', 0)
+        arrive(admission, 'low', 0, level=level_of(5))
+        arrive(admission, 'high', 0, level=level_of(1))
+
+        actions = admission.handle(Finished('a', was_good=True), 0.01)
+
+        assert actions == [Dispatch('high')]
+
+    def test_hopeless_call_is_refused_at_once(self):
+        """A call that cannot finish before its deadline never waits."""
+        admission = Admission(AdmissionSettings(slots=1), 0)
+        arrive(admission, 'a', 0)
+
+        actions = arrive(admission, 'b', 0, seconds=0.01)
+
+        assert [action.reason for action in actions] == [RefusalReason.DEADLINE]
+
+    def test_same_id_twice_is_an_error(self):
+        """A second call under the id of one that runs is a typed error."""
+        admission = Admission(AdmissionSettings(slots=1), 0)
+        arrive(admission, 'a', 0)
+
+        with pytest.raises(DuplicateCallError):
+            arrive(admission, 'a', 0)
+
+
+class TestDrain:
+    """A target that leaves."""
+
+    def test_waiting_calls_move_on(self):
+        """A drain refuses waiting and new calls and lets running ones end."""
+        admission = Admission(AdmissionSettings(slots=1), 0)
+        arrive(admission, 'a', 0)
+        arrive(admission, 'b', 0)
+
+        refused = admission.handle(DrainStarted(), 0.01)
+        refused += arrive(admission, 'c', 0.01)
+
+        assert {action.reason for action in refused} == {RefusalReason.LEAVING}
+        assert not admission.is_drained
+        admission.handle(Finished('a', was_good=True), 0.02)
+        assert admission.is_drained
+
+    def test_drain_that_cannot_finish_aborts(self):
+        """A drain aborts what still runs when its time is over."""
+        limits = AdmissionSettings(slots=1, drain_seconds=5)
+        admission = Admission(limits, 0)
+        arrive(admission, 'a', 0, seconds=100)
+        admission.handle(DrainStarted(), 0)
+
+        assert admission.handle(Ticked(), 5) == [Abort('a')]
+
+
+class TestOverload:
+    """The threshold under steady overload."""
+
+    def test_calm_target_refuses_nothing(self):
+        """The threshold of a calm target is above every level."""
+        admission = Admission(AdmissionSettings(slots=1), 0)
+        admission.handle(Ticked(), 1)
+
+        assert admission.threshold == OPEN_THRESHOLD
+
+    def test_low_importance_is_refused_first(self):
+        """Important calls that alone fit are served under twice that load."""
+        admission = Admission(AdmissionSettings(slots=2), 0)
+        refused = {1: 0, 4: 0}
+        running = {}
+        for step in range(4000):
+            now = step * 0.005
+            for call_id, ends_at in list(running.items()):
+                if ends_at <= now:
+                    running.pop(call_id)
+                    actions = admission.handle(
+                        Finished(call_id, was_good=True),
+                        now,
+                    )
+                    running.update(ends_of(actions, now))
+            importance = 4 if step % 3 else 1
+            rank = step * 7919 % RANK_COUNT
+            level = level_of(importance, rank)
+            actions = arrive(admission, str(step), now, level=level, seconds=1)
+            running.update(ends_of(actions, now))
+            refused[importance] += any(
+                isinstance(action, Refuse) for action in actions
+            )
+
+        assert refused[1] <= 13
+        assert refused[4] > 1900
+
+
+def ends_of(actions, now):
+    return {
+        action.call_id: now + 0.02
+        for action in actions
+        if isinstance(action, Dispatch)
+    }
--- /dev/null
+++ b/tests/admission/test_caller.py
@@ -0,0 +1,60 @@
+"""What a caller remembers of thresholds."""
+
+from lovageshunt.admission import (
+    OPEN_THRESHOLD,
+    CallerSettings,
+    CallerThresholds,
+)
+from lovageshunt.calls import RANK_COUNT
+
+HIGH = RANK_COUNT // 2
+LOW = 5 * RANK_COUNT + HIGH
+
+
+def told(threshold, times=30):
+    thresholds = CallerThresholds(CallerSettings())
+    for _ in range(times):
+        thresholds.learn('records', threshold, 0)
+    return thresholds
+
+
+class TestVerdict:
+    """Refusals at the caller."""
+
+    def test_unknown_service_is_tried(self):
+        """A service that was never heard of refuses nothing."""
+        assert CallerThresholds().verdict('records', LOW, 0) is None
+
+    def test_low_level_is_refused_by_the_caller(self):
+        """A level at or above the threshold is refused, one below is not."""
+        thresholds = told(2 * RANK_COUNT)
+
+        assert thresholds.verdict('records', LOW, 0) > 0
+        assert thresholds.verdict('records', HIGH, 0) is None
+
+    def test_silent_service_is_tried_again(self):
+        """Without answers the threshold opens, the lower levels first."""
+        thresholds = told(0)
+
+        assert thresholds.verdict('records', LOW, 1) is not None
+        assert thresholds.verdict('records', 400, 1) is None
+        assert thresholds.verdict('records', LOW, 5) is None
+
+    def test_kind_is_refused_only_for_what_it_needs(self):
+        """A kind whose answers never named the service is let through."""
+        thresholds = told(2 * RANK_COUNT)
+        thresholds.learn_needs('history', ['records'], 0)
+
+        assert thresholds.verdict_of_kind('history', LOW, 0) > 0
+        assert thresholds.verdict_of_kind('tariff', LOW, 0) is None
+
+
+class TestMerged:
+    """What rides on answers."""
+
+    def test_calm_services_are_left_out(self):
+        """Only services that refuse something are told upwards."""
+        thresholds = told(2 * RANK_COUNT)
+        thresholds.learn('tariffs', OPEN_THRESHOLD, 0)
+
+        assert list(thresholds.merged(0)) == ['records']
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,221 @@
+"""The choice of a target."""
+
+from random import Random
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from lovageshunt.calls import LoadReport, Outcome, RefusalReason
+from lovageshunt.routing import RouteMember, Router
+
+NODES = tuple(f'n{number}' for number in range(6))
+
+
+def member(node, *, failure_domain='fd1', incarnation='1', is_leaving=False):
+    return RouteMember(
+        node=node,
+        service='records',
+        failure_domain=failure_domain,
+        region='r1',
+        address='127.0.0.1:1',
+        incarnation=incarnation,
+        is_leaving=is_leaving,
+    )
+
+
+def router_of(*members, seed=1):
+    router = Router(
+        service='records',
+        own_failure_domain='fd1',
+        own_region='r1',
+        rng=Random(seed),
+    )
+    router.set_members(list(members), 0)
+    return router
+
+
+def shares(router, now, count=400):
+    """Return the per cent of choices by node."""
+    chosen = [router.choose(now).node for _ in range(count)]
+    return {node: chosen.count(node) * 100 // count for node in set(chosen)}
+
+
+class RouterMachine(RuleBasedStateMachine):
+    """Drives a router with any answers and checks what always holds."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = float(0)
+        self.listed = {}
+        self.left = set()
+        self.router = router_of()
+
+    @rule(
+        nodes=st.sets(st.sampled_from(NODES)),
+        leaving=st.sets(st.sampled_from(NODES)),
+        incarnation=st.sampled_from('12'),
+    )
+    def list_members(self, nodes, leaving, incarnation):
+        members = [
+            member(
+                node,
+                failure_domain='fd1' if node < 'n3' else 'fd2',
+                incarnation=incarnation,
+                is_leaving=node in leaving,
+            )
+            for node in sorted(nodes)
+        ]
+        self.listed = {entry.node: entry for entry in members}
+        self.router.set_members(members, self.now)
+        self.left &= {(node, incarnation) for node in nodes}
+
+    @rule(
+        excluded=st.sets(st.sampled_from(NODES), max_size=3),
+        end=st.sampled_from(('answered', 'failed', 'lost', 'leaving', 'full')),
+        seconds=st.sampled_from((0, 0.01, 1)),
+    )
+    def call(self, excluded, end, seconds):
+        chosen = self.router.choose(self.now, frozenset(excluded))
+        usable = {
+            node
+            for node, entry in self.listed.items()
+            if not entry.is_leaving
+            and (node, entry.incarnation) not in self.left
+            and node not in excluded
+        }
+        if not usable:
+            assert chosen is None
+            return
+        assert chosen.node in usable
+        self.end(chosen, end, seconds)
+
+    @rule(seconds=st.sampled_from((0.01, 1, 10)))
+    def wait(self, seconds):
+        self.now += seconds
+
+    def end(self, chosen, end, seconds):
+        self.router.started(chosen.node, self.now)
+        if end == 'lost':
+            self.router.lost(chosen.node, self.now)
+            return
+        if end == 'leaving':
+            self.left.add((chosen.node, chosen.incarnation))
+        outcome, reason = {
+            'answered': (Outcome.ANSWERED, None),
+            'failed': (Outcome.FAILED, RefusalReason.TARGET_FAILED),
+            'leaving': (Outcome.NOT_RUN, RefusalReason.LEAVING),
+            'full': (Outcome.NOT_RUN, RefusalReason.OVERLOAD),
+        }[end]
+        self.router.answered(
+            chosen.node,
+            self.now,
+            seconds=seconds,
+            outcome=outcome,
+            reason=reason,
+        )
+
+
+RouterMachine.TestCase.settings = settings(
+    max_examples=100,
+    stateful_step_count=30,
+)
+TestAlways = RouterMachine.TestCase
+
+
+def answer(router, node, *, now=0, seconds=0.01, load=None):
+    router.started(node, now)
+    router.answered(
+        node,
+        now,
+        seconds=seconds,
+        outcome=Outcome.ANSWERED,
+        load=load,
+    )
+
+
+def fail(router, node, *, now=0, times=5):
+    for _ in range(times):
+        router.started(node, now)
+        router.answered(
+            node,
+            now,
+            seconds=0,
+            outcome=Outcome.FAILED,
+            reason=RefusalReason.TARGET_FAILED,
+        )
+
+
+def load_of(running, *, waiting=0):
+    return LoadReport(
+        running=running,
+        waiting=waiting,
+        limit=10,
+        service_ms=10,
+    )
+
+
+class TestHealth:
+    """Failures and ejection."""
+
+    def test_failing_target_is_left_out(self):
+        """A target that fails again and again gets no calls for a while."""
+        router = router_of(*map(member, 'abc'))
+        fail(router, 'a')
+
+        assert 'a' not in shares(router, 0.5)
+        assert 'a' in shares(router, 60)
+
+    def test_only_a_share_is_ejected(self):
+        """When all targets fail, at most half of them are left out."""
+        router = router_of(*map(member, 'abcd'))
+        for node in 'abcd':
+            fail(router, node)
+
+        assert len(shares(router, 0.5)) >= 2
+
+    def test_fast_errors_attract_no_calls(self):
+        """A target that fails fast gets no more calls than a sound one."""
+        router = router_of(*map(member, 'ab'))
+        for _ in range(20):
+            answer(router, 'b', seconds=0.05)
+            answer(router, 'a', seconds=0.05)
+            fail(router, 'a', times=4)
+
+        assert shares(router, 0.5).get('a', 0) <= 55
+
+
+class TestLoad:
+    """Load seen and reported."""
+
+    def test_near_target_with_room_is_preferred(self):
+        """The own failure domain gets all calls while it has room."""
+        far = member('far', failure_domain='fd2')
+        router = router_of(member('near'), far)
+        answer(router, 'near', load=load_of(2))
+
+        assert shares(router, 0.1) == {'near': 100}
+
+    def test_full_near_target_spills_over(self):
+        """Calls leave a full own failure domain."""
+        far = member('far', failure_domain='fd2')
+        router = router_of(member('near'), far)
+        answer(router, 'near', load=load_of(10, waiting=5))
+
+        assert shares(router, 0.1)['far'] > 50
+
+    def test_best_target_is_not_rushed(self):
+        """The target that looks best gets less than all of the calls."""
+        router = router_of(*map(member, 'abcd'))
+        for node in 'bcd':
+            answer(router, node, load=load_of(8))
+
+        assert 30 < shares(router, 0.1)['a'] < 60
+
+    def test_newcomer_starts_slowly(self):
+        """A target that just joined gets a small share, later a full one."""
+        router = router_of(*map(member, 'ab'))
+        router.set_members([member(node) for node in 'abc'], 100)
+
+        assert shares(router, 100.1).get('c', 0) < 15
+        assert shares(router, 120)['c'] > 25
