--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -47,4 +47,12 @@
         super().__init__(
             f'the rules document is malformed ({reason}); publish the file '
             'that "lovageshunt rules accept" writes, unchanged',
+class DuplicateCallError(LovageshuntError):
+    """Raised when a call arrives under the id of one that is still here."""
+
+    def __init__(self, call_id: str) -> None:
+        """Keep the id."""
+        super().__init__(
+            f'call {call_id!r} already waits or runs here; give each attempt '
+            'an id of its own within the node',
         )
