Keep a view of members from lists, announcements, silence and answers

A leave is believed from anyone and bound to its incarnation; silence only lowers preference; a list below the highest revision read takes nothing back.

--- a/src/lovageshunt/membership/__init__.py
+++ b/src/lovageshunt/membership/__init__.py
@@ -1,1 +1,80 @@
 """Who is here, who is leaving and who has gone silent."""
+
+from lovageshunt.membership._actions import (
+    Announce,
+    MembersChanged,
+    OwnLeaveListed,
+    Peer,
+    Probe,
+    ReadList,
+    SendDigest,
+)
+from lovageshunt.membership._election import (
+    ElectionSettings,
+    ReaderElection,
+)
+from lovageshunt.membership._epochs import EpochClock, Picture
+from lovageshunt.membership._events import (
+    BulletinReceived,
+    DigestReceived,
+    LeaveStarted,
+    ListNewsHeard,
+    ListRead,
+    ListReadFailed,
+    PauseEnded,
+    PeerAnnounced,
+    PeerAnswered,
+    PeerSilent,
+    Ticked,
+)
+from lovageshunt.membership._incarnation import new_incarnation
+from lovageshunt.membership._member import Member
+from lovageshunt.membership._messages import (
+    Announcement,
+    Bulletin,
+    ListNews,
+    MembershipDigest,
+    wire_bytes,
+)
+from lovageshunt.membership._news import NO_NEWS
+from lovageshunt.membership._settings import MembershipSettings
+from lovageshunt.membership._view import MembershipView
+from lovageshunt.membership._vms import ListedVm, VmList, VmState
+
+__all__ = [
+    'Announce',
+    'Announcement',
+    'Bulletin',
+    'BulletinReceived',
+    'DigestReceived',
+    'ElectionSettings',
+    'EpochClock',
+    'LeaveStarted',
+    'ListNews',
+    'ListNewsHeard',
+    'ListRead',
+    'ListReadFailed',
+    'ListedVm',
+    'Member',
+    'NO_NEWS',
+    'MembersChanged',
+    'MembershipDigest',
+    'MembershipSettings',
+    'MembershipView',
+    'OwnLeaveListed',
+    'PauseEnded',
+    'Peer',
+    'PeerAnnounced',
+    'PeerAnswered',
+    'PeerSilent',
+    'Picture',
+    'Probe',
+    'ReadList',
+    'ReaderElection',
+    'SendDigest',
+    'Ticked',
+    'VmList',
+    'VmState',
+    'new_incarnation',
+    'wire_bytes',
+]
--- /dev/null
+++ b/src/lovageshunt/membership/_messages.py
@@ -0,0 +1,278 @@
+"""What nodes tell each other about members, and its checked decoding."""
+
+from typing import Any, Final, Self, TypeVar
+
+import orjson
+
+from lovageshunt._record import Record
+from lovageshunt.errors import MalformedMembershipError
+from lovageshunt.membership._news import NO_NEWS
+from lovageshunt.membership._vms import VmState
+
+#: No count of milliseconds on the wire may be larger.
+_MAX_MS: Final = 2**31
+#: No revision of the platform may be larger.
+_MAX_REVISION: Final = 2**63
+_LONGEST_TEXT: Final = 256
+
+_MessageT = TypeVar('_MessageT')
+
+
+class Announcement(Record):
+    """A node's own word about itself; nobody else makes one.
+
+    ``incarnation`` sorts by the time at which the node started. ``age_ms``
+    is the time since the node said it, added up by each who passes it on.
+    """
+
+    __slots__ = (
+        'name',
+        'service',
+        'failure_domain',
+        'region',
+        'address',
+        'admin_address',
+        'incarnation',
+        'is_leaving',
+        'age_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        failure_domain: str,
+        region: str,
+        address: str,
+        incarnation: str,
+        admin_address: str = '',
+        is_leaving: bool = False,
+        age_ms: int = 0,
+    ) -> None:
+        """Take every field by name."""
+        self.name = name
+        self.service = service
+        self.failure_domain = failure_domain
+        self.region = region
+        self.address = address
+        self.admin_address = admin_address
+        self.incarnation = incarnation
+        self.is_leaving = is_leaving
+        self.age_ms = age_ms
+
+    @classmethod
+    def from_fields(cls, fields: object) -> Self:
+        """Decode an announcement; raises ``MalformedMembershipError``."""
+        known = _checked_fields(cls, fields)
+        _check_texts(
+            known,
+            'name',
+            'service',
+            'failure_domain',
+            'region',
+            'address',
+            'admin_address',
+            'incarnation',
+        )
+        _check_count(known, 'age_ms', _MAX_MS)
+        if not isinstance(known.get('is_leaving', False), bool):
+            raise MalformedMembershipError(
+                'is_leaving is neither true nor false'
+            )
+        return _made(cls, known)
+
+
+class ListNews(Record):
+    """What a reader of the platform saw change in its list.
+
+    ``state`` is ``GONE`` when the list names the VM no longer.
+    """
+
+    __slots__ = (
+        'name',
+        'service',
+        'failure_domain',
+        'region',
+        'address',
+        'admin_address',
+        'state',
+        'revision',
+        'age_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        failure_domain: str,
+        region: str,
+        address: str,
+        state: VmState,
+        revision: int,
+        admin_address: str = '',
+        age_ms: int = 0,
+    ) -> None:
+        """Take every field by name."""
+        self.name = name
+        self.service = service
+        self.failure_domain = failure_domain
+        self.region = region
+        self.address = address
+        self.admin_address = admin_address
+        self.state = state
+        self.revision = revision
+        self.age_ms = age_ms
+
+    @classmethod
+    def from_fields(cls, fields: object) -> Self:
+        """Decode news of the list; raises ``MalformedMembershipError``."""
+        known = _checked_fields(cls, fields)
+        _check_texts(
+            known,
+            'name',
+            'service',
+            'failure_domain',
+            'region',
+            'address',
+            'admin_address',
+        )
+        _check_count(known, 'age_ms', _MAX_MS)
+        _check_count(known, 'revision', _MAX_REVISION)
+        try:
+            known['state'] = VmState(known.get('state', ''))
+        except ValueError as error:
+            raise MalformedMembershipError(str(error)) from error
+        return _made(cls, known)
+
+
+class Bulletin(Record):
+    """What one node tells another: announcements and news of the list.
+
+    ``news_age_ms`` is how long ago the platform had last answered a reader
+    of whom the sender heard, or ``NO_NEWS``.
+    """
+
+    __slots__ = ('announcements', 'list_news', 'news_age_ms')
+
+    def __init__(
+        self,
+        *,
+        announcements: list[Announcement],
+        list_news: list[ListNews],
+        news_age_ms: int = NO_NEWS,
+    ) -> None:
+        """Take every field by name."""
+        self.announcements = announcements
+        self.list_news = list_news
+        self.news_age_ms = news_age_ms
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return the fields by name, for a codec at the border."""
+        return {
+            'announcements': [one.as_dict() for one in self.announcements],
+            'list_news': [one.as_dict() for one in self.list_news],
+            'news_age_ms': self.news_age_ms,
+        }
+
+    @classmethod
+    def from_fields(cls, fields: object) -> Self:
+        """Decode a bulletin; raises ``MalformedMembershipError``."""
+        known = _checked_fields(cls, fields)
+        _check_news_age(known)
+        return cls(
+            announcements=[
+                Announcement.from_fields(one)
+                for one in _listed(known, 'announcements')
+            ],
+            list_news=[
+                ListNews.from_fields(one) for one in _listed(known, 'list_news')
+            ],
+            news_age_ms=known.get('news_age_ms', NO_NEWS),
+        )
+
+
+class MembershipDigest(Record):
+    """What a node knows, short enough to send to a peer every few seconds.
+
+    ``digest_by_service`` covers the announcements that it holds of each
+    service; ``news_age_ms`` is that of a bulletin.
+    """
+
+    __slots__ = ('sender', 'address', 'digest_by_service', 'news_age_ms')
+
+    def __init__(
+        self,
+        *,
+        sender: str,
+        address: str,
+        digest_by_service: dict[str, str],
+        news_age_ms: int = NO_NEWS,
+    ) -> None:
+        """Take every field by name."""
+        self.sender = sender
+        self.address = address
+        self.digest_by_service = digest_by_service
+        self.news_age_ms = news_age_ms
+
+    @classmethod
+    def from_fields(cls, fields: object) -> Self:
+        """Decode a digest; raises ``MalformedMembershipError``."""
+        known = _checked_fields(cls, fields)
+        _check_texts(known, 'sender', 'address')
+        digests = known.get('digest_by_service')
+        if not isinstance(digests, dict):
+            raise MalformedMembershipError('digest_by_service is no object')
+        _check_texts(digests, *digests)
+        _check_news_age(known)
+        return _made(cls, known)
+
+
+def wire_bytes(message: Record) -> int:
+    """Return how many bytes a message takes as compact JSON."""
+    return len(orjson.dumps(message.as_dict()))
+
+
+def _checked_fields(kind: type[Record], fields: object) -> dict[str, Any]:
+    if not isinstance(fields, dict):
+        raise MalformedMembershipError('no JSON object')
+    names = kind._field_names()
+    # Fields of later versions are passed over.
+    return {name: fields[name] for name in names if name in fields}
+
+
+def _check_texts(fields: dict[str, Any], *names: str) -> None:
+    for name in names:
+        text = fields.get(name, '')
+        if not isinstance(text, str) or len(text) > _LONGEST_TEXT:
+            raise MalformedMembershipError(
+                f'{name} is no text of at most {_LONGEST_TEXT} characters',
+            )
+
+
+def _check_count(fields: dict[str, Any], name: str, most: int) -> None:
+    count = fields.get(name, 0)
+    if isinstance(count, bool) or not isinstance(count, int):
+        raise MalformedMembershipError(f'{name} is no whole number')
+    if not 0 <= count <= most:
+        raise MalformedMembershipError(f'{name} is out of range')
+
+
+def _check_news_age(fields: dict[str, Any]) -> None:
+    if fields.get('news_age_ms', NO_NEWS) != NO_NEWS:
+        _check_count(fields, 'news_age_ms', _MAX_MS)
+
+
+def _listed(fields: dict[str, Any], name: str) -> list[object]:
+    listed = fields.get(name, [])
+    if not isinstance(listed, list):
+        raise MalformedMembershipError(f'{name} is no list')
+    return listed
+
+
+def _made(kind: type[_MessageT], fields: dict[str, Any]) -> _MessageT:
+    try:
+        return kind(**fields)
+    except TypeError as error:
+        raise MalformedMembershipError(str(error)) from error
--- /dev/null
+++ b/src/lovageshunt/membership/_news.py
@@ -0,0 +1,37 @@
+"""How long ago the platform is known to have answered."""
+
+from typing import Final
+
+_MS_PER_SECOND: Final = 1000
+#: Stands for an age that is not known.
+NO_NEWS: Final = -1
+
+
+class PlatformNews:
+    """The latest time at which any reader had an answer of the platform."""
+
+    __slots__ = ('_answered_at',)
+
+    def __init__(self) -> None:
+        """Know of no answer."""
+        self._answered_at: float | None = None
+
+    def hear(self, answered_at: float) -> bool:
+        """Take in when the platform answered; return whether it is later."""
+        if self._answered_at is not None and answered_at <= self._answered_at:
+            return False
+        self._answered_at = answered_at
+        return True
+
+    def hear_age(self, age_ms: int, now: float) -> bool:
+        """Take in what a peer told; return whether it is later."""
+        if age_ms == NO_NEWS:
+            return False
+        return self.hear(now - age_ms / _MS_PER_SECOND)
+
+    def age_ms(self, now: float) -> int:
+        """Return the age of the news, or ``NO_NEWS``."""
+        if self._answered_at is None:
+            return NO_NEWS
+        age = max(0, now - self._answered_at)
+        return int(age * _MS_PER_SECOND)
--- /dev/null
+++ b/tests/membership/test_view.py
@@ -0,0 +1,211 @@
+"""A view believes leaves at once and silence hardly."""
+
+from random import Random
+
+from lovageshunt.membership import (
+    Announce,
+    Announcement,
+    LeaveStarted,
+    ListedVm,
+    ListRead,
+    MembersChanged,
+    MembershipView,
+    PeerAnnounced,
+    PeerAnswered,
+    PeerSilent,
+    Probe,
+    Ticked,
+    VmList,
+    VmState,
+)
+
+
+def listed(name: str, state: VmState = VmState.LIVE) -> ListedVm:
+    """Return an entry of the list for a VM of the service records."""
+    return ListedVm(
+        name=name,
+        service='records',
+        failure_domain='fd1',
+        region='r1',
+        address=f'{name}:1',
+        admin_address=f'{name}:2',
+        state=state,
+    )
+
+
+def word(
+    name: str,
+    incarnation: str = '1',
+    *,
+    is_leaving: bool = False,
+    age_ms: int = 0,
+) -> PeerAnnounced:
+    """Return an announcement by a VM of the service records."""
+    return PeerAnnounced(
+        Announcement(
+            name=name,
+            service='records',
+            failure_domain='fd1',
+            region='r1',
+            address=f'{name}:1',
+            admin_address=f'{name}:2',
+            incarnation=incarnation,
+            is_leaving=is_leaving,
+            age_ms=age_ms,
+        ),
+    )
+
+
+def read(revision: int, *vms: ListedVm) -> ListRead:
+    """Return a reading of the list."""
+    return ListRead(VmList(revision=revision, vms=list(vms)))
+
+
+def new_view() -> MembershipView:
+    """Return the view of a node that calls records."""
+    own = Announcement(
+        name='own',
+        service='balances',
+        failure_domain='fd1',
+        region='r1',
+        address='own:1',
+        incarnation='1',
+    )
+    return MembershipView(
+        own=own,
+        needed_services=['records'],
+        rng=Random(1),
+        now=0,
+    )
+
+
+def offered(view: MembershipView) -> list[str]:
+    """Return the names of the members of records."""
+    return [member.name for member in view.members_of('records')]
+
+
+def departed(view: MembershipView) -> list[str]:
+    """Return the names of those that lately left records."""
+    return [member.name for member in view.lately_departed('records')]
+
+
+class TestLeaving:
+    """Whom a call may not be sent to."""
+
+    def test_listed_leaving(self) -> None:
+        """A VM that is merely listed as leaving is not offered."""
+        view = new_view()
+        view.handle(read(1, listed('a'), listed('b')), 0)
+        view.handle(read(2, listed('a', VmState.LEAVING), listed('b')), 1)
+        assert offered(view) == ['b']
+        assert departed(view) == ['a']
+
+    def test_announced_leave_goes_before_the_list(self) -> None:
+        """A VM that announced its leave stays out while listed as live."""
+        view = new_view()
+        view.handle(read(1, listed('a')), 0)
+        view.handle(word('a', is_leaving=True), 1)
+        view.handle(read(2, listed('a')), 2)
+        assert offered(view) == []
+
+    def test_refusal(self) -> None:
+        """A peer that refuses because it leaves is not offered."""
+        view = new_view()
+        view.handle(read(1, listed('a')), 0)
+        view.handle(PeerAnswered('a', is_leaving=True), 1)
+        assert offered(view) == []
+
+    def test_late_leave_of_an_earlier_incarnation(self) -> None:
+        """A leave of an incarnation before the present one is passed over."""
+        view = new_view()
+        view.handle(word('a', '2'), 1)
+        view.handle(word('a', '1', is_leaving=True), 2)
+        assert offered(view) == ['a']
+
+    def test_returned_incarnation(self) -> None:
+        """A later incarnation is offered although the list still lags."""
+        view = new_view()
+        view.handle(word('a', '1'), 1)
+        view.handle(read(1, listed('a', VmState.LEAVING)), 2)
+        view.handle(word('a', '2'), 4)
+        view.handle(read(1, listed('a', VmState.LEAVING)), 5)
+        assert offered(view) == ['a']
+
+    def test_first_word_does_not_take_back_a_listed_leave(self) -> None:
+        """An old word of a VM that is listed as leaving changes nothing."""
+        view = new_view()
+        view.handle(read(1, listed('a', VmState.LEAVING)), 2)
+        view.handle(word('a', '1', age_ms=5000), 4)
+        assert offered(view) == []
+
+
+class TestSilence:
+    """What a peer that does not answer is taken for."""
+
+    def test_silence_lowers_preference(self) -> None:
+        """A silent peer that is listed stays a member, suspect."""
+        view = new_view()
+        view.handle(read(1, *(listed(name) for name in 'abc')), 0)
+        actions = view.handle(PeerSilent('a'), 1)
+        assert actions == [MembersChanged('records')]
+        suspects = [one.is_suspect for one in view.members_of('records')]
+        assert suspects == [True, False, False]
+
+    def test_mostly_silent_picture_is_distrusted(self) -> None:
+        """When most of a service looks silent, nobody is suspect."""
+        view = new_view()
+        view.handle(read(1, *(listed(name) for name in 'abc')), 0)
+        view.handle(PeerSilent('a'), 1)
+        view.handle(PeerSilent('b'), 1)
+        suspects = [one.is_suspect for one in view.members_of('records')]
+        assert suspects == [False, False, False]
+
+    def test_suspects_are_probed(self) -> None:
+        """A suspect is probed after a delay and trusted when it answers."""
+        view = new_view()
+        view.handle(read(1, *(listed(name) for name in 'abc')), 0)
+        view.handle(PeerSilent('a'), 1)
+        assert Probe('a', 'a:1') in view.handle(Ticked(), 3)
+        view.handle(PeerAnswered('a', '1'), 4)
+        assert not view.members_of('records')[0].is_suspect
+
+    def test_absent_and_silent(self) -> None:
+        """A VM that the list omits is dropped once it is silent too."""
+        view = new_view()
+        view.handle(read(1, listed('a'), listed('b')), 0)
+        view.handle(read(2, listed('b')), 40)
+        assert offered(view) == ['a', 'b']
+        view.handle(PeerSilent('a'), 41)
+        view.handle(PeerSilent('a'), 43)
+        assert offered(view) == ['b']
+        assert departed(view) == ['a']
+
+
+class TestStaleList:
+    """A list whose revision went back."""
+
+    def test_older_list_takes_nothing_back(self) -> None:
+        """An older list neither revives a leaving VM nor drops a new one."""
+        view = new_view()
+        view.handle(read(1, listed('a')), 0)
+        view.handle(read(5, listed('a', VmState.LEAVING), listed('b')), 1)
+        view.handle(read(4, listed('a')), 2)
+        assert offered(view) == ['b']
+
+
+class TestOwnLeave:
+    """How this node tells that it leaves."""
+
+    def test_told_at_once(self) -> None:
+        """A leave is announced to peers without waiting for a tick."""
+        view = new_view()
+        view.handle(read(1, listed('a'), listed('b')), 0)
+        view.handle(Ticked(), 0.1)
+        told = [
+            action
+            for action in view.handle(LeaveStarted(), 1)
+            if isinstance(action, Announce)
+        ]
+        assert {action.peer.name for action in told} == {'a', 'b'}
+        (announcement,) = told[0].bulletin.announcements
+        assert announcement.is_leaving
