--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -207,5 +207,5 @@
             if isinstance(action, Announce)
         ]
         assert {action.peer.name for action in told} == {'a', 'b'}
-        (announcement,) = told[0].bulletin.announcements
-        assert announcement.is_leaving
+        leaves = told[0].bulletin.announcements
+        assert [leave.is_leaving for leave in leaves] == [True]
