--- /dev/null
+++ b/src/lovageshunt/account/_balance.py
@@ -0,0 +1,65 @@
+"""The check that every call that arrived is accounted for."""
+
+from collections.abc import Iterator
+
+from lovageshunt._record import Record
+from lovageshunt.account._line import AccountLine
+from lovageshunt.account._snapshot import AccountSnapshot
+
+
+class Imbalance(Record):
+    """A line that breaks a law of the account, and by how many calls.
+
+    ``law`` names the equation or inequality in the terms of the counters.
+    """
+
+    __slots__ = ('node', 'service', 'kind', 'importance', 'law', 'excess')
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        service: str,
+        kind: str,
+        importance: int,
+        law: str,
+        excess: int,
+    ) -> None:
+        """Take the line's key, the law and the calls too many."""
+        self.node = node
+        self.service = service
+        self.kind = kind
+        self.importance = importance
+        self.law = law
+        self.excess = excess
+
+
+def balance(snapshot: AccountSnapshot) -> list[Imbalance]:
+    """Return what does not balance in a snapshot; empty when all does."""
+    return [
+        Imbalance(
+            node=snapshot.node,
+            service=line.service,
+            kind=line.kind,
+            importance=line.importance,
+            law=law,
+            excess=excess,
+        )
+        for line in snapshot.lines
+        for law, excess in _excesses(line)
+    ]
+
+
+def _excesses(line: AccountLine) -> Iterator[tuple[str, int]]:
+    missing = line.arrived - line.ended - line.running
+    if missing:
+        yield (
+            'arrived = answered + refused + failed + unknown + running',
+            missing,
+        )
+    if line.running < 0:
+        yield 'running >= 0', -line.running
+    if line.dispatched > line.arrived:
+        yield 'dispatched <= arrived', line.dispatched - line.arrived
+    if line.wasted > line.dispatched:
+        yield 'wasted <= dispatched', line.wasted - line.dispatched
--- /dev/null
+++ b/src/lovageshunt/account/_snapshot.py
@@ -0,0 +1,140 @@
+"""An account at one moment, and its wire form."""
+
+from enum import StrEnum
+from typing import Any, Final
+
+import orjson
+
+from lovageshunt._record import Record
+from lovageshunt.account._line import (
+    COUNT_FIELDS,
+    REASON_FIELDS,
+    AccountLine,
+)
+from lovageshunt.errors import MalformedSnapshotError
+
+#: Larger snapshots are refused unread.
+MAX_SNAPSHOT_BYTES: Final = 256 * 1024
+
+
+class Role(StrEnum):
+    """Who keeps an account: the node beside a target, or a caller."""
+
+    NODE = 'node'
+    CALLER = 'caller'
+
+
+class AccountSnapshot(Record):
+    """The cumulative counters of one incarnation at one moment.
+
+    They cover the time from ``started_at`` to ``taken_at``, in seconds of
+    the node's own clock. Of two snapshots of one incarnation the one with
+    the higher ``sequence`` holds all that the other does.
+    """
+
+    __slots__ = (
+        'node',
+        'incarnation',
+        'role',
+        'sequence',
+        'started_at',
+        'taken_at',
+        'is_final',
+        'lines',
+    )
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        incarnation: str,
+        sequence: int,
+        started_at: float,
+        taken_at: float,
+        role: Role = Role.NODE,
+        is_final: bool = False,
+        lines: list[AccountLine] | None = None,
+    ) -> None:
+        """Take the account's name, window and lines."""
+        self.node = node
+        self.incarnation = incarnation
+        self.role = role
+        self.sequence = sequence
+        self.started_at = started_at
+        self.taken_at = taken_at
+        self.is_final = is_final
+        self.lines = lines or []
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return the fields by name; counters that are 0 are left out."""
+        fields = super().as_dict()
+        fields['lines'] = [_line_fields(line) for line in self.lines]
+        return fields
+
+
+def encode_snapshot(snapshot: AccountSnapshot) -> bytes:
+    """Return the snapshot as compact JSON."""
+    return orjson.dumps(snapshot.as_dict())
+
+
+def decode_snapshot(raw: bytes | dict[str, Any]) -> AccountSnapshot:
+    """Return the snapshot in JSON or in what a JSON decoder made of it.
+
+    Raises ``MalformedSnapshotError`` when it is none.
+    """
+    try:
+        return _snapshot_of(_load(raw))
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedSnapshotError(str(error)) from error
+
+
+def _load(raw: bytes | dict[str, Any]) -> dict[str, Any]:
+    if isinstance(raw, dict):
+        return dict(raw)
+    if len(raw) > MAX_SNAPSHOT_BYTES:
+        raise ValueError(f'longer than {MAX_SNAPSHOT_BYTES} bytes')
+    fields = orjson.loads(raw)
+    if not isinstance(fields, dict):
+        raise ValueError('no JSON object')
+    return fields
+
+
+def _snapshot_of(fields: dict[str, Any]) -> AccountSnapshot:
+    lines = [_line_of(line) for line in fields.pop('lines', ())]
+    role = Role(fields.pop('role', Role.NODE))
+    for name in ('node', 'incarnation'):
+        if not isinstance(fields[name], str):
+            raise ValueError(f'{name} is no text')
+    for name in ('started_at', 'taken_at'):
+        fields[name] = float(fields[name])
+    _check_count('sequence', fields['sequence'])
+    return AccountSnapshot(role=role, lines=lines, **fields)
+
+
+def _line_of(fields: dict[str, Any]) -> AccountLine:
+    line = AccountLine(**fields)
+    if not isinstance(line.service + line.kind, str):
+        raise TypeError('service and kind are text')
+    _check_count('importance', line.importance)
+    for name in COUNT_FIELDS:
+        _check_count(name, getattr(line, name))
+    for name in REASON_FIELDS:
+        for count in getattr(line, name).values():
+            _check_count(name, count)
+    return line
+
+
+def _check_count(name: str, count: object) -> None:
+    if isinstance(count, bool) or not isinstance(count, int):
+        raise ValueError(f'{name} is no whole number')
+    # A negative count of running calls is a fault that balance() reports.
+    if count < 0 and name != 'running':
+        raise ValueError(f'{name} is negative')
+
+
+def _line_fields(line: AccountLine) -> dict[str, Any]:
+    fields = line.as_dict()
+    for name in (*COUNT_FIELDS, *REASON_FIELDS):
+        if not fields[name]:
+            fields.pop(name)
+    return fields
--- /dev/null
+++ b/src/lovageshunt/observability/_specs.py
@@ -0,0 +1,150 @@
+"""The metrics by name: kind, labels, meaning and the alert for each."""
+
+from typing import Final
+
+from lovageshunt._record import Record
+
+COUNTER: Final = 'counter'
+GAUGE: Final = 'gauge'
+HISTOGRAM: Final = 'histogram'
+
+
+class MetricSpec(Record):
+    """One metric as operators meet it.
+
+    ``alert`` is the condition that deserves a look; ``labels`` name its
+    dimensions, none of which grows with traffic.
+    """
+
+    __slots__ = ('name', 'kind', 'labels', 'meaning', 'alert')
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        kind: str,
+        meaning: str,
+        alert: str,
+        labels: tuple[str, ...] = (),
+    ) -> None:
+        """Take every field by name."""
+        self.name = name
+        self.kind = kind
+        self.labels = labels
+        self.meaning = meaning
+        self.alert = alert
+
+
+_CALL_LABELS: Final = ('service', 'kind', 'importance')
+
+#: Every metric that a node or a client exposes.
+METRIC_SPECS: Final = (
+    MetricSpec(
+        name='lovageshunt_calls_arrived_total',
+        kind=COUNTER,
+        labels=_CALL_LABELS,
+        meaning='calls that arrived',
+        alert='rate is 0 for 5 min at one node while its peers have calls',
+    ),
+    MetricSpec(
+        name='lovageshunt_calls_ended_total',
+        kind=COUNTER,
+        labels=(*_CALL_LABELS, 'outcome', 'reason'),
+        meaning='calls that ended, by outcome and reason',
+        alert='any not_run of importance 0 for 1 min; any unknown above 1 %',
+    ),
+    MetricSpec(
+        name='lovageshunt_calls_dispatched_total',
+        kind=COUNTER,
+        labels=_CALL_LABELS,
+        meaning='calls that were sent on to the target',
+        alert='rate below half of that of arrivals for 5 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_calls_wasted_total',
+        kind=COUNTER,
+        labels=(*_CALL_LABELS, 'reason'),
+        meaning='dispatched calls whose work served nobody',
+        alert='above 5 % of dispatched for 5 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_calls_retries_total',
+        kind=COUNTER,
+        labels=_CALL_LABELS,
+        meaning='calls that were not the first attempt',
+        alert='above 10 % of arrivals for 1 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_calls_running',
+        kind=GAUGE,
+        labels=_CALL_LABELS,
+        meaning='calls that arrived and have not ended, queued ones included',
+        alert='does not fall for 10 min while arrivals are 0',
+    ),
+    MetricSpec(
+        name='lovageshunt_call_seconds',
+        kind=HISTOGRAM,
+        labels=('service', 'importance'),
+        meaning='time from arrival to end of answered calls, in seconds',
+        alert='p99 above half of the deadline in the rules for 5 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_queue_seconds',
+        kind=HISTOGRAM,
+        labels=('service',),
+        meaning='time that dispatched calls waited in the queue, in seconds',
+        alert='p50 above 0.1 s for 1 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_concurrency_limit',
+        kind=GAUGE,
+        labels=('service',),
+        meaning='calls that the node lets its target run at once',
+        alert='below a quarter of the published slots for 5 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_admission_threshold',
+        kind=GAUGE,
+        labels=('service',),
+        meaning='level from which calls are refused; importance x 65536 + rank',
+        alert='below 65536 for 1 min: calls of importance 0 are refused',
+    ),
+    MetricSpec(
+        name='lovageshunt_rules_generation',
+        kind=GAUGE,
+        meaning='generation of the rules in force',
+        alert='differs between nodes for more than 30 s',
+    ),
+    MetricSpec(
+        name='lovageshunt_platform_read_age_seconds',
+        kind=GAUGE,
+        meaning='time since the list of VMs was read or heard, in seconds',
+        alert='above 60 s',
+    ),
+    MetricSpec(
+        name='lovageshunt_targets',
+        kind=GAUGE,
+        labels=('service', 'state'),
+        meaning='targets known to the node, by state',
+        alert='none available for 10 s, or leaving for more than 10 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_pauses_total',
+        kind=COUNTER,
+        meaning='times that the process was found to have been paused',
+        alert='more than 3 in an hour',
+    ),
+    MetricSpec(
+        name='lovageshunt_control_bytes_total',
+        kind=COUNTER,
+        labels=('purpose',),
+        meaning='bytes sent to peers and to the platform, by purpose',
+        alert='rate above 2000 bytes a second for 5 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_logs_suppressed_total',
+        kind=COUNTER,
+        meaning='log records held back by the rate limit',
+        alert='above 0 for 5 min outside a known overload',
+    ),
+)
--- /dev/null
+++ b/tests/account/test_merge.py
@@ -0,0 +1,90 @@
+"""The account of many nodes."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lovageshunt.account import Account, AccountSnapshot, MergedAccount
+from lovageshunt.calls import Outcome
+from tests.account.strategies import SNAPSHOTS
+from tests.only import only
+
+FEW_SNAPSHOTS = st.lists(SNAPSHOTS, max_size=4)
+
+
+def snapshot_of(node='n1', incarnation='a', *, sequence=1, **fields):
+    """Return a snapshot of [0, 10] with the given fields."""
+    fields = {'started_at': 0, 'taken_at': 10.0, **fields}
+    return AccountSnapshot(
+        node=node,
+        incarnation=incarnation,
+        sequence=sequence,
+        **fields,
+    )
+
+
+class TestMergedAccount:
+    """Merging."""
+
+    @given(snapshots=st.lists(SNAPSHOTS), data=st.data())
+    def test_order_and_repetition_make_no_difference(self, snapshots, data):
+        """Any order of the same snapshots, some twice, merges to the same."""
+        shuffled = data.draw(st.permutations(snapshots + snapshots[:2]))
+
+        merged = MergedAccount(shuffled)
+
+        assert merged.snapshots() == MergedAccount(snapshots).snapshots()
+
+    @given(parts=st.tuples(FEW_SNAPSHOTS, FEW_SNAPSHOTS, FEW_SNAPSHOTS))
+    def test_grouping_makes_no_difference(self, parts):
+        """Merging (a, b) with c is merging a with (b, c)."""
+        one, two, three = parts
+        left = MergedAccount(one)
+        left.merge(MergedAccount(two))
+        left.merge(MergedAccount(three))
+        right = MergedAccount(two)
+        right.merge(MergedAccount(three))
+        right.merge(MergedAccount(one))
+
+        assert left.snapshots() == right.snapshots()
+
+    def test_incarnations_add_up(self):
+        """The counters of a node's lives are summed, each once."""
+        merged = MergedAccount()
+        for incarnation in ('a', 'b'):
+            account = Account('n1', incarnation, 0)
+            for _ in range(3):
+                account.arrived('balances', 'lookup', 1)
+                account.ended('balances', 'lookup', 1, Outcome.ANSWERED)
+                merged.add(account.snapshot(1.0))
+
+        line = only(merged.lines())
+
+        assert line.answered == 6
+
+
+class TestHoles:
+    """The holes that lost VMs leave."""
+
+    def test_lost_incarnation_leaves_a_hole_until_its_replacement(self):
+        """The hole runs from the last snapshot to the replacement's start."""
+        merged = MergedAccount(
+            [snapshot_of(), snapshot_of('n1', 'b', started_at=25.0)],
+        )
+
+        hole = only(merged.holes(now=99, live=[('n1', 'b')]))
+
+        assert (hole.incarnation, hole.from_at, hole.to_at) == ('a', 10.0, 25.0)
+
+    def test_hole_without_replacement_runs_until_now(self):
+        """Without a replacement the hole is still open."""
+        merged = MergedAccount([snapshot_of()])
+
+        hole = only(merged.holes(now=99, live=[]))
+
+        assert hole.to_at == 99
+
+    def test_graceful_leaver_leaves_no_hole(self):
+        """A final snapshot closes the account of its incarnation."""
+        merged = MergedAccount([snapshot_of(is_final=True)])
+
+        assert not merged.holes(now=99, live=[])
--- /dev/null
+++ b/tests/account/test_snapshot.py
@@ -0,0 +1,50 @@
+"""The wire form of snapshots."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lovageshunt.account import decode_snapshot, encode_snapshot
+from lovageshunt.errors import MalformedSnapshotError
+from tests.account.strategies import SNAPSHOTS
+
+
+class TestDecodeSnapshot:
+    """Decoding."""
+
+    @given(snapshot=SNAPSHOTS)
+    def test_round_trip(self, snapshot):
+        """A snapshot survives the wire unchanged."""
+        assert decode_snapshot(encode_snapshot(snapshot)) == snapshot
+
+    @given(raw=st.binary(max_size=40))
+    def test_noise_is_a_typed_error(self, raw):
+        """Arbitrary bytes are refused with the typed error."""
+        with pytest.raises(MalformedSnapshotError):
+            decode_snapshot(raw)
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'sequence': -1},
+            {'sequence': True},
+            {'node': 3},
+            {'started_at': 'noon'},
+            {'lines': [{'service': 'a', 'kind': 'b'}]},
+            {'lines': [{'service': 'a', 'kind': 2, 'importance': 1}]},
+            {'lines': 3},
+            {'unheard_of': 1},
+        ],
+    )
+    def test_bad_fields_are_refused(self, change):
+        """A field of the wrong type or range is refused."""
+        fields = {
+            'node': 'n1',
+            'incarnation': 'a',
+            'sequence': 1,
+            'started_at': 0,
+            'taken_at': 1,
+        }
+
+        with pytest.raises(MalformedSnapshotError):
+            decode_snapshot(fields | change)
--- /dev/null
+++ b/tests/cli/admin_server.py
@@ -0,0 +1,49 @@
+"""A small admin side with canned answers, for tests of commands."""
+
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from threading import Thread
+
+import orjson
+
+
+class AdminServer(ThreadingHTTPServer):
+    """Serve bodies by path at loopback, to those who send the token."""
+
+    def __init__(self, body_by_path, token):
+        super().__init__(('127.0.0.1', 0), _Handler)
+        self.body_by_path = body_by_path
+        self.authorization = f'Bearer {token}' if token else None
+
+
+class _Handler(BaseHTTPRequestHandler):
+    def do_GET(self):
+        """Answer with the body of the path."""
+        if self.headers.get('authorization') != self.server.authorization:
+            self.send_error(401)
+            return
+        body = self.server.body_by_path.get(self.path)
+        if body is None:
+            self.send_error(404)
+            return
+        raw = body if isinstance(body, bytes) else orjson.dumps(body)
+        self.send_response(200)
+        self.send_header('content-length', str(len(raw)))
+        self.end_headers()
+        self.wfile.write(raw)
+
+    def log_message(self, *args):
+        """Stay silent."""
+
+
+@contextmanager
+def admin_server(body_by_path, token=''):
+    """Serve the bodies and yield the address."""
+    with AdminServer(body_by_path, token) as server:
+        thread = Thread(target=server.serve_forever, args=(0.01,))
+        thread.start()
+        try:
+            yield f'127.0.0.1:{server.server_port}'
+        finally:
+            server.shutdown()
+            thread.join()
--- /dev/null
+++ b/tests/cli/test_account.py
@@ -0,0 +1,104 @@
+"""The account command."""
+
+import orjson
+import pytest
+
+from lovageshunt.account import Account
+from lovageshunt.calls import Outcome, RefusalReason
+from lovageshunt.cli._account import run_account
+from tests.cli.admin_server import admin_server
+
+CALL = ('balances', 'lookup', 1)
+
+
+def body_of(node, incarnation='a', kept=()):
+    """Return an admin answer with one call answered and one refused."""
+    account = Account(node, incarnation, 0)
+    account.arrived(*CALL)
+    account.ended(*CALL, Outcome.ANSWERED, ran=True)
+    account.arrived(*CALL)
+    account.ended(*CALL, Outcome.NOT_RUN, RefusalReason.OVERLOAD)
+    return {
+        'node': node,
+        'incarnation': incarnation,
+        'account': account.snapshot(60.0).as_dict(),
+        'kept': list(kept),
+    }
+
+
+class TestRunAccount:
+    """``lovageshunt account``."""
+
+    def test_accounts_of_all_nodes_are_summed(self, capsys):
+        """The counts of two nodes are added and the account balances."""
+        with (
+            admin_server({'/v1/account': body_of('n1')}) as one,
+            admin_server({'/v1/account': body_of('n2')}) as two,
+        ):
+            code = run_account([f'--nodes={one},{two}', '--json'])
+
+        report = orjson.loads(capsys.readouterr().out)
+        assert code == 0
+        assert report['nodes'][0]['arrived'] == 4
+        assert report['nodes'][0]['refused_by_reason'] == {'overload': 2}
+
+    def test_lost_node_is_named(self, capsys):
+        """A peer's copy of a lost node's account leaves a named hole."""
+        lost = body_of('n2', 'old')['account']
+        body = body_of('n1', kept=[lost])
+        with admin_server({'/v1/account': body}) as address:
+            code = run_account([f'--nodes={address}'])
+
+        shown = capsys.readouterr().out
+        assert code == 1
+        assert 'hole: n2 old from 1970-01-01T00:01:00Z' in shown
+
+    def test_unreachable_node_is_named(self, capsys):
+        """A node that gives no answer makes the exit code 1."""
+        code = run_account(['--nodes=127.0.1:1'])
+
+        assert code == 1
+        assert 'node 127.0.1:1 gave no usable answer' in capsys.readouterr().out
+
+    @pytest.mark.parametrize('body', [b'[]', b'{', {'account': 3}, {}])
+    def test_malformed_answer_is_named(self, capsys, body):
+        """A node that answers something else makes the exit code 1."""
+        with admin_server({'/v1/account': body}) as address:
+            code = run_account([f'--nodes={address}'])
+
+        assert code == 1
+        assert f'node {address} gave no usable' in capsys.readouterr().out
+
+    def test_token_is_sent(self, tmp_path):
+        """The token from the file opens an admin side that wants it."""
+        token_file = tmp_path / 'token'
+        token_file.write_text('secret\n')
+        with admin_server({'/v1/account': body_of('n1')}, 'secret') as address:
+            code = run_account(
+                [f'--nodes={address}', f'--token_file={token_file}'],
+            )
+
+        assert code == 0
+
+    def test_csv_has_a_row_for_each_cause(self, tmp_path):
+        """The CSV names service, kind, importance, end, why and calls."""
+        path = tmp_path / 'account.csv'
+        with admin_server({'/v1/account': body_of('n1')}) as address:
+            run_account([f'--nodes={address}', f'--csv={path}'])
+
+        assert 'balances,lookup,1,refused,overload,1' in path.read_text()
+
+    @pytest.mark.parametrize(
+        'argv',
+        [
+            [],
+            ['--nodes=here'],
+            ['--nodes=a:1', '--token_file=/nowhere'],
+            ['--nodes=a:1', '--unheard_of'],
+            ['--nodes=a:1', 'left over'],
+        ],
+    )
+    def test_wrong_flags_are_refused(self, capsys, argv):
+        """A wrong flag is named with its remedy."""
+        assert run_account(argv) == 2
+        assert 'lovageshunt account: ' in capsys.readouterr().err
--- /dev/null
+++ b/tests/cli/test_trace.py
@@ -0,0 +1,56 @@
+"""The trace command."""
+
+import pytest
+
+from lovageshunt.calls import Outcome
+from lovageshunt.cli._trace import run_trace
+from lovageshunt.observability import Traces
+from tests.cli.admin_server import admin_server
+
+
+def body_of(traces, request_id):
+    """Return an admin answer with the spans of one request."""
+    spans = [span.as_dict() for span in traces.recent(request_id)]
+    return {'node': 'n', 'incarnation': 'a', 'spans': spans}
+
+
+class TestRunTrace:
+    """``lovageshunt trace``."""
+
+    def test_tree_is_joined_across_nodes(self, capsys):
+        """Spans of two nodes are printed as one tree."""
+        above = Traces(node='n1', share=1.0, slow_seconds=9)
+        below = Traces(node='n2', share=1.0, slow_seconds=9)
+        parent = above.start('call', request_id='r', service='balances')
+        child = below.start(
+            'call',
+            trace_parent=parent.trace_parent,
+            request_id='r',
+            service='records',
+        )
+        below.end(child, Outcome.ANSWERED)
+        above.end(parent, Outcome.ANSWERED)
+        with (
+            admin_server({'/v1/traces/r': body_of(below, 'r')}) as one,
+            admin_server({'/v1/traces/r': body_of(above, 'r')}) as two,
+        ):
+            code = run_trace(['r', f'--nodes={one},{two}'])
+
+        first, second = capsys.readouterr().out.splitlines()
+        assert code == 0
+        assert first.startswith('call balances at n1')
+        assert second.startswith('  call records at n2')
+
+    def test_missing_span_is_said(self, capsys):
+        """An id of which no node keeps a span is said to be unknown."""
+        with admin_server({'/v1/traces/r': {'spans': []}}) as address:
+            code = run_trace(['r', f'--nodes={address}'])
+
+        assert code == 1
+        assert 'No node keeps a span of r' in capsys.readouterr().out
+
+    @pytest.mark.parametrize('argv', [[], ['a', 'b'], ['../status']])
+    def test_wrong_id_is_refused(self, capsys, argv):
+        """One well-formed id is asked for."""
+        assert run_trace([*argv, '--nodes=127.0.1:1']) == 2
+        assert 'id' in capsys.readouterr().err
--- /dev/null
+++ b/tests/observability/test_traces.py
@@ -0,0 +1,121 @@
+"""Spans of hops."""
+
+import pytest
+from opentelemetry.sdk.trace.id_generator import RandomIdGenerator
+
+from lovageshunt.calls import Outcome, RefusalReason
+from lovageshunt.observability import Traces, decode_span
+from tests.only import only
+
+PARENT = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'
+UNSAMPLED = f'{PARENT[:-2]}00'
+
+
+class Clock:
+    """A clock in nanoseconds that a test moves."""
+
+    def __init__(self):
+        self.now_ns = 1_000_000_000
+
+    def __call__(self):
+        return self.now_ns
+
+
+@pytest.fixture
+def clock():
+    """A clock that stands at one second."""
+    return Clock()
+
+
+def traces_of(clock, share=0, capacity=10):
+    """Return traces in which half a second is slow."""
+    return Traces(
+        node='n1',
+        share=share,
+        slow_seconds=0.5,
+        capacity=capacity,
+        clock_ns=clock,
+        ids=RandomIdGenerator(),
+    )
+
+
+class TestTraces:
+    """Beginning, ending and keeping."""
+
+    def test_span_joins_the_caller_s_trace(self, clock):
+        """The trace id is the caller's and the parent is its span."""
+        traces = traces_of(clock)
+
+        span = traces.start('ingress', trace_parent=PARENT)
+        traces.end(span, Outcome.ANSWERED)
+
+        kept = only(traces.recent('0af7651916cd43dd8448eb211c80319c'))
+        assert kept.parent_id == 'b7ad6b7169203331'
+        assert kept.span_id == span.trace_parent.split('-')[2]
+
+    def test_next_hop_is_a_child(self, clock):
+        """The header handed on makes the next hop's span a child."""
+        traces = traces_of(clock, share=1.0)
+
+        first = traces.start('ingress', request_id='r')
+        second = traces.start('egress', trace_parent=first.trace_parent)
+
+        assert second.parent_id == first.span_id
+        assert second.trace_id == first.trace_id
+
+    @pytest.mark.parametrize('header', ['', 'junk', '00-0-0-01'])
+    def test_bad_header_begins_a_trace(self, clock, header):
+        """A header that is none is as good as no header."""
+        span = traces_of(clock).start('ingress', trace_parent=header)
+
+        assert not span.parent_id
+        assert len(span.trace_id) == 32
+
+    @pytest.mark.parametrize(
+        'outcome', [Outcome.NOT_RUN, Outcome.FAILED, Outcome.UNKNOWN]
+    )
+    def test_unsampled_span_is_kept_unless_answered(self, clock, outcome):
+        """Refused, failed and unknown calls are always kept."""
+        traces = traces_of(clock)
+        span = traces.start('ingress', trace_parent=UNSAMPLED, request_id='r')
+
+        assert traces.end(span, outcome, RefusalReason.OVERLOAD)
+        assert traces.recent('r')[0].reason == 'overload'
+
+    def test_unsampled_slow_span_is_kept(self, clock):
+        """A call as slow as the settings say is kept with its duration."""
+        traces = traces_of(clock)
+        span = traces.start('ingress', trace_parent=UNSAMPLED, request_id='r')
+        clock.now_ns += 500_000_000
+
+        assert traces.end(span, Outcome.ANSWERED)
+        assert traces.recent('r')[0].duration_ms == 500
+
+    def test_unsampled_plain_span_is_dropped(self, clock):
+        """An answer in time of an unsampled trace leaves nothing."""
+        traces = traces_of(clock, share=1.0)
+        span = traces.start('ingress', trace_parent=UNSAMPLED, request_id='r')
+
+        assert not traces.end(span, Outcome.ANSWERED)
+        assert not traces.recent('r')
+
+    def test_memory_is_bounded(self, clock):
+        """The oldest spans make room for the newest."""
+        traces = traces_of(clock, share=1.0, capacity=3)
+        for number in range(5):
+            span = traces.start(f'hop {number}', request_id='r')
+            traces.end(span, Outcome.ANSWERED)
+
+        names = [record.name for record in traces.recent('r')]
+
+        assert names == ['hop 2', 'hop 3', 'hop 4']
+
+    def test_record_survives_the_wire(self, clock):
+        """A record is the same after its wire form."""
+        traces = traces_of(clock, share=1.0)
+        span = traces.start('ingress', request_id='r')
+        traces.end(span, Outcome.ANSWERED)
+
+        kept = only(traces.recent('r'))
+
+        assert decode_span(kept.as_dict()) == kept
