--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -41,6 +41,9 @@
             f'the platform at {address} did not give {name!r} ({detail}); '
             'the last picture stays in use, see that the address in '
             '[platform] is right and answers',
+        )
+
+
 class MalformedRulesError(LovageshuntError):
     """Returned when a rules document or a part of one cannot be decoded."""
 
@@ -49,6 +52,9 @@
         super().__init__(
             f'the rules document is malformed ({reason}); publish the file '
             'that "lovageshunt rules accept" writes, unchanged',
+        )
+
+
 class DuplicateCallError(LovageshuntError):
     """Raised when a call arrives under the id of one that is still here."""
 
@@ -57,6 +63,9 @@
         super().__init__(
             f'call {call_id!r} already waits or runs here; give each attempt '
             'an id of its own within the node',
+        )
+
+
 class ChartNotFoundError(LovageshuntError):
     """Raised when no state chart has the name asked for."""
 
@@ -106,6 +115,9 @@
         super().__init__(
             f'the decision was made on inputs of epoch {read_in}, but a pause '
             f'began epoch {epoch}; read the inputs again and decide anew',
+        )
+
+
 class MalformedSnapshotError(LovageshuntError):
     """Raised when an account's snapshot from a node cannot be decoded."""
 
