Read planners' sheets, and add the commands on rules

A sheet is accepted whole or refused with every fault at once, each with its row, column and remedy.

--- /dev/null
+++ b/src/lovageshunt/cli/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the commands with ``python -m lovageshunt.cli``."""
+
+from lovageshunt.cli._app import run
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/src/lovageshunt/cli/_rules.py
@@ -0,0 +1,233 @@
+"""Commands on rules: check, compare and accept sheets; ask the nodes."""
+
+import sys
+from collections.abc import Sequence
+from datetime import date
+from importlib import import_module
+from pathlib import Path
+from typing import Final
+
+from absl.flags import (
+    DEFINE_float,
+    DEFINE_list,
+    DEFINE_string,
+    FlagValues,
+)
+from expression import Error, Ok, Result
+
+from lovageshunt.cli._command import Command, ExitCode, write_error
+from lovageshunt.cli._rules_diff import changes_between
+from lovageshunt.cli._rules_read import read_document, read_sheet
+from lovageshunt.cli._rules_show import (
+    show_changes,
+    show_document,
+    show_faults,
+)
+from lovageshunt.rules import (
+    RulesDocument,
+    Sheet,
+    SheetFault,
+    encode_document,
+)
+
+
+def check(arguments: Sequence[str], values: FlagValues) -> ExitCode:
+    """Report every fault of a sheet."""
+    if len(arguments) != 1:
+        return _refuse_arguments('one sheet')
+    match read_sheet(arguments[0], values, today=None):
+        case Result(tag='ok', ok=sheet):
+            show_document(sheet.document, values)
+            return ExitCode.FINE
+        case Result(error=faults):
+            show_faults(faults, values)
+    return ExitCode.FAULTS
+
+
+def diff(arguments: Sequence[str], values: FlagValues) -> ExitCode:
+    """Show what a second sheet or document changes."""
+    if len(arguments) != 2:
+        return _refuse_arguments('an old and a new sheet or document')
+    documents: list[RulesDocument] = []
+    for name in arguments:
+        match read_document(name, values):
+            case Result(tag='ok', ok=document):
+                documents.append(document)
+            case Result(error=faults):
+                write_error(f'{name} has faults')
+                show_faults(faults, values)
+                return ExitCode.FAULTS
+    show_changes(changes_between(documents[0], documents[1]), values)
+    return ExitCode.FINE
+
+
+def accept(arguments: Sequence[str], values: FlagValues) -> ExitCode:
+    """Make the document that the operators then publish."""
+    if len(arguments) != 1:
+        return _refuse_arguments('one sheet')
+    accepted = read_sheet(arguments[0], values, today=date.today()).bind(
+        lambda sheet: _check_generation(sheet, values),
+    )
+    match accepted:
+        case Result(tag='ok', ok=sheet):
+            return _write_document(sheet.document, values)
+        case Result(error=faults):
+            show_faults(faults, values)
+    return ExitCode.FAULTS
+
+
+def status(arguments: Sequence[str], values: FlagValues) -> ExitCode:
+    """Ask nodes which rules they serve under, and name those that lag."""
+    if arguments or not values['nodes'].value:
+        return _refuse_arguments('--nodes=IP:PORT,IP:PORT only')
+    # The HTTP library is loaded only for the command that needs it.
+    module = import_module('lovageshunt.cli._rules_status')
+    code: ExitCode = module.show_status(values)
+    return code
+
+
+def _check_generation(
+    sheet: Sheet,
+    values: FlagValues,
+) -> Result[Sheet, list[SheetFault]]:
+    name = values['in-force'].value
+    if name is None:
+        return Ok(sheet)
+    return read_document(name, values).bind(
+        lambda in_force: _check_newer(sheet, in_force),
+    )
+
+
+def _check_newer(
+    sheet: Sheet,
+    in_force: RulesDocument,
+) -> Result[Sheet, list[SheetFault]]:
+    new = sheet.document
+    faults: list[SheetFault] = []
+    if new.generation <= in_force.generation:
+        fault = SheetFault(
+            row=0,
+            column='generation',
+            value=str(new.generation),
+            expected=f'a generation above {in_force.generation}',
+            remedy="export today's sheet, or raise its generation",
+        )
+        faults.append(fault)
+    if new.deployment != in_force.deployment:
+        fault = SheetFault(
+            row=0,
+            column='deployment',
+            value=new.deployment,
+            expected=in_force.deployment,
+            remedy='take the sheet of this deployment',
+        )
+        faults.append(fault)
+    return Error(faults) if faults else Ok(sheet)
+
+
+def _write_document(document: RulesDocument, values: FlagValues) -> ExitCode:
+    raw = encode_document(document)
+    name = values['out'].value
+    if name is None:
+        sys.stdout.write(f'{raw.decode()}\n')
+        return ExitCode.FINE
+    try:
+        Path(name).write_bytes(raw)
+    except OSError as error:
+        write_error(f'{name} cannot be written ({error}); choose another')
+        return ExitCode.FAILED
+    show_document(document, values)
+    return ExitCode.FINE
+
+
+def _refuse_arguments(expected: str) -> ExitCode:
+    write_error(f'expected {expected}; see --help')
+    return ExitCode.FAULTS
+
+
+def _define_services(values: FlagValues) -> None:
+    DEFINE_list(
+        'services',
+        None,
+        'The services of the deployment; a rule for another is a fault.',
+        flag_values=values,
+    )
+
+
+def _define_accept(values: FlagValues) -> None:
+    _define_services(values)
+    DEFINE_string(
+        'in-force',
+        None,
+        'The sheet or document in force; the new one must be newer.',
+        flag_values=values,
+    )
+    DEFINE_string(
+        'out',
+        None,
+        'Where the document is written; standard output without it.',
+        flag_values=values,
+    )
+
+
+def _define_status(values: FlagValues) -> None:
+    DEFINE_list(
+        'nodes',
+        None,
+        'Admin addresses of the nodes to ask.',
+        flag_values=values,
+    )
+    DEFINE_string(
+        'token-file',
+        None,
+        'The file with the admin token.',
+        flag_values=values,
+    )
+    DEFINE_string(
+        'authority-file',
+        None,
+        'Ask by HTTPS, and check nodes against this authority.',
+        flag_values=values,
+    )
+    DEFINE_float(
+        'timeout-seconds',
+        2,
+        'How long a node may take to answer.',
+        lower_bound=0,
+        flag_values=values,
+    )
+
+
+COMMANDS: Final = (
+    Command(
+        name='check',
+        arguments='SHEET',
+        summary='Report every fault of a sheet.',
+        example='examples/nahr-labs/rules.csv',
+        define=_define_services,
+        run=check,
+    ),
+    Command(
+        name='diff',
+        arguments='OLD NEW',
+        summary='Show what a second sheet or document changes.',
+        example='in-force.json examples/nahr-labs/rules.csv',
+        define=_define_services,
+        run=diff,
+    ),
+    Command(
+        name='accept',
+        arguments='SHEET',
+        summary='Make the document that operators publish from a sheet.',
+        example='rules.csv --in-force=in-force.json --out=next.json',
+        define=_define_accept,
+        run=accept,
+    ),
+    Command(
+        name='status',
+        summary='Show the rules in force at each node, and who lags.',
+        example='--nodes=127.0.0.1:8102,127.0.0.1:8202',
+        define=_define_status,
+        run=status,
+    ),
+)
--- a/src/lovageshunt/rules/__init__.py
+++ b/src/lovageshunt/rules/__init__.py
@@ -18,6 +18,8 @@
     RulesInForce,
     Verdict,
 )
+from lovageshunt.rules._sheet import Sheet, parse_sheet
+from lovageshunt.rules._sheet_fault import SheetFault
 from lovageshunt.rules._version import (
     Manifest,
     Version,
@@ -36,11 +38,14 @@
     'RulesDocument',
     'RulesInForce',
     'ServiceRules',
+    'Sheet',
+    'SheetFault',
     'Verdict',
     'Version',
     'decode_document',
     'default_kind',
     'encode_document',
     'manifest_of',
+    'parse_sheet',
     'version_of',
 ]
--- /dev/null
+++ b/src/lovageshunt/rules/_sheet_columns.py
@@ -0,0 +1,212 @@
+"""The columns of a sheet: their names, and how a cell of each is read."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any, Final
+
+from lovageshunt._record import Record
+from lovageshunt.calls import LOWEST_IMPORTANCE, TOP_IMPORTANCE
+from lovageshunt.rules._document import ANY_METHOD
+
+#: The largest retry bound of a chain that a sheet may ask for.
+MAX_RETRY_BOUND: Final = 10
+_MIN_TIMEOUT_SECONDS: Final = 0.01
+_MAX_TIMEOUT_SECONDS: Final = 120
+_MS_PER_SECOND: Final = 1000
+_MAX_NAME_LENGTH: Final = 64
+_METHODS: Final = frozenset(
+    ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS', ANY_METHOD),
+)
+_TRUE_WORDS: Final = frozenset(
+    ('yes', 'true', 'sí', 'si', 'verdadero', 'ہاں', '1')
+)
+_FALSE_WORDS: Final = frozenset(('no', 'false', 'falso', 'نہیں', '0'))
+#: The decimal signs of Spanish and of Urdu.
+_DECIMAL_SIGNS: Final = str.maketrans(',٫', '..')
+_NAME_MARKS: Final = frozenset('-_.')
+
+
+class Column(Record):
+    """One column: its names, what a cell must be, and its reader.
+
+    ``read`` raises ``ValueError`` on a cell of another kind.
+    """
+
+    __slots__ = ('field', 'names', 'expected', 'is_required', 'read')
+
+    def __init__(
+        self,
+        *,
+        field: str,
+        names: tuple[str, ...],
+        expected: str,
+        read: Callable[[str], Any],
+        is_required: bool = True,
+    ) -> None:
+        """Take every field by name; the first name is the usual one."""
+        self.field = field
+        self.names = names
+        self.expected = expected
+        self.is_required = is_required
+        self.read = read
+
+    @property
+    def name(self) -> str:
+        """Return the usual name."""
+        return self.names[0]
+
+
+def column_named(cell: str) -> Column | None:
+    """Return the column that a header cell names, in any of its languages."""
+    name = cell.casefold().replace(' ', '_')
+    for column in COLUMNS:
+        if name in column.names:
+            return column
+    return None
+
+
+def _read_service(cell: str) -> str:
+    if not cell.isascii():
+        raise ValueError('not ASCII')
+    return _read_name(cell)
+
+
+def _read_name(cell: str) -> str:
+    is_word = all(sign.isalnum() or sign in _NAME_MARKS for sign in cell)
+    if not cell or len(cell) > _MAX_NAME_LENGTH or not is_word:
+        raise ValueError('no name')
+    return cell
+
+
+def _read_method(cell: str) -> str:
+    method = cell.upper()
+    if method not in _METHODS:
+        raise ValueError('no method')
+    return method
+
+
+def _read_path(cell: str) -> str:
+    is_plain = cell.isprintable() and not set(cell) & set(' ?#')
+    if not cell.startswith('/') or not is_plain:
+        raise ValueError('no path')
+    return cell
+
+
+def _read_number(cell: str) -> float:
+    number = cell.translate(_DECIMAL_SIGNS)
+    if not number.replace('.', '', 1).isdecimal():
+        raise ValueError('no number')
+    return float(number)
+
+
+def _read_whole(cell: str, *, low: int, high: int) -> int:
+    number = _read_number(cell)
+    if not number.is_integer() or not low <= number <= high:
+        raise ValueError('out of range')
+    return int(number)
+
+
+def _read_yes(cell: str) -> bool:
+    word = cell.casefold()
+    if word not in _TRUE_WORDS | _FALSE_WORDS:
+        raise ValueError('neither yes nor no')
+    return word in _TRUE_WORDS
+
+
+def _read_timeout_ms(cell: str) -> int:
+    seconds = _read_number(cell)
+    if not _MIN_TIMEOUT_SECONDS <= seconds <= _MAX_TIMEOUT_SECONDS:
+        raise ValueError('out of range')
+    return round(seconds * _MS_PER_SECOND)
+
+
+_read_importance = partial(
+    _read_whole,
+    low=TOP_IMPORTANCE,
+    high=LOWEST_IMPORTANCE,
+)
+
+
+def _read_callers(cell: str) -> dict[str, int]:
+    importance_by_caller: dict[str, int] = {}
+    for pair in filter(None, map(str.strip, cell.split('|'))):
+        caller, _, importance = pair.partition('=')
+        caller = _read_name(caller.strip())
+        if caller in importance_by_caller:
+            raise ValueError('a caller twice')
+        importance_by_caller[caller] = _read_importance(importance)
+    return importance_by_caller
+
+
+_IMPORTANCE_RANGE: Final = (
+    f'a whole number from {TOP_IMPORTANCE} (refused last) '
+    f'to {LOWEST_IMPORTANCE} (refused first)'
+)
+
+#: Every column, with its names in English, Spanish and Urdu.
+COLUMNS: Final = (
+    Column(
+        field='service',
+        names=('service', 'servicio', 'سروس'),
+        expected='the ASCII name of a service, letters, digits, "-_."',
+        read=_read_service,
+    ),
+    Column(
+        field='kind',
+        names=('kind', 'tipo', 'قسم'),
+        expected='a name of at most 64 letters, digits, "-_."',
+        read=_read_name,
+    ),
+    Column(
+        field='method',
+        names=('method', 'método', 'metodo', 'طریقہ'),
+        expected='an HTTP method, or * for any',
+        read=_read_method,
+    ),
+    Column(
+        field='path',
+        names=('path', 'ruta', 'راستہ'),
+        expected='a path prefix that starts with a slash, without ? or #',
+        read=_read_path,
+    ),
+    Column(
+        field='importance',
+        names=('importance', 'importancia', 'اہمیت'),
+        expected=_IMPORTANCE_RANGE,
+        read=_read_importance,
+    ),
+    Column(
+        field='is_repeatable',
+        names=('repeatable', 'repetible', 'دہرانا'),
+        expected='yes or no',
+        read=_read_yes,
+    ),
+    Column(
+        field='timeout_ms',
+        names=('timeout_seconds', 'plazo_segundos', 'مہلت_سیکنڈ'),
+        expected=(
+            f'seconds from {_MIN_TIMEOUT_SECONDS} to {_MAX_TIMEOUT_SECONDS}'
+        ),
+        read=_read_timeout_ms,
+    ),
+    Column(
+        field='retry_bound',
+        names=('retry_bound', 'reintentos', 'دوبارہ_کوششیں'),
+        expected=f'a whole number from 0 to {MAX_RETRY_BOUND}',
+        read=partial(_read_whole, low=0, high=MAX_RETRY_BOUND),
+    ),
+    Column(
+        field='importance_by_caller',
+        names=('callers', 'llamantes', 'کال_کرنے_والے'),
+        expected=f'caller=importance with | between, each {_IMPORTANCE_RANGE}',
+        read=_read_callers,
+        is_required=False,
+    ),
+    Column(
+        field='note',
+        names=('note', 'nota', 'نوٹ'),
+        expected='any text',
+        read=str,
+        is_required=False,
+    ),
+)
