Add the library: attempts, scopes of a request, and the wrapper of targets

A request divides one allowance over its calls; a call that must not repeat is stamped with its home and goes nowhere else until that home proves that nothing ran.

--- a/src/lovageshunt/calls/_answer.py
+++ b/src/lovageshunt/calls/_answer.py
@@ -1,6 +1,7 @@
 """What an answer says beside its body."""
 
 from lovageshunt._record import Record
+from lovageshunt.calls._context import HomeStamp
 from lovageshunt.calls._outcome import Outcome, RefusalReason
 
 
@@ -61,7 +62,7 @@
         unspent: int = 0,
         threshold_by_service: dict[str, int] | None = None,
         load: LoadReport | None = None,
-        home: str = '',
+        home: HomeStamp | None = None,
         body_length: int = 0,
         suspicion: int = 0,
     ) -> None:
--- a/src/lovageshunt/calls/_codec.py
+++ b/src/lovageshunt/calls/_codec.py
@@ -72,6 +72,8 @@
     fields = info.as_dict()
     if info.load is not None:
         fields['load'] = info.load.as_dict()
+    if info.home is not None:
+        fields['home'] = info.home.as_dict()
     return _dump(fields)
 
 
@@ -101,7 +103,9 @@
 def _answer_of(fields: dict[str, Any]) -> AnswerInfo:
     load = fields.pop('load', None)
     reason = fields.pop('reason', None)
+    home = fields.pop('home', None)
     return AnswerInfo(
+        home=None if home is None else HomeStamp(**home),
         outcome=Outcome(fields.pop('outcome', '')),
         reason=None if reason is None else RefusalReason(reason),
         load=None if load is None else LoadReport(**load),
--- a/src/lovageshunt/client/__init__.py
+++ b/src/lovageshunt/client/__init__.py
@@ -11,25 +11,41 @@
     respond,
     until_disconnect,
 )
+from lovageshunt.client._client import Client
+from lovageshunt.client._inbound import InboundCalls, scope_of
+from lovageshunt.client._messages import Answer, Call
+from lovageshunt.client._options import ClientOptions
+from lovageshunt.client._scope import CallScope
 from lovageshunt.client._transport import (
     ExchangeLost,
     LossKind,
     Transport,
     WholeAnswer,
 )
+from lovageshunt.client._view import VIEW_PATH, View, encode_view
 
 __all__ = [
+    'VIEW_PATH',
+    'Answer',
     'AsgiApp',
     'AsgiScope',
+    'Call',
+    'CallScope',
+    'Client',
+    'ClientOptions',
     'ExchangeLost',
     'Inbound',
+    'InboundCalls',
     'LossKind',
     'ReadFault',
     'Receive',
     'Send',
     'Transport',
+    'View',
     'WholeAnswer',
+    'encode_view',
     'read_inbound',
     'respond',
+    'scope_of',
     'until_disconnect',
 ]
--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -150,3 +150,86 @@
             f'node {address} gave no usable answer ({reason}); check that the '
             'address is its admin address, that it runs, and --token_file',
         )
+
+
+class CallError(LovageshuntError):
+    """The base of the three ways in which a call brings no answer.
+
+    ``retry_after_ms`` says when to come back, ``request_id`` with which id.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        reason: str,
+        retry_after_ms: int,
+        claim: str,
+    ) -> None:
+        """Keep what a program needs; the message is for people."""
+        self.request_id = request_id
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+        super().__init__(
+            f'request {request_id} {claim} ({reason}); come back in '
+            f'{retry_after_ms} ms',
+        )
+
+
+class CallNotRunError(CallError):
+    """Nothing of the call ran, anywhere, and nothing of it will."""
+
+    def __init__(
+        self,
+        request_id: str,
+        reason: str,
+        retry_after_ms: int,
+    ) -> None:
+        """Take the reason and when to come back."""
+        super().__init__(
+            request_id,
+            reason,
+            retry_after_ms,
+            'was not run',
+        )
+
+
+class CallFailedError(CallError):
+    """Some of the call ran, and it is certain that no answer will come."""
+
+    def __init__(
+        self,
+        request_id: str,
+        reason: str,
+        retry_after_ms: int,
+    ) -> None:
+        """Take the reason and when to come back."""
+        super().__init__(request_id, reason, retry_after_ms, 'failed')
+
+
+class CallUnknownError(CallError):
+    """The call may have run; the same request id learns how it ended."""
+
+    def __init__(
+        self,
+        request_id: str,
+        reason: str,
+        retry_after_ms: int,
+    ) -> None:
+        """Take the reason and when to come back."""
+        super().__init__(
+            request_id,
+            reason,
+            retry_after_ms,
+            'has no known outcome, repeat it with the same id',
+        )
+
+
+class MalformedViewError(LovageshuntError):
+    """Raised when a node's view for clients cannot be decoded."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep the decoder's reason."""
+        super().__init__(
+            f'the view is malformed ({reason}); see that the seed is the '
+            'ingress of a node of this version',
+        )
--- a/src/lovageshunt/node/_target.py
+++ b/src/lovageshunt/node/_target.py
@@ -179,7 +179,7 @@
     if lost.kind is LossKind.UNSENT:
         return TargetReply(
             outcome=Outcome.NOT_RUN,
-            reason=RefusalReason.NO_TARGET,
+            reason=RefusalReason.CONNECTION_LOST,
         )
     # A lookup that may still run changes nothing, so its end is certain.
     outcome = Outcome.FAILED if is_repeatable else Outcome.UNKNOWN
--- a/src/lovageshunt/rules/__init__.py
+++ b/src/lovageshunt/rules/__init__.py
@@ -3,7 +3,9 @@
 from lovageshunt.rules._codec import (
     MAX_DOCUMENT_BYTES,
     decode_document,
+    decode_parts,
     encode_document,
+    encode_parts,
 )
 from lovageshunt.rules._defaults import DEFAULT_KIND, default_kind
 from lovageshunt.rules._document import (
@@ -43,8 +45,10 @@
     'Verdict',
     'Version',
     'decode_document',
+    'decode_parts',
     'default_kind',
     'encode_document',
+    'encode_parts',
     'manifest_of',
     'parse_sheet',
     'version_of',
--- a/standins/target.py
+++ b/standins/target.py
@@ -19,7 +19,13 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from lovageshunt.client import CallScope, Client, ClientOptions, InboundCalls
+from lovageshunt.client import (
+    CallScope,
+    Client,
+    ClientOptions,
+    InboundCalls,
+    scope_of,
+)
 
 _CRASH_EXIT_CODE = 3
 _POISON_HEADER = 'x-poison'
@@ -87,7 +93,7 @@
                 status_code=503,
                 headers={'retry-after': '1', 'lovageshunt-not-run': '1'},
             )
-        scope = InboundCalls.scope_of(request.scope)
+        scope = scope_of(request.scope)
         async with self.slots:
             self._witness('ran', scope)
             self.running += 1
--- a/tests/calls/test_codec.py
+++ b/tests/calls/test_codec.py
@@ -80,6 +80,7 @@
             reason=RefusalReason.OVERLOAD,
             retry_after_ms=250,
             threshold_by_service={'records': 12},
+            home=HomeStamp(node='n1', incarnation='a'),
             load=LoadReport(running=1, waiting=2, limit=3, service_ms=4.5),
         )
 
