Decide about retries, crash quarantine and running at most once

The pure decisions and their messages, so that the node and the client can be built on them. A first attempt runs at once where it arrives or where its stamp says; a resend without a stamp asks every node of the service, and each that has not seen the call promises not to run it before it answers.

--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -82,3 +82,14 @@
             f'the decision was made on inputs of epoch {read_in}, but a pause '
             f'began epoch {epoch}; read the inputs again and decide anew',
         )
+
+
+class UnknownEventError(LovageshuntError):
+    """Raised when a decision is told an event that it does not know."""
+
+    def __init__(self, event: object) -> None:
+        """Keep the type of the event."""
+        super().__init__(
+            f'no decision is registered for {type(event).__name__}; pass one '
+            'of the events that the package lists in its __all__',
+        )
--- /dev/null
+++ b/src/lovageshunt/idempotency/_events.py
@@ -0,0 +1,234 @@
+"""What is told to the decision to run a call at most once."""
+
+from lovageshunt._record import Record
+from lovageshunt.calls import HomeStamp, RefusalReason
+from lovageshunt.idempotency._records import (
+    Departed,
+    Ending,
+    HandedEntry,
+    InquiryAnswer,
+)
+
+
+class Requested(Record):
+    """An attempt of a call that must run at most once has arrived.
+
+    ``call_id`` names this arrival and is unique in the node; ``key`` names
+    the call and is the same at each attempt. ``attempt`` is that of the root
+    request, 0 when it is unknown. ``age_ms`` is ``None`` when not stated.
+    ``deadline`` is in seconds of the node's clock. ``peers`` are the other
+    nodes of the service that are listed, ``gone`` those that lately were.
+    """
+
+    __slots__ = (
+        'call_id',
+        'key',
+        'attempt',
+        'deadline',
+        'stamp',
+        'age_ms',
+        'peers',
+        'gone',
+    )
+
+    def __init__(
+        self,
+        *,
+        call_id: str,
+        key: str,
+        attempt: int,
+        deadline: float,
+        stamp: HomeStamp | None = None,
+        age_ms: int | None = None,
+        peers: tuple[HomeStamp, ...] = (),
+        gone: tuple[Departed, ...] = (),
+    ) -> None:
+        """Take what the arrival says and what the node knows of peers."""
+        self.call_id = call_id
+        self.key = key
+        self.attempt = attempt
+        self.deadline = deadline
+        self.stamp = stamp
+        self.age_ms = age_ms
+        self.peers = peers
+        self.gone = gone
+
+
+class DispatchDue(Record):
+    """Admission let a call through; its first byte would be written next."""
+
+    __slots__ = ('call_id',)
+
+    def __init__(self, *, call_id: str) -> None:
+        """Name the arrival that was told to run."""
+        self.call_id = call_id
+
+
+class Refused(Record):
+    """Admission or another part of the node refused a call."""
+
+    __slots__ = ('call_id', 'reason', 'retry_after_ms')
+
+    def __init__(
+        self,
+        *,
+        call_id: str,
+        reason: RefusalReason,
+        retry_after_ms: int,
+    ) -> None:
+        """Name the arrival, why, and when to come back."""
+        self.call_id = call_id
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
+
+
+class Completed(Record):
+    """A dispatched call ended.
+
+    An ending of *not run* is the target's own proof that nothing ran.
+    """
+
+    __slots__ = ('key', 'ending')
+
+    def __init__(self, *, key: str, ending: Ending) -> None:
+        """Take the call's key and how it ended."""
+        self.key = key
+        self.ending = ending
+
+
+class WaiterCancelled(Record):
+    """The caller of an arrival has gone; no answer is wanted."""
+
+    __slots__ = ('call_id',)
+
+    def __init__(self, *, call_id: str) -> None:
+        """Name the arrival."""
+        self.call_id = call_id
+
+
+class RedirectFailed(Record):
+    """The home to which an arrival was sent could not be reached."""
+
+    __slots__ = ('call_id',)
+
+    def __init__(self, *, call_id: str) -> None:
+        """Name the arrival."""
+        self.call_id = call_id
+
+
+class Inquired(Record):
+    """A peer asks whether a call ran here, and for a promise that it won't."""
+
+    __slots__ = ('key', 'asker', 'age_ms', 'number', 'peers', 'gone')
+
+    def __init__(
+        self,
+        *,
+        key: str,
+        asker: HomeStamp,
+        age_ms: int,
+        number: int,
+        peers: tuple[HomeStamp, ...] = (),
+        gone: tuple[Departed, ...] = (),
+    ) -> None:
+        """Take the question and what the inquired node knows of peers."""
+        self.key = key
+        self.asker = asker
+        self.age_ms = age_ms
+        self.number = number
+        self.peers = peers
+        self.gone = gone
+
+
+class InquiryAnswered(Record):
+    """A peer answered an inquiry of this node."""
+
+    __slots__ = ('key', 'peer', 'number', 'answer')
+
+    def __init__(
+        self,
+        *,
+        key: str,
+        peer: HomeStamp,
+        number: int,
+        answer: InquiryAnswer,
+    ) -> None:
+        """Take the answer and the inquiry it belongs to."""
+        self.key = key
+        self.peer = peer
+        self.number = number
+        self.answer = answer
+
+
+class InquiryFailed(Record):
+    """A peer could not be asked, or another incarnation answered."""
+
+    __slots__ = ('key', 'peer', 'number')
+
+    def __init__(self, *, key: str, peer: HomeStamp, number: int) -> None:
+        """Name the peer and the inquiry."""
+        self.key = key
+        self.peer = peer
+        self.number = number
+
+
+class Ticked(Record):
+    """Time passed; due a few times within ``inquiry_seconds``."""
+
+    __slots__ = ()
+
+
+class Woke(Record):
+    """The process was suspended, or its loop stalled, for so long."""
+
+    __slots__ = ('gap_seconds',)
+
+    def __init__(self, *, gap_seconds: float) -> None:
+        """Take the length of the gap."""
+        self.gap_seconds = gap_seconds
+
+
+class Leaving(Record):
+    """The node begins a planned stop and takes no new calls."""
+
+    __slots__ = ()
+
+
+class Drained(Record):
+    """Everything that ran has ended, or the drain's time is over."""
+
+    __slots__ = ()
+
+
+class HandedOver(Record):
+    """A peer that leaves hands over the calls it knows."""
+
+    __slots__ = ('leaver', 'entries')
+
+    def __init__(
+        self,
+        *,
+        leaver: HomeStamp,
+        entries: tuple[HandedEntry, ...],
+    ) -> None:
+        """Take the leaver and all of its calls."""
+        self.leaver = leaver
+        self.entries = entries
+
+
+Event = (
+    Requested
+    | DispatchDue
+    | Refused
+    | Completed
+    | WaiterCancelled
+    | RedirectFailed
+    | Inquired
+    | InquiryAnswered
+    | InquiryFailed
+    | Ticked
+    | Woke
+    | Leaving
+    | Drained
+    | HandedOver
+)
--- /dev/null
+++ b/src/lovageshunt/idempotency/_leaving.py
@@ -0,0 +1,93 @@
+"""What a leaving node tells its heirs, and what they keep of it."""
+
+from lovageshunt.calls import Outcome, RefusalReason
+from lovageshunt.idempotency._actions import Action, HandOver, Replay
+from lovageshunt.idempotency._deciding import decide
+from lovageshunt.idempotency._entry import Entry
+from lovageshunt.idempotency._events import Drained, HandedOver, Leaving
+from lovageshunt.idempotency._records import Ending, HandedEntry, identity_of
+from lovageshunt.idempotency._state import NodeState
+
+_HELD_STATES = frozenset(('queued', 'running', 'ended'))
+
+
+@decide.register
+def _on_leaving(event: Leaving, state: NodeState, now: float) -> list[Action]:
+    state.is_leaving = True
+    return []
+
+
+@decide.register
+def _on_drained(event: Drained, state: NodeState, now: float) -> list[Action]:
+    state.is_leaving = True
+    # What has not been dispatched by now never is.
+    state.epoch += 1
+    state.expire(now)
+    entries = tuple(
+        _handed(entry)
+        for entry in state.entry_by_key.values()
+        if entry.state in _HELD_STATES or entry.refused_through
+    )
+    return [HandOver(entries=entries)]
+
+
+@decide.register
+def _on_handed_over(
+    event: HandedOver,
+    state: NodeState,
+    now: float,
+) -> list[Action]:
+    state.expire(now)
+    fresh = [
+        handed
+        for handed in event.entries
+        if handed.key not in state.entry_by_key
+    ]
+    room = state.settings.max_entries - len(state.entry_by_key)
+    if room < len(fresh):
+        return []
+    actions: list[Action] = []
+    for handed in event.entries:
+        actions.extend(_inherit(handed, state, now))
+    state.expiry_by_leaver[identity_of(event.leaver)] = state.expiry_from(now)
+    return actions
+
+
+def _handed(entry: Entry) -> HandedEntry:
+    ending = entry.ending
+    if ending is None and entry.state in _HELD_STATES:
+        ending = Ending(
+            outcome=Outcome.UNKNOWN,
+            reason=RefusalReason.LEAVING,
+        )
+    return HandedEntry(
+        key=entry.key,
+        ending=ending,
+        refused_through=entry.refused_through,
+    )
+
+
+def _inherit(
+    handed: HandedEntry,
+    state: NodeState,
+    now: float,
+) -> list[Action]:
+    entry = state.entry_by_key.get(handed.key)
+    is_new = entry is None
+    if entry is None:
+        entry = state.create(handed.key, born_at=now, now=now)
+    if entry is None or entry.state in _HELD_STATES:
+        return []
+    entry.refused_through = max(entry.refused_through, handed.refused_through)
+    if handed.ending is None:
+        if is_new:
+            entry.life.step('refuse')
+        return []
+    entry.life.step('end')
+    entry.ending = handed.ending
+    entry.inquiry = None
+    state.inquiring.pop(entry.key, None)
+    return [
+        Replay(call_id=waiter.call_id, ending=handed.ending)
+        for waiter in state.release(entry)
+    ]
--- /dev/null
+++ b/src/lovageshunt/idempotency/_running.py
@@ -0,0 +1,140 @@
+"""What is done with a call on its way to the target and after it."""
+
+from lovageshunt.calls import Outcome, RefusalReason
+from lovageshunt.idempotency._actions import (
+    Action,
+    AnswerUnknown,
+    Dispatch,
+    Replay,
+    Run,
+)
+from lovageshunt.idempotency._deciding import decide
+from lovageshunt.idempotency._events import (
+    Completed,
+    DispatchDue,
+    RedirectFailed,
+    Refused,
+    WaiterCancelled,
+)
+from lovageshunt.idempotency._records import Ending
+from lovageshunt.idempotency._refusing import (
+    FIRST_ATTEMPT,
+    refuse_all,
+    refuse_one,
+    settle_refused,
+)
+from lovageshunt.idempotency._state import NodeState
+
+
+@decide.register
+def _on_dispatch_due(
+    event: DispatchDue,
+    state: NodeState,
+    now: float,
+) -> list[Action]:
+    entry = state.entry_by_call_id.get(event.call_id)
+    if entry is None or entry.runner != event.call_id:
+        return []
+    retry_after_ms = state.settings.refusal_retry_ms
+    if entry.epoch != state.epoch:
+        stale = RefusalReason.STALE_PICTURE
+        return refuse_all(state, entry, stale, retry_after_ms)
+    if entry.by_call_id[event.call_id].deadline <= now:
+        late = RefusalReason.DEADLINE
+        return refuse_all(state, entry, late, retry_after_ms)
+    if not entry.life.step('dispatch'):
+        return []
+    return [Dispatch(call_id=event.call_id, key=entry.key)]
+
+
+@decide.register
+def _on_refused(event: Refused, state: NodeState, now: float) -> list[Action]:
+    entry = state.entry_by_call_id.get(event.call_id)
+    if entry is None:
+        return []
+    if entry.state == 'queued' and entry.runner == event.call_id:
+        return refuse_all(state, entry, event.reason, event.retry_after_ms)
+    arrival = entry.by_call_id[event.call_id]
+    if entry.runner == event.call_id:
+        return []
+    state.leave(entry, event.call_id)
+    return refuse_one(
+        arrival,
+        is_proved=arrival.attempt == FIRST_ATTEMPT and entry.runner is None,
+        reason=event.reason,
+        retry_after_ms=event.retry_after_ms,
+    )
+
+
+@decide.register
+def _on_completed(
+    event: Completed,
+    state: NodeState,
+    now: float,
+) -> list[Action]:
+    entry = state.entry_by_key.get(event.key)
+    if entry is None or entry.state != 'running':
+        return []
+    ending = event.ending
+    if ending.outcome is Outcome.NOT_RUN:
+        return refuse_all(
+            state,
+            entry,
+            ending.reason or RefusalReason.TARGET_FAILED,
+            state.settings.refusal_retry_ms,
+        )
+    runner = entry.runner
+    entry.life.step('end')
+    entry.ending = _bounded(ending, state.settings.max_answer_bytes)
+    return [
+        Replay(call_id=waiter.call_id, ending=ending)
+        for waiter in state.release(entry)
+        if waiter.call_id != runner
+    ]
+
+
+@decide.register
+def _on_waiter_cancelled(
+    event: WaiterCancelled,
+    state: NodeState,
+    now: float,
+) -> list[Action]:
+    entry = state.entry_by_call_id.get(event.call_id)
+    if entry is None:
+        return []
+    state.leave(entry, event.call_id)
+    if entry.state != 'queued' or entry.runner != event.call_id:
+        return []
+    entry.runner = next(iter(entry.by_call_id), None)
+    if entry.runner is None:
+        settle_refused(state, entry)
+        return []
+    return [Run(call_id=entry.runner)]
+
+
+@decide.register
+def _on_redirect_failed(
+    event: RedirectFailed,
+    state: NodeState,
+    now: float,
+) -> list[Action]:
+    return [
+        AnswerUnknown(
+            call_id=event.call_id,
+            reason=RefusalReason.CONNECTION_LOST,
+            retry_after_ms=state.settings.doubt_retry_ms,
+        ),
+    ]
+
+
+def _bounded(ending: Ending, max_bytes: int) -> Ending:
+    """Keep an answer, or only that it can no longer be given whole."""
+    answer = ending.answer
+    if ending.outcome is not Outcome.ANSWERED:
+        return ending
+    if answer is not None and len(answer.body) <= max_bytes:
+        return ending
+    return Ending(
+        outcome=Outcome.FAILED,
+        reason=RefusalReason.CONNECTION_LOST,
+    )
--- a/src/lovageshunt/retries/__init__.py
+++ b/src/lovageshunt/retries/__init__.py
@@ -1,1 +1,55 @@
 """The allowance of a root request, local budgets and crash quarantine."""
+
+from lovageshunt.retries._allowance import AllowanceShare, allowance_for
+from lovageshunt.retries._budget import RetryBudget, RetryBudgetSettings
+from lovageshunt.retries._pool import AllowancePool
+from lovageshunt.retries._quarantine import Quarantine, QuarantineSettings
+from lovageshunt.retries._quarantine_messages import (
+    CallEnded,
+    CallStarting,
+    Condemn,
+    PeerReported,
+    Proceed,
+    QuarantineAction,
+    QuarantineEvent,
+    RefuseForNow,
+    SuspectReport,
+    Suspicion,
+    TargetCrashed,
+    TellPeers,
+)
+from lovageshunt.retries._tally import CallTally, merge_calls
+from lovageshunt.retries._verdict import (
+    Failure,
+    RetryPlace,
+    RetryVerdict,
+    may_retry,
+)
+
+__all__ = [
+    'AllowancePool',
+    'AllowanceShare',
+    'CallEnded',
+    'CallStarting',
+    'CallTally',
+    'Condemn',
+    'Failure',
+    'PeerReported',
+    'Proceed',
+    'Quarantine',
+    'QuarantineAction',
+    'QuarantineEvent',
+    'QuarantineSettings',
+    'RefuseForNow',
+    'RetryBudget',
+    'RetryBudgetSettings',
+    'RetryPlace',
+    'RetryVerdict',
+    'SuspectReport',
+    'Suspicion',
+    'TargetCrashed',
+    'TellPeers',
+    'allowance_for',
+    'may_retry',
+    'merge_calls',
+]
--- /dev/null
+++ b/tests/idempotency/nodes.py
@@ -0,0 +1,86 @@
+"""A node with two peers, and what may happen to it."""
+
+from lovageshunt.calls import HomeStamp, Outcome, RefusalReason
+from lovageshunt.idempotency import (
+    Claim,
+    DispatchDue,
+    Ending,
+    Inquired,
+    InquiryAnswer,
+    InquiryAnswered,
+    Refused,
+    Requested,
+    RunOnce,
+    RunOnceSettings,
+    StoredAnswer,
+)
+
+NOW = 1000
+ME = HomeStamp(node='b', incarnation='1')
+LOWER = HomeStamp(node='a', incarnation='1')
+HIGHER = HomeStamp(node='c', incarnation='1')
+PEERS = (LOWER, HIGHER)
+ANSWERED = Ending(
+    outcome=Outcome.ANSWERED,
+    answer=StoredAnswer(status=200, headers=(), body=b'paid'),
+)
+PROMISE = InquiryAnswer(claim=Claim.WILL_NOT_RUN)
+
+
+def requested(call_id, attempt, *, key='k', peers=PEERS, **fields):
+    """Return an attempt that arrives."""
+    return Requested(
+        call_id=call_id,
+        key=key,
+        attempt=attempt,
+        deadline=NOW + 5,
+        peers=peers,
+        **{'age_ms': 100, **fields},
+    )
+
+
+def make_node(started_at=0, **settings):
+    """Return the node under test."""
+    return RunOnce(
+        node=ME.node,
+        incarnation=ME.incarnation,
+        service='payments',
+        started_at=started_at,
+        settings=RunOnceSettings(**settings),
+    )
+
+
+def promise(node, peer, number=1, answer=PROMISE):
+    """Give the node a peer's answer."""
+    return node.handle(
+        InquiryAnswered(key='k', peer=peer, number=number, answer=answer),
+        NOW,
+    )
+
+
+def inquired(node, asker, age_ms=100):
+    """Ask the node; return its answer and what else it does."""
+    event = Inquired(key='k', asker=asker, age_ms=age_ms, number=7)
+    actions = node.handle(event, NOW)
+    return actions[0].answer, actions[1:]
+
+
+def dispatch(node, call_id):
+    """Tell the node that admission let a call through."""
+    return node.handle(DispatchDue(call_id=call_id), NOW)
+
+
+def refuse(node):
+    """Let admission refuse the attempt ``x``."""
+    refused = Refused(
+        call_id='x',
+        reason=RefusalReason.OVERLOAD,
+        retry_after_ms=50,
+    )
+    return node.handle(refused, NOW)
+
+
+def only(actions):
+    """Return the one action."""
+    assert len(actions) == 1
+    return actions[0]
--- /dev/null
+++ b/tests/idempotency/test_inquiring.py
@@ -0,0 +1,64 @@
+"""Asking peers about a call, and answering them."""
+
+from lovageshunt.idempotency import (
+    Claim,
+    Redirect,
+)
+from tests.idempotency.nodes import (
+    HIGHER,
+    LOWER,
+    NOW,
+    inquired,
+    make_node,
+    requested,
+)
+
+
+class TestInquired:
+    """What a node answers an inquiry, and what it then holds to."""
+
+    def test_promise_outlasts_the_inquiry(self, node):
+        """A late first attempt is sent to the asker and not run."""
+        answer, _ = inquired(node, HIGHER)
+
+        assert answer.claim is Claim.WILL_NOT_RUN
+        assert node.handle(requested('x', 1), NOW) == [
+            Redirect(call_id='x', home=HIGHER, stamp=None, attempt=0),
+        ]
+
+    def test_running_call_is_claimed(self, node):
+        """The asker learns where the call is."""
+        node.handle(requested('x', 1), NOW)
+
+        answer, _ = inquired(node, LOWER)
+
+        assert answer.claim is Claim.MINE
+
+    def test_node_younger_than_the_call_cannot_say(self):
+        """An earlier process at its place may have run it."""
+        node = make_node(started_at=NOW - 10)
+
+        answer, _ = inquired(node, HIGHER, age_ms=10_001)
+
+        assert answer.claim is Claim.CANNOT_SAY
+
+    def test_lower_rank_wins_between_two_inquiries(self, node):
+        """A node yields to a lower asker and holds against a higher."""
+        node.handle(requested('x', 2), NOW)
+
+        held, _ = inquired(node, HIGHER)
+        yielded, moved = inquired(node, LOWER)
+
+        assert held.claim is Claim.MINE
+        assert yielded.claim is Claim.WILL_NOT_RUN
+        assert moved == [
+            Redirect(call_id='x', home=LOWER, stamp=None, attempt=2),
+        ]
+
+    def test_earlier_promise_is_named(self, node):
+        """The next asker must hear the node that has the promise."""
+        inquired(node, HIGHER)
+
+        answer, _ = inquired(node, LOWER)
+
+        assert answer.home == HIGHER
--- /dev/null
+++ b/tests/idempotency/test_leaving.py
@@ -0,0 +1,86 @@
+"""What a leaving node tells its heirs."""
+
+from lovageshunt.calls import RefusalReason
+from lovageshunt.idempotency import (
+    AnswerInquiry,
+    Claim,
+    Completed,
+    Drained,
+    HandedOver,
+    Inquired,
+    InquiryAnswer,
+    InquiryFailed,
+    Leaving,
+    Replay,
+    Run,
+    RunOnce,
+    RunOnceSettings,
+)
+from tests.idempotency.nodes import (
+    ANSWERED,
+    HIGHER,
+    LOWER,
+    ME,
+    NOW,
+    dispatch,
+    only,
+    promise,
+    requested,
+)
+
+
+class TestLeaving:
+    """A planned stop hands over what the node knows."""
+
+    def test_leaving_node_refuses_first_attempts(self, node):
+        """The caller moves at once."""
+        node.handle(Leaving(), NOW)
+
+        refusal = only(node.handle(requested('x', 1), NOW))
+
+        assert refusal.reason is RefusalReason.LEAVING
+
+    def test_heir_answers_for_the_leaver(self, node):
+        """A resend reads the outcome that was handed over."""
+        node.handle(requested('x', 1), NOW)
+        dispatch(node, 'x')
+        node.handle(Completed(key='k', ending=ANSWERED), NOW)
+        handed = only(node.handle(Drained(), NOW))
+        heir = RunOnce(
+            node='c',
+            incarnation='1',
+            service='payments',
+            started_at=0,
+            settings=RunOnceSettings(),
+        )
+
+        heir.handle(HandedOver(leaver=ME, entries=handed.entries), NOW)
+
+        assert heir.handle(requested('y', 2), NOW) == [
+            Replay(call_id='y', ending=ANSWERED),
+        ]
+
+    def test_heir_covers_the_leaver(self, node):
+        """An inquiry succeeds though the leaver cannot be asked."""
+        covering = InquiryAnswer(
+            claim=Claim.WILL_NOT_RUN,
+            covered=(HIGHER,),
+        )
+        node.handle(requested('x', 2), NOW)
+        node.handle(InquiryFailed(key='k', peer=HIGHER, number=1), NOW)
+
+        assert promise(node, LOWER, answer=covering) == [Run(call_id='x')]
+
+    def test_answer_names_the_covered(self, node):
+        """An heir tells askers whose keys it has."""
+        node.handle(HandedOver(leaver=HIGHER, entries=()), NOW)
+
+        answered = only(
+            node.handle(
+                Inquired(key='k', asker=LOWER, age_ms=1, number=1),
+                NOW,
+            )
+        )
+
+        assert isinstance(answered, AnswerInquiry)
+        assert answered.answer.covered == (HIGHER,)
