Let a node take first attempts only once its peers know it

A settled node is one that every listed peer confirmed to list. Age alone does not show it: in a partition the news of a new node reaches nobody however long it waits, and a resend on the other side would find every node it knows and run the call again. A node that never read a list takes no call either.

--- a/src/lovageshunt/idempotency/_arriving.py
+++ b/src/lovageshunt/idempotency/_arriving.py
@@ -85,7 +85,7 @@
         ),
         born_at=state.born_at(event.age_ms, now),
         named=None if is_stamped_here else stamp,
-        peers=set(map(identity_of, event.peers)) - {state.me},
+        peers=set(map(identity_of, event.peers or ())) - {state.me},
     )
 
 
@@ -96,6 +96,8 @@
     now: float,
 ) -> list[Action]:
     """Take up a call that was refused or left in doubt here before."""
+    if attempt.event.peers is None:
+        return _refuse_new(attempt, state, RefusalReason.SETTLING, now)
     if entry.is_blocked(attempt.event.attempt):
         return refuse_one(
             attempt.arrival,
@@ -147,6 +149,8 @@
 ) -> RefusalReason | None:
     if state.is_leaving:
         return RefusalReason.LEAVING
+    if attempt.event.peers is None:
+        return RefusalReason.SETTLING
     if attempt.is_first and attempt.named is not None:
         # The home is gone, and only it might have run this one message.
         return RefusalReason.STALE_PICTURE
--- a/src/lovageshunt/idempotency/_events.py
+++ b/src/lovageshunt/idempotency/_events.py
@@ -17,7 +17,8 @@
     the call and is the same at each attempt. ``attempt`` is that of the root
     request, 0 when it is unknown. ``age_ms`` is ``None`` when not stated.
     ``deadline`` is in seconds of the node's clock. ``peers`` are the other
-    nodes of the service that are listed, ``gone`` those that lately were.
+    nodes of the service that are listed, ``None`` when no list was ever
+    read; ``gone`` are those that were listed within the retention time.
     """
 
     __slots__ = (
@@ -40,7 +41,7 @@
         deadline: float,
         stamp: HomeStamp | None = None,
         age_ms: int | None = None,
-        peers: tuple[HomeStamp, ...] = (),
+        peers: tuple[HomeStamp, ...] | None = None,
         gone: tuple[Departed, ...] = (),
     ) -> None:
         """Take what the arrival says and what the node knows of peers."""
@@ -172,6 +173,16 @@
         self.number = number
 
 
+class Settled(Record):
+    """Every listed peer confirmed that it lists this node's incarnation.
+
+    Until then an inquiry elsewhere may miss this node, so it takes no first
+    attempt unless it is the only node listed.
+    """
+
+    __slots__ = ()
+
+
 class Ticked(Record):
     """Time passed; due a few times within ``inquiry_seconds``."""
 
@@ -216,19 +227,14 @@
         self.entries = entries
 
 
-Event = (
+_CallEvent = (
     Requested
     | DispatchDue
     | Refused
     | Completed
     | WaiterCancelled
     | RedirectFailed
-    | Inquired
-    | InquiryAnswered
-    | InquiryFailed
-    | Ticked
-    | Woke
-    | Leaving
-    | Drained
-    | HandedOver
 )
+_PeerEvent = Inquired | InquiryAnswered | InquiryFailed | HandedOver
+_NodeEvent = Settled | Ticked | Woke | Leaving | Drained
+Event = _CallEvent | _PeerEvent | _NodeEvent
--- a/src/lovageshunt/idempotency/_inquiring.py
+++ b/src/lovageshunt/idempotency/_inquiring.py
@@ -15,6 +15,7 @@
     Inquired,
     InquiryAnswered,
     InquiryFailed,
+    Settled,
     Ticked,
     Woke,
 )
@@ -159,6 +160,14 @@
     return actions
 
 
+@decide.register
+def _on_settled(event: Settled, state: NodeState, now: float) -> list[Action]:
+    if state.settled_at is None:
+        earliest = state.started_at + state.settings.settle_seconds
+        state.settled_at = max(now, earliest)
+    return []
+
+
 @decide.register
 def _on_woke(event: Woke, state: NodeState, now: float) -> list[Action]:
     """Trust nothing that was read before the gap.
--- a/src/lovageshunt/idempotency/_settings.py
+++ b/src/lovageshunt/idempotency/_settings.py
@@ -9,8 +9,8 @@
     ``retention_seconds`` is how old a request may grow and still be resent.
     ``transit_seconds`` bounds how long a message may be on its way to a
     process that is not suspended, and how far an age may be understated.
-    ``settle_seconds`` is how long the news of a node takes to reach all
-    peers. ``caution_seconds`` is how long after a suspension a first attempt
+    ``settle_seconds`` is the least time before a node takes first attempts.
+    ``caution_seconds`` is how long after a suspension a first attempt
     is inquired about. ``unstated_age_ms`` stands for an age not stated.
     """
 
--- a/src/lovageshunt/idempotency/_state.py
+++ b/src/lovageshunt/idempotency/_state.py
@@ -19,6 +19,7 @@
     __slots__ = (
         'me',
         'started_at',
+        'settled_at',
         'settings',
         'epoch',
         'cautious_until',
@@ -40,6 +41,7 @@
         """Begin with an empty table."""
         self.me = me
         self.started_at = started_at
+        self.settled_at: float | None = None
         self.settings = settings
         self.epoch = 0
         self.cautious_until = started_at
@@ -121,7 +123,7 @@
 
     def is_settled_for(self, born_at: float) -> bool:
         """Return whether all peers knew this node before the call began."""
-        return born_at - self.started_at >= self.settings.settle_seconds
+        return self.settled_at is not None and self.settled_at <= born_at
 
     def excused(
         self,
--- a/tests/idempotency/nodes.py
+++ b/tests/idempotency/nodes.py
@@ -12,6 +12,7 @@
     Requested,
     RunOnce,
     RunOnceSettings,
+    Settled,
     StoredAnswer,
 )
 
@@ -40,14 +41,16 @@
 
 
 def make_node(started_at=0, **settings):
-    """Return the node under test."""
-    return RunOnce(
+    """Return the node under test; it settled when it was old enough."""
+    node = RunOnce(
         node=ME.node,
         incarnation=ME.incarnation,
         service='payments',
         started_at=started_at,
         settings=RunOnceSettings(**settings),
     )
+    node.handle(Settled(), started_at)
+    return node
 
 
 def promise(node, peer, number=1, answer=PROMISE):
--- a/tests/idempotency/test_arriving.py
+++ b/tests/idempotency/test_arriving.py
@@ -69,6 +69,12 @@
         assert isinstance(refusal, AnswerNotRun)
         assert refusal.reason is RefusalReason.SETTLING
 
+    def test_node_that_read_no_list_sends_it_elsewhere(self, node):
+        """Without a list there is nobody to ask, and no proof."""
+        refusal = only(node.handle(requested('x', 1, peers=None), NOW))
+
+        assert refusal.reason is RefusalReason.SETTLING
+
     def test_only_node_runs_it_though_young(self):
         """There is nobody else to ask or to be asked by."""
         node = make_node(started_at=NOW - 1)
