--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -232,4 +232,12 @@
         super().__init__(
             f'the view is malformed ({reason}); see that the seed is the '
             'ingress of a node of this version',
+class UnknownEventError(LovageshuntError):
+    """Raised when a decision is told an event that it does not know."""
+
+    def __init__(self, event: object) -> None:
+        """Keep the type of the event."""
+        super().__init__(
+            f'no decision is registered for {type(event).__name__}; pass one '
+            'of the events that the package lists in its __all__',
         )
