--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -232,6 +232,9 @@
         super().__init__(
             f'the view is malformed ({reason}); see that the seed is the '
             'ingress of a node of this version',
+        )
+
+
 class UnknownEventError(LovageshuntError):
     """Raised when a decision is told an event that it does not know."""
 
