--- a/src/lovageshunt/membership/_roster.py
+++ b/src/lovageshunt/membership/_roster.py
@@ -1,10 +1,10 @@
 """The members of the services that a node needs, by what is known of each."""
 
-from collections.abc import Callable
 from typing import Final
 
 from lovageshunt.membership._actions import Probe
 from lovageshunt.membership._departures import Departures
+from lovageshunt.membership._facts import Facts
 from lovageshunt.membership._member import Member
 from lovageshunt.membership._messages import Announcement
 from lovageshunt.membership._services import ServiceIndex
@@ -22,14 +22,14 @@
 class Roster:
     """Tracked VMs: a leave goes before everything, silence decides nothing.
 
-    ``has_left`` tells whether an incarnation of a VM announced its leave.
+    ``facts`` tell what the nodes of the VMs said of themselves.
     """
 
     __slots__ = (
         'index',
         'by_name',
         '_settings',
-        '_has_left',
+        '_facts',
         '_departures',
     )
 
@@ -37,12 +37,12 @@
         self,
         services: frozenset[str],
         settings: MembershipSettings,
-        has_left: Callable[[str, str], bool],
+        facts: Facts,
     ) -> None:
         """Know nobody yet."""
         self.index = ServiceIndex(services)
         self._settings = settings
-        self._has_left = has_left
+        self._facts = facts
         self.by_name: dict[str, Tracked] = {}
         self._departures = Departures(settings.departed_horizon)
 
@@ -65,7 +65,8 @@
         tracked = self.by_name.get(vm.name)
         if tracked is None:
             tracked = self._track(tracked_from_list(vm))
-            if self._has_left(vm.name, ''):
+            tracked.member.incarnation = self._facts.incarnation_of(vm.name)
+            if self._facts.has_left(vm.name, ''):
                 self._leave(tracked, now)
         if vm.state is VmState.LEAVING:
             tracked.listed = VmState.LEAVING
@@ -162,8 +163,6 @@
                 continue
             if tracked.listed in {None, VmState.GONE}:
                 self._depart(tracked, tracked.left_at)
-            elif tracked.probe_at is None:
-                tracked.probe_at = now
 
     def _track(self, tracked: Tracked) -> Tracked:
         name = tracked.member.name
@@ -176,7 +175,7 @@
         member = tracked.member
         tracked.listed = VmState.LIVE
         tracked.passes_over_leaving = False
-        if self._has_left(member.name, member.incarnation):
+        if self._facts.has_left(member.name, member.incarnation):
             return
         if tracked.life.step('stay'):
             self.index.touch(member.service)
@@ -202,7 +201,7 @@
     ) -> None:
         tracked.restart(incarnation, since)
         self.index.touch(tracked.member.service)
-        if self._has_left(tracked.member.name, incarnation):
+        if self._facts.has_left(tracked.member.name, incarnation):
             self._leave(tracked, since)
 
     def _leave(self, tracked: Tracked, now: float) -> None:
--- a/src/lovageshunt/membership/_tracked.py
+++ b/src/lovageshunt/membership/_tracked.py
@@ -8,8 +8,7 @@
 from lovageshunt.membership._vms import ListedVm, VmState
 
 _LEAVING: Final = 'leaving'
-_DOWN: Final = 'down'
-_SUSPECT_STATES: Final = frozenset(('suspect', _DOWN))
+_SUSPECT_STATES: Final = frozenset(('suspect', 'down'))
 _LISTED_STATES: Final = frozenset((VmState.LIVE, VmState.LEAVING))
 
 
@@ -67,9 +66,7 @@
         One that the list still names is kept, suspect: the list may be right
         and the path to the VM at fault.
         """
-        if self.is_leaving:
-            return self.silences > 1
-        return self.life.state == _DOWN and self.listed not in _LISTED_STATES
+        return self.silences > 1 and self.listed not in _LISTED_STATES
 
     def leave(self, now: float) -> bool:
         """Begin to leave; return whether it was not leaving before."""
--- a/src/lovageshunt/membership/_view.py
+++ b/src/lovageshunt/membership/_view.py
@@ -78,7 +78,7 @@
         self._roster = Roster(
             frozenset((own.service, *needed_services)),
             settings,
-            self._gossip.facts.has_left,
+            self._gossip.facts,
         )
         self._listing = Listing(own.name, settings.rollback_patience)
         self._now = now
--- /dev/null
+++ b/tests/membership/builders.py
@@ -0,0 +1,67 @@
+"""Makes the messages that the tests of membership share."""
+
+from lovageshunt.membership import (
+    Announcement,
+    ListedVm,
+    ListRead,
+    PeerAnnounced,
+    VmList,
+    VmState,
+)
+
+
+def listed(name: str, state: VmState = VmState.LIVE) -> ListedVm:
+    """Return an entry of the list for a VM of the service records."""
+    return ListedVm(
+        name=name,
+        service='records',
+        failure_domain='fd1',
+        region='r1',
+        address=f'{name}:1',
+        admin_address=f'{name}:2',
+        state=state,
+    )
+
+
+def said(
+    name: str,
+    incarnation: str = '1',
+    *,
+    is_leaving: bool = False,
+    age_ms: int = 0,
+    service: str = 'records',
+) -> Announcement:
+    """Return an announcement by a VM of the service records."""
+    return Announcement(
+        name=name,
+        service=service,
+        failure_domain='fd1',
+        region='r1',
+        address=f'{name}:1',
+        admin_address=f'{name}:2',
+        incarnation=incarnation,
+        is_leaving=is_leaving,
+        age_ms=age_ms,
+    )
+
+
+def word(
+    name: str,
+    incarnation: str = '1',
+    *,
+    is_leaving: bool = False,
+    age_ms: int = 0,
+) -> PeerAnnounced:
+    """Return the event that an announcement arrived."""
+    announcement = said(
+        name,
+        incarnation,
+        is_leaving=is_leaving,
+        age_ms=age_ms,
+    )
+    return PeerAnnounced(announcement)
+
+
+def reading_of(revision: int, *vms: ListedVm) -> ListRead:
+    """Return the event that the list was read."""
+    return ListRead(VmList(revision=revision, vms=list(vms)))
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -4,73 +4,21 @@
 
 from lovageshunt.membership import (
     Announce,
-    Announcement,
     LeaveStarted,
-    ListedVm,
-    ListRead,
     MembersChanged,
     MembershipView,
-    PeerAnnounced,
     PeerAnswered,
     PeerSilent,
     Probe,
     Ticked,
-    VmList,
     VmState,
 )
-
-
-def listed(name: str, state: VmState = VmState.LIVE) -> ListedVm:
-    """Return an entry of the list for a VM of the service records."""
-    return ListedVm(
-        name=name,
-        service='records',
-        failure_domain='fd1',
-        region='r1',
-        address=f'{name}:1',
-        admin_address=f'{name}:2',
-        state=state,
-    )
-
-
-def word(
-    name: str,
-    incarnation: str = '1',
-    *,
-    is_leaving: bool = False,
-    age_ms: int = 0,
-) -> PeerAnnounced:
-    """Return an announcement by a VM of the service records."""
-    return PeerAnnounced(
-        Announcement(
-            name=name,
-            service='records',
-            failure_domain='fd1',
-            region='r1',
-            address=f'{name}:1',
-            admin_address=f'{name}:2',
-            incarnation=incarnation,
-            is_leaving=is_leaving,
-            age_ms=age_ms,
-        ),
-    )
-
-
-def read(revision: int, *vms: ListedVm) -> ListRead:
-    """Return a reading of the list."""
-    return ListRead(VmList(revision=revision, vms=list(vms)))
+from tests.membership.builders import listed, reading_of, said, word
 
 
 def new_view() -> MembershipView:
     """Return the view of a node that calls records."""
-    own = Announcement(
-        name='own',
-        service='balances',
-        failure_domain='fd1',
-        region='r1',
-        address='own:1',
-        incarnation='1',
-    )
+    own = said('own', service='balances')
     return MembershipView(
         own=own,
         needed_services=['records'],
@@ -95,23 +43,23 @@
     def test_listed_leaving(self) -> None:
         """A VM that is merely listed as leaving is not offered."""
         view = new_view()
-        view.handle(read(1, listed('a'), listed('b')), 0)
-        view.handle(read(2, listed('a', VmState.LEAVING), listed('b')), 1)
+        view.handle(reading_of(1, listed('a'), listed('b')), 0)
+        view.handle(reading_of(2, listed('a', VmState.LEAVING), listed('b')), 1)
         assert offered(view) == ['b']
         assert departed(view) == ['a']
 
     def test_announced_leave_goes_before_the_list(self) -> None:
         """A VM that announced its leave stays out while listed as live."""
         view = new_view()
-        view.handle(read(1, listed('a')), 0)
+        view.handle(reading_of(1, listed('a')), 0)
         view.handle(word('a', is_leaving=True), 1)
-        view.handle(read(2, listed('a')), 2)
+        view.handle(reading_of(2, listed('a')), 2)
         assert offered(view) == []
 
     def test_refusal(self) -> None:
         """A peer that refuses because it leaves is not offered."""
         view = new_view()
-        view.handle(read(1, listed('a')), 0)
+        view.handle(reading_of(1, listed('a')), 0)
         view.handle(PeerAnswered('a', is_leaving=True), 1)
         assert offered(view) == []
 
@@ -126,15 +74,15 @@
         """A later incarnation is offered although the list still lags."""
         view = new_view()
         view.handle(word('a', '1'), 1)
-        view.handle(read(1, listed('a', VmState.LEAVING)), 2)
+        view.handle(reading_of(1, listed('a', VmState.LEAVING)), 2)
         view.handle(word('a', '2'), 4)
-        view.handle(read(1, listed('a', VmState.LEAVING)), 5)
+        view.handle(reading_of(1, listed('a', VmState.LEAVING)), 5)
         assert offered(view) == ['a']
 
     def test_first_word_does_not_take_back_a_listed_leave(self) -> None:
         """An old word of a VM that is listed as leaving changes nothing."""
         view = new_view()
-        view.handle(read(1, listed('a', VmState.LEAVING)), 2)
+        view.handle(reading_of(1, listed('a', VmState.LEAVING)), 2)
         view.handle(word('a', '1', age_ms=5000), 4)
         assert offered(view) == []
 
@@ -145,7 +93,7 @@
     def test_silence_lowers_preference(self) -> None:
         """A silent peer that is listed stays a member, suspect."""
         view = new_view()
-        view.handle(read(1, *(listed(name) for name in 'abc')), 0)
+        view.handle(reading_of(1, *(listed(name) for name in 'abc')), 0)
         actions = view.handle(PeerSilent('a'), 1)
         assert actions == [MembersChanged('records')]
         suspects = [one.is_suspect for one in view.members_of('records')]
@@ -154,7 +102,7 @@
     def test_mostly_silent_picture_is_distrusted(self) -> None:
         """When most of a service looks silent, nobody is suspect."""
         view = new_view()
-        view.handle(read(1, *(listed(name) for name in 'abc')), 0)
+        view.handle(reading_of(1, *(listed(name) for name in 'abc')), 0)
         view.handle(PeerSilent('a'), 1)
         view.handle(PeerSilent('b'), 1)
         suspects = [one.is_suspect for one in view.members_of('records')]
@@ -163,7 +111,7 @@
     def test_suspects_are_probed(self) -> None:
         """A suspect is probed after a delay and trusted when it answers."""
         view = new_view()
-        view.handle(read(1, *(listed(name) for name in 'abc')), 0)
+        view.handle(reading_of(1, *(listed(name) for name in 'abc')), 0)
         view.handle(PeerSilent('a'), 1)
         assert Probe('a', 'a:1') in view.handle(Ticked(), 3)
         view.handle(PeerAnswered('a', '1'), 4)
@@ -172,8 +120,8 @@
     def test_absent_and_silent(self) -> None:
         """A VM that the list omits is dropped once it is silent too."""
         view = new_view()
-        view.handle(read(1, listed('a'), listed('b')), 0)
-        view.handle(read(2, listed('b')), 40)
+        view.handle(reading_of(1, listed('a'), listed('b')), 0)
+        view.handle(reading_of(2, listed('b')), 40)
         assert offered(view) == ['a', 'b']
         view.handle(PeerSilent('a'), 41)
         view.handle(PeerSilent('a'), 43)
@@ -187,9 +135,9 @@
     def test_older_list_takes_nothing_back(self) -> None:
         """An older list neither revives a leaving VM nor drops a new one."""
         view = new_view()
-        view.handle(read(1, listed('a')), 0)
-        view.handle(read(5, listed('a', VmState.LEAVING), listed('b')), 1)
-        view.handle(read(4, listed('a')), 2)
+        view.handle(reading_of(1, listed('a')), 0)
+        view.handle(reading_of(5, listed('a', VmState.LEAVING), listed('b')), 1)
+        view.handle(reading_of(4, listed('a')), 2)
         assert offered(view) == ['b']
 
 
@@ -199,7 +147,7 @@
     def test_told_at_once(self) -> None:
         """A leave is announced to peers without waiting for a tick."""
         view = new_view()
-        view.handle(read(1, listed('a'), listed('b')), 0)
+        view.handle(reading_of(1, listed('a'), listed('b')), 0)
         view.handle(Ticked(), 0.1)
         told = [
             action
