--- a/src/lovageshunt/rules/__init__.py
+++ b/src/lovageshunt/rules/__init__.py
@@ -5,6 +5,7 @@
     decode_document,
     encode_document,
 )
+from lovageshunt.rules._conflicts import Conflict
 from lovageshunt.rules._defaults import DEFAULT_KIND, default_kind
 from lovageshunt.rules._document import (
     ANY_METHOD,
@@ -12,39 +13,71 @@
     RulesDocument,
     ServiceRules,
 )
-from lovageshunt.rules._in_force import (
-    Conflict,
-    Offer,
-    RulesInForce,
-    Verdict,
+from lovageshunt.rules._events import (
+    DocumentRead,
+    MessageReceived,
+    RulesChanged,
+    SendMessage,
+    SpreadAction,
+    SpreadEvent,
+    SpreadTicked,
+)
+from lovageshunt.rules._in_force import Offer, RulesInForce, Verdict
+from lovageshunt.rules._messages import (
+    ManifestAsked,
+    ManifestTold,
+    Message,
+    PartsAsked,
+    PartsTold,
+    VersionTold,
 )
 from lovageshunt.rules._sheet import Sheet, parse_sheet
 from lovageshunt.rules._sheet_fault import SheetFault
+from lovageshunt.rules._spread import Spread
+from lovageshunt.rules._spread_settings import SpreadSettings
 from lovageshunt.rules._version import (
     Manifest,
     Version,
     manifest_of,
     version_of,
 )
+from lovageshunt.rules._wire import decode_message, encode_message
 
 __all__ = [
     'ANY_METHOD',
     'DEFAULT_KIND',
     'MAX_DOCUMENT_BYTES',
     'Conflict',
+    'DocumentRead',
     'KindRule',
     'Manifest',
+    'ManifestAsked',
+    'ManifestTold',
+    'Message',
+    'MessageReceived',
     'Offer',
+    'PartsAsked',
+    'PartsTold',
+    'RulesChanged',
     'RulesDocument',
     'RulesInForce',
+    'SendMessage',
     'ServiceRules',
     'Sheet',
     'SheetFault',
+    'Spread',
+    'SpreadAction',
+    'SpreadEvent',
+    'SpreadSettings',
+    'SpreadTicked',
     'Verdict',
     'Version',
+    'VersionTold',
     'decode_document',
+    'decode_message',
     'default_kind',
     'encode_document',
+    'encode_message',
     'manifest_of',
     'parse_sheet',
     'version_of',
--- a/src/lovageshunt/rules/_in_force.py
+++ b/src/lovageshunt/rules/_in_force.py
@@ -1,16 +1,14 @@
 """Which rules a node serves under; no version older than one heard enters."""
 
+from collections.abc import Iterable
 from enum import StrEnum
-from typing import Final
 
 from lovageshunt._record import Record
+from lovageshunt.rules._conflicts import Conflict, ConflictLog
 from lovageshunt.rules._defaults import default_kind
 from lovageshunt.rules._document import KindRule, RulesDocument, ServiceRules
 from lovageshunt.rules._version import Manifest, Version, manifest_of
 
-#: How many conflicts are kept on record.
-_MAX_CONFLICTS: Final = 32
-
 
 class Verdict(StrEnum):
     """What became of an offer.
@@ -45,24 +43,6 @@
         self.is_conflict = is_conflict
 
 
-class Conflict(Record):
-    """Two documents of one generation; the greater version won."""
-
-    __slots__ = ('winner', 'loser', 'seen_at')
-
-    def __init__(
-        self,
-        *,
-        winner: Version,
-        loser: Version,
-        seen_at: float,
-    ) -> None:
-        """Name both versions and when the second was heard."""
-        self.winner = winner
-        self.loser = loser
-        self.seen_at = seen_at
-
-
 class RulesInForce:
     """The greatest version heard, and the greatest that is whole.
 
@@ -74,9 +54,9 @@
     __slots__ = (
         'current',
         'in_force_since',
-        'conflicts',
         'heard',
         '_in_force',
+        '_log',
         '_needed',
         '_part_by_service',
     )
@@ -85,7 +65,7 @@
         """Start without any rules."""
         self.current: RulesDocument | None = None
         self.in_force_since: float | None = None
-        self.conflicts: list[Conflict] = []
+        self._log = ConflictLog()
         self.heard: Manifest | None = None
         self._in_force: Manifest | None = None
         self._needed = needed_services
@@ -96,6 +76,11 @@
         """Return the version in force, if any."""
         return None if self._in_force is None else self._in_force.version
 
+    @property
+    def conflicts(self) -> tuple[Conflict, ...]:
+        """Return the conflicts on record, the oldest first."""
+        return self._log.conflicts
+
     def manifest(self) -> Manifest | None:
         """Return the manifest of the version in force, if any."""
         return self._in_force
@@ -130,7 +115,7 @@
         """Take a manifest with the rules of some of its services."""
         if not manifest.is_sound:
             return Offer(verdict=Verdict.UNSOUND, version=manifest.version)
-        is_conflict = self._record_conflict(manifest.version, now)
+        is_conflict = self._log.compare(self.heard, manifest.version, now)
         verdict = self._verdict(manifest, parts, now)
         return Offer(
             verdict=verdict,
@@ -138,6 +123,23 @@
             is_conflict=is_conflict,
         )
 
+    def note_version(self, version: Version, now: float) -> None:
+        """Take a version without its manifest.
+
+        A conflict goes on record, and a later revision of the rules heard
+        last counts as heard.
+        """
+        self._log.compare(self.heard, version, now)
+        heard = self.heard
+        if heard is None or heard.version.digest != version.digest:
+            return
+        manifest = Manifest(
+            version=version,
+            deployment=heard.deployment,
+            digest_by_service=heard.digest_by_service,
+        )
+        self.hear(manifest, now)
+
     def missing(
         self,
         manifest: Manifest,
@@ -159,7 +161,7 @@
             return ()
         return self.missing(self.heard, self._needed)
 
-    def held(self, services: tuple[str, ...]) -> dict[str, ServiceRules]:
+    def held(self, services: Iterable[str]) -> dict[str, ServiceRules]:
         """Return those of the greatest version's parts that are here."""
         if self.heard is None:
             return {}
@@ -209,7 +211,7 @@
         self.current = RulesDocument(
             deployment=manifest.deployment,
             generation=manifest.version.generation,
-            by_service=self.held(tuple(manifest.digest_by_service)),
+            by_service=self.held(manifest.digest_by_service),
         )
         if has_same_rules:
             return Verdict.SAME
@@ -220,31 +222,6 @@
         rules = self._part_by_service.get(service)
         return rules is not None and rules.digest == digest
 
-    def _record_conflict(self, version: Version, now: float) -> bool:
-        if self.heard is None:
-            return False
-        known = self.heard.version
-        if known.generation != version.generation:
-            return False
-        if known.digest == version.digest:
-            return False
-        conflict = Conflict(
-            winner=max(known, version),
-            loser=min(known, version),
-            seen_at=now,
-        )
-        if not self._is_on_record(conflict):
-            self.conflicts.append(conflict)
-            del self.conflicts[:-_MAX_CONFLICTS]
-        return True
-
-    def _is_on_record(self, conflict: Conflict) -> bool:
-        return any(
-            {known.winner.digest, known.loser.digest}
-            == {conflict.winner.digest, conflict.loser.digest}
-            for known in self.conflicts
-        )
-
 
 def _is_needed(service: str, needed: frozenset[str] | None) -> bool:
     return needed is None or service in needed
--- /dev/null
+++ b/src/lovageshunt/rules/_spread.py
@@ -0,0 +1,108 @@
+"""How a new version reaches every node: rumour, then slow exchange.
+
+Whoever hears of a version first tells a few peers at once. Each second a node
+also tells one peer the version that it knows, which finds those whom the
+rumour missed. Then a node asks for the parts that it needs, by service.
+"""
+
+from functools import singledispatchmethod
+from random import Random
+from typing import Any
+
+from lovageshunt.rules._dialogue import Dialogue
+from lovageshunt.rules._events import (
+    DocumentRead,
+    MessageReceived,
+    RulesChanged,
+    SpreadAction,
+    SpreadEvent,
+    SpreadTicked,
+)
+from lovageshunt.rules._in_force import RulesInForce
+from lovageshunt.rules._messages import ManifestTold, VersionTold
+from lovageshunt.rules._outbox import Outbox
+from lovageshunt.rules._settling import Settling
+from lovageshunt.rules._spread_settings import SpreadSettings
+
+
+class Spread:
+    """One node's part in the spread; ``rules`` is what it serves under."""
+
+    __slots__ = (
+        'rules',
+        '_settings',
+        '_outbox',
+        '_settling',
+        '_dialogue',
+        '_exchange_at',
+    )
+
+    def __init__(
+        self,
+        rng: Random,
+        settings: SpreadSettings,
+        rules: RulesInForce,
+    ) -> None:
+        """Start without peers; the first tick brings them."""
+        self.rules = rules
+        self._settings = settings
+        self._outbox = Outbox(
+            bytes_per_second=settings.bytes_per_second,
+            burst_bytes=settings.burst_bytes,
+        )
+        self._settling = Settling(
+            answers=settings.settle_answers,
+            seconds=settings.settle_seconds,
+        )
+        self._dialogue = Dialogue(rng, settings, rules, self._outbox)
+        self._exchange_at: float = 0
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes sent since the start."""
+        return self._outbox.sent_bytes
+
+    def handle(self, event: SpreadEvent, now: float) -> list[SpreadAction]:
+        """Take an event and return what follows from it."""
+        before = self.rules.version
+        self._take(event, now)
+        actions: list[SpreadAction] = []
+        actions.extend(self._outbox.take(now))
+        version = self.rules.version
+        if version is not None and version != before:
+            actions.append(RulesChanged(version=version))
+        return actions
+
+    @singledispatchmethod
+    def _take(self, event: Any, now: float) -> None:
+        raise TypeError(f'{type(event).__name__} is no event of the spread')
+
+    @_take.register
+    def _take_document(self, event: DocumentRead, now: float) -> None:
+        if self._settling.is_over:
+            self._dialogue.take_document(event, now)
+            return
+        self._settling.hold(event)
+
+    @_take.register
+    def _take_message(self, event: MessageReceived, now: float) -> None:
+        if isinstance(event.message, ManifestTold | VersionTold):
+            self._settling.count_answer(event.peer)
+        self._dialogue.take(event.message, event.peer, now)
+
+    @_take.register
+    def _take_tick(self, event: SpreadTicked, now: float) -> None:
+        self._dialogue.ticked = event
+        if not self._settling.is_over:
+            self._settle(now)
+        if now >= self._exchange_at:
+            self._exchange_at = now + self._settings.exchange_seconds
+            self._dialogue.tell_version()
+            self._dialogue.ask_parts()
+
+    def _settle(self, now: float) -> None:
+        held = self._settling.end(now)
+        if not self._settling.is_over:
+            self._dialogue.ask_manifest(self._settings.settle_answers)
+        if held is not None:
+            self._dialogue.take_document(held, now)
--- /dev/null
+++ b/src/lovageshunt/rules/_spread_settings.py
@@ -0,0 +1,43 @@
+"""How one node takes part in the spread of rules."""
+
+from lovageshunt._record import Record
+
+
+class SpreadSettings(Record):
+    """How one node takes part.
+
+    ``fanout`` peers are told a new version at once; every
+    ``exchange_seconds`` one peer is told the version known. A node that
+    started waits for ``settle_answers`` peers, ``settle_seconds`` at most.
+    It sends ``bytes_per_second`` in the mean and ``burst_bytes`` at once.
+    """
+
+    __slots__ = (
+        'name',
+        'fanout',
+        'exchange_seconds',
+        'settle_answers',
+        'settle_seconds',
+        'bytes_per_second',
+        'burst_bytes',
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        fanout: int = 3,
+        exchange_seconds: float = 1,
+        settle_answers: int = 3,
+        settle_seconds: float = 2,
+        bytes_per_second: float = 1024,
+        burst_bytes: float = 49152,
+    ) -> None:
+        """Take the node's name; the rest has defaults for any fleet."""
+        self.name = name
+        self.fanout = fanout
+        self.exchange_seconds = exchange_seconds
+        self.settle_answers = settle_answers
+        self.settle_seconds = settle_seconds
+        self.bytes_per_second = bytes_per_second
+        self.burst_bytes = burst_bytes
