Keep each other's accounts, so that a kill leaves a named hole of 30 s

A node has no disk, so its counters die with it. Keepers hand on what they keep of nodes that are gone when a fellow keeper was replaced, and a leaver hands on all of it.

Weighed: all peers keep all (bytes grow with the fleet), a ring of successors (one failure domain takes both), rendezvous hashing (chosen: each node finds the same keepers from the list it has). The rate is bounded at 200 bytes a second; a longer account goes out less often.

--- a/src/lovageshunt/account/__init__.py
+++ b/src/lovageshunt/account/__init__.py
@@ -2,6 +2,15 @@
 
 from lovageshunt.account._account import Account
 from lovageshunt.account._balance import Imbalance, balance
+from lovageshunt.account._keepers import Peer, keepers_of
+from lovageshunt.account._keeping import (
+    AccountClosed,
+    AccountKeeping,
+    KeepingTick,
+    SendSnapshot,
+    SnapshotHeard,
+)
+from lovageshunt.account._kept import KeptSnapshots
 from lovageshunt.account._line import (
     REQUEST_FAILED,
     AccountLine,
@@ -16,23 +25,33 @@
     Role,
     decode_snapshot,
     encode_snapshot,
+    snapshot_from_dict,
 )
 
 __all__ = [
     'REQUEST_FAILED',
     'Account',
+    'AccountClosed',
+    'AccountKeeping',
     'AccountLine',
     'AccountSnapshot',
     'Cause',
     'Difference',
     'Hole',
     'Imbalance',
+    'KeepingTick',
+    'KeptSnapshots',
     'MergedAccount',
+    'Peer',
     'Role',
+    'SendSnapshot',
+    'SnapshotHeard',
     'balance',
     'causes_of',
     'decode_snapshot',
     'encode_snapshot',
+    'keepers_of',
     'reconcile',
+    'snapshot_from_dict',
     'total_of',
 ]
--- /dev/null
+++ b/src/lovageshunt/account/_keeping.py
@@ -0,0 +1,168 @@
+"""Keeping each other's accounts, because no node has a disk."""
+
+from collections import deque
+from collections.abc import Iterator, Sequence
+from functools import singledispatchmethod
+from typing import Final
+
+from lovageshunt._record import Record
+from lovageshunt.account._account import Account
+from lovageshunt.account._keepers import Peer, keepers_of
+from lovageshunt.account._kept import KeptSnapshots
+from lovageshunt.account._merge import IncarnationKey
+from lovageshunt.account._snapshot import AccountSnapshot, encode_snapshot
+
+#: Time between two snapshots to the keepers; a kill loses at most this much.
+INTERVAL_SECONDS: Final = 30
+#: What keeping may send, on average; a longer account is sent less often.
+BYTES_PER_SECOND: Final = 200
+#: An account, and the life of a keeper that it was handed to.
+_Handing = tuple[IncarnationKey, IncarnationKey]
+#: An account that was not heard for so long belongs to a lost node.
+_QUIET_SECONDS: Final = 3 * INTERVAL_SECONDS
+
+
+class KeepingTick(Record):
+    """Time has passed; come back at least once a second.
+
+    ``peers`` are the other nodes that are here and not leaving.
+    """
+
+    __slots__ = ('now', 'peers')
+
+    def __init__(self, *, now: float, peers: Sequence[Peer]) -> None:
+        """Take the time in seconds and the peers."""
+        self.now = now
+        self.peers = peers
+
+
+class SnapshotHeard(Record):
+    """A peer has sent an account to keep, its own or one handed on."""
+
+    __slots__ = ('now', 'snapshot')
+
+    def __init__(self, *, now: float, snapshot: AccountSnapshot) -> None:
+        """Take the time in seconds and the snapshot."""
+        self.now = now
+        self.snapshot = snapshot
+
+
+class AccountClosed(Record):
+    """The node leaves, and its last call has ended."""
+
+    __slots__ = ('now', 'peers')
+
+    def __init__(self, *, now: float, peers: Sequence[Peer]) -> None:
+        """Take the time in seconds and the peers that stay."""
+        self.now = now
+        self.peers = peers
+
+
+class SendSnapshot(Record):
+    """Send the wire form of an account to a node, which keeps it."""
+
+    __slots__ = ('to_node', 'raw')
+
+    def __init__(self, *, to_node: str, raw: bytes) -> None:
+        """Name the node."""
+        self.to_node = to_node
+        self.raw = raw
+
+
+KeepingEvent = KeepingTick | SnapshotHeard | AccountClosed
+
+
+class AccountKeeping:
+    """Send a node's account to its keepers, and keep the accounts of others.
+
+    The first snapshot goes out at once, so that an incarnation that dies
+    young is known by name. A leaver sends its final one and hands on what
+    it keeps of nodes that are gone; so does a keeper whose fellow keeper
+    was replaced. What is sent stays within ``BYTES_PER_SECOND``.
+    """
+
+    __slots__ = (
+        'kept',
+        '_account',
+        '_handed_on',
+        '_next_at',
+        '_own',
+        '_queue',
+        '_resume_at',
+    )
+
+    def __init__(self, account: Account, own: Peer) -> None:
+        """Take the node's own account, and the node as its peers see it."""
+        self.kept = KeptSnapshots()
+        self._account = account
+        self._own = own
+        self._next_at = float('-inf')
+        self._resume_at = float('-inf')
+        self._queue: deque[SendSnapshot] = deque()
+        self._handed_on: set[_Handing] = set()
+
+    @singledispatchmethod
+    def handle(self, event: KeepingEvent) -> list[SendSnapshot]:
+        """Return what to send after an event."""
+        raise NotImplementedError(f'no handler for {type(event).__name__}')
+
+    @handle.register
+    def _on_tick(self, event: KeepingTick) -> list[SendSnapshot]:
+        if event.peers and event.now >= self._next_at:
+            self._next_at = event.now + INTERVAL_SECONDS
+            self._fill_queue(event)
+        if not self._queue or event.now < self._resume_at:
+            return []
+        action = self._queue.popleft()
+        self._resume_at = event.now + len(action.raw) / BYTES_PER_SECOND
+        return [action]
+
+    @handle.register
+    def _on_heard(self, event: SnapshotHeard) -> list[SendSnapshot]:
+        self.kept.keep(event.snapshot, event.now)
+        return []
+
+    @handle.register
+    def _on_closed(self, event: AccountClosed) -> list[SendSnapshot]:
+        final = self._account.snapshot(event.now, is_final=True)
+        return [
+            *self._own_sends(final, event.peers),
+            *self._handings(event.now, event.peers),
+        ]
+
+    def _fill_queue(self, event: KeepingTick) -> None:
+        self.kept.drop_old(event.now)
+        self._handed_on = {
+            handing for handing in self._handed_on if handing[0] in self.kept
+        }
+        # An account too long for the rate is not begun again before it went.
+        if not self._queue:
+            snapshot = self._account.snapshot(event.now)
+            self._queue.extend(self._own_sends(snapshot, event.peers))
+            peers = (*event.peers, self._own)
+            self._queue.extend(self._handings(event.now, peers))
+
+    def _own_sends(
+        self,
+        snapshot: AccountSnapshot,
+        peers: Sequence[Peer],
+    ) -> list[SendSnapshot]:
+        raw = encode_snapshot(snapshot)
+        return [
+            SendSnapshot(to_node=keeper.node, raw=raw)
+            for keeper in keepers_of(self._own.node, peers)
+        ]
+
+    def _handings(
+        self,
+        now: float,
+        peers: Sequence[Peer],
+    ) -> Iterator[SendSnapshot]:
+        for key, raw in self.kept.quiet_since(now - _QUIET_SECONDS):
+            for keeper in keepers_of(key[0], peers):
+                handing = (key, (keeper.node, keeper.incarnation))
+                is_own = keeper.node == self._own.node
+                if is_own or handing in self._handed_on:
+                    continue
+                self._handed_on.add(handing)
+                yield SendSnapshot(to_node=keeper.node, raw=raw)
--- a/src/lovageshunt/account/_snapshot.py
+++ b/src/lovageshunt/account/_snapshot.py
@@ -2,6 +2,8 @@
 
 from enum import StrEnum
 from typing import Any, Final
+from zlib import compress, decompressobj
+from zlib import error as ZlibError
 
 import orjson
 
@@ -13,7 +15,7 @@
 )
 from lovageshunt.errors import MalformedSnapshotError
 
-#: Larger snapshots are refused unread.
+#: A snapshot that unpacks to more than this is refused.
 MAX_SNAPSHOT_BYTES: Final = 256 * 1024
 
 
@@ -73,30 +75,41 @@
 
 
 def encode_snapshot(snapshot: AccountSnapshot) -> bytes:
-    """Return the snapshot as compact JSON."""
-    return orjson.dumps(snapshot.as_dict())
+    """Return the snapshot as compressed JSON, for peers."""
+    return compress(orjson.dumps(snapshot.as_dict()))
 
 
-def decode_snapshot(raw: bytes | dict[str, Any]) -> AccountSnapshot:
-    """Return the snapshot in JSON or in what a JSON decoder made of it.
+def decode_snapshot(raw: bytes) -> AccountSnapshot:
+    """Return the snapshot in what ``encode_snapshot`` made.
 
     Raises ``MalformedSnapshotError`` when it is none.
     """
     try:
-        return _snapshot_of(_load(raw))
-    except (KeyError, TypeError, ValueError) as error:
+        fields = orjson.loads(_unpack(raw))
+    except (ValueError, ZlibError) as error:
         raise MalformedSnapshotError(str(error)) from error
+    return snapshot_from_dict(fields)
+
 
+def snapshot_from_dict(fields: object) -> AccountSnapshot:
+    """Return the snapshot whose ``as_dict`` gave these fields.
 
-def _load(raw: bytes | dict[str, Any]) -> dict[str, Any]:
-    if isinstance(raw, dict):
-        return dict(raw)
-    if len(raw) > MAX_SNAPSHOT_BYTES:
-        raise ValueError(f'longer than {MAX_SNAPSHOT_BYTES} bytes')
-    fields = orjson.loads(raw)
+    Raises ``MalformedSnapshotError`` when there is none.
+    """
     if not isinstance(fields, dict):
-        raise ValueError('no JSON object')
-    return fields
+        raise MalformedSnapshotError('no JSON object')
+    try:
+        return _snapshot_of(dict(fields))
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedSnapshotError(str(error)) from error
+
+
+def _unpack(raw: bytes) -> bytes:
+    unpacker = decompressobj()
+    unpacked = unpacker.decompress(raw, MAX_SNAPSHOT_BYTES)
+    if not unpacker.eof:
+        raise ValueError(f'cut, or longer than {MAX_SNAPSHOT_BYTES} bytes')
+    return unpacked
 
 
 def _snapshot_of(fields: dict[str, Any]) -> AccountSnapshot:
--- a/src/lovageshunt/cli/_account_report.py
+++ b/src/lovageshunt/cli/_account_report.py
@@ -12,8 +12,8 @@
     MergedAccount,
     Role,
     balance,
-    decode_snapshot,
     reconcile,
+    snapshot_from_dict,
 )
 from lovageshunt.cli._nodes import NodeAnswer
 from lovageshunt.errors import (
@@ -68,9 +68,9 @@
             return None
         body = answer.body or {}
         try:
-            own = decode_snapshot(body.get('account', {}))
+            own = snapshot_from_dict(body.get('account', {}))
             others = [
-                decode_snapshot(fields)
+                snapshot_from_dict(fields)
                 for name in ('callers', 'kept')
                 for fields in body.get(name, ())
             ]
--- a/tests/account/test_snapshot.py
+++ b/tests/account/test_snapshot.py
@@ -1,13 +1,32 @@
 """The wire form of snapshots."""
 
+from types import MappingProxyType
+from zlib import compress
+
+import orjson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovageshunt.account import decode_snapshot, encode_snapshot
+from lovageshunt.account import (
+    AccountSnapshot,
+    decode_snapshot,
+    encode_snapshot,
+    snapshot_from_dict,
+)
 from lovageshunt.errors import MalformedSnapshotError
 from tests.account.strategies import SNAPSHOTS
 
+FIELDS = MappingProxyType(
+    {
+        'node': 'n1',
+        'incarnation': 'a',
+        'sequence': 1,
+        'started_at': 0,
+        'taken_at': 1,
+    },
+)
+
 
 class TestDecodeSnapshot:
     """Decoding."""
@@ -23,6 +42,20 @@
         with pytest.raises(MalformedSnapshotError):
             decode_snapshot(raw)
 
+    @given(raw=st.binary(max_size=40))
+    def test_packed_noise_is_a_typed_error(self, raw):
+        """Arbitrary bytes, well packed, are refused with the typed error."""
+        with pytest.raises(MalformedSnapshotError):
+            decode_snapshot(compress(raw))
+
+    def test_bomb_is_refused(self):
+        """A small message that unpacks to a huge one is not unpacked."""
+        snapshot = AccountSnapshot(**FIELDS)
+        bomb = compress(orjson.dumps(snapshot.as_dict()).ljust(50_000_000))
+
+        with pytest.raises(MalformedSnapshotError):
+            decode_snapshot(bomb)
+
     @pytest.mark.parametrize(
         'change',
         [
@@ -38,13 +71,5 @@
     )
     def test_bad_fields_are_refused(self, change):
         """A field of the wrong type or range is refused."""
-        fields = {
-            'node': 'n1',
-            'incarnation': 'a',
-            'sequence': 1,
-            'started_at': 0,
-            'taken_at': 1,
-        }
-
         with pytest.raises(MalformedSnapshotError):
-            decode_snapshot(fields | change)
+            snapshot_from_dict(FIELDS | change)
