--- /dev/null
+++ b/bench/observability.py
@@ -0,0 +1,135 @@
+"""The cost per call of the account, spans, metrics and logs.
+
+Run ``python -m bench.observability``; each row is the median of several
+rounds, in microseconds.
+"""
+
+import io
+import logging
+import sys
+import time
+from collections.abc import Callable
+from functools import partial
+from statistics import median
+from typing import Final
+
+from aioprometheus.collectors import Counter, Registry
+
+from lovageshunt.account import Account, decode_snapshot, encode_snapshot
+from lovageshunt.calls import Outcome
+from lovageshunt.cli._tables import format_table
+from lovageshunt.observability import Metrics, Traces, configure_logs
+
+_ROUNDS: Final = 7
+_CALLS_PER_ROUND: Final = 5000
+_US_PER_SECOND: Final = 1_000_000
+_LINES: Final = 30
+_PARENT: Final = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-'
+_CALL: Final = ('balances', 'view_balance', 1)
+
+Step = Callable[[], object]
+
+
+def microseconds(step: Step, calls: int = _CALLS_PER_ROUND) -> float:
+    """Return the median cost of one step over the rounds."""
+    return median(_round(step, calls) for _ in range(_ROUNDS))
+
+
+def _round(step: Step, calls: int) -> float:
+    started = time.perf_counter()
+    for _ in range(calls):
+        step()
+    return (time.perf_counter() - started) / calls * _US_PER_SECOND
+
+
+def _span(traces: Traces, trace_parent: str) -> None:
+    span = traces.start(
+        'ingress',
+        trace_parent=trace_parent,
+        request_id='r-1',
+        service='balances',
+    )
+    traces.end(span, Outcome.ANSWERED)
+
+
+def _span_step(flags: str) -> Step:
+    traces = Traces(node='n1', share=1, slow_seconds=1)
+    return partial(_span, traces, f'{_PARENT}{flags}')
+
+
+def _count(account: Account) -> None:
+    account.arrived(*_CALL)
+    account.ended(*_CALL, Outcome.ANSWERED, ran=True)
+
+
+def _log_step(records_per_second: int) -> Step:
+    handler = configure_logs('INFO', records_per_second, io.StringIO())
+    logger = logging.getLogger('bench')
+    logger.handlers = [handler]
+    logger.propagate = False
+    return lambda: logger.info('refused', extra={'reason': 'overload'})
+
+
+def _full_account() -> Account:
+    account = Account('balances-12', 'life-1', 0)
+    for number in range(_LINES):
+        account.arrived('balances', f'kind_{number}', 1)
+        account.ended('balances', f'kind_{number}', 1, Outcome.ANSWERED)
+    return account
+
+
+def _per_call_rows() -> list[tuple[str, float]]:
+    metrics = Metrics('n1')
+    cell = metrics.cell('lovageshunt_pauses_total')
+    buckets = metrics.buckets('lovageshunt_queue_seconds', 'balances')
+    library = Counter('trial_total', 'trial', registry=Registry())
+    labels = {'service': 'balances', 'kind': 'view_balance'}
+    return [
+        (
+            'account, arrival and end',
+            microseconds(partial(_count, Account('n1', 'a', 0))),
+        ),
+        ('span, not sampled', microseconds(_span_step('00'))),
+        ('span, sampled and kept', microseconds(_span_step('01'))),
+        ('metric, cell', microseconds(lambda: setattr(cell, 'value', 1))),
+        ('metric, buckets', microseconds(lambda: buckets.observe(0.01))),
+        (
+            'metric, the library itself',
+            microseconds(lambda: library.inc(labels)),
+        ),
+        ('log line, held back', microseconds(_log_step(1))),
+        ('log line, written', microseconds(_log_step(10**9))),
+    ]
+
+
+def _rare_rows() -> list[tuple[str, float]]:
+    metrics = Metrics('n1')
+    snapshot = _full_account().snapshot(1)
+    raw = encode_snapshot(snapshot)
+    metrics.export_account(snapshot)
+    return [
+        (
+            f'scrape of {_LINES} lines',
+            microseconds(metrics.render, calls=20),
+        ),
+        (
+            f'snapshot of {_LINES} lines, encoded',
+            microseconds(lambda: encode_snapshot(snapshot), calls=50),
+        ),
+        (
+            f'snapshot of {_LINES} lines, decoded',
+            microseconds(lambda: decode_snapshot(raw), calls=50),
+        ),
+    ]
+
+
+def main() -> None:
+    """Print the table."""
+    measured = [*_per_call_rows(), *_rare_rows()]
+    rows = [(step, f'{cost:.2f}') for step, cost in measured]
+    for line in format_table(('step', 'microseconds'), rows):
+        sys.stdout.write(f'{line}\n')
+
+
+if __name__ == '__main__':
+    main()
