Run a node: ingress, exchange with peers, platform, admin side, planned stop

The thin whole path runs as separate processes: a caller's library, a node beside each target, and a chain of two services, with a planned stop.

--- a/src/lovageshunt/client/_transport.py
+++ b/src/lovageshunt/client/_transport.py
@@ -25,7 +25,7 @@
 _CONNECTIONS_PER_HOST: Final = 256
 #: Shorter than the servers' own, so that no request meets a closing
 #: connection.
-_KEEP_ALIVE_SECONDS: Final = 15.0
+KEEP_ALIVE_SECONDS: Final = 15.0
 _CONNECT_SECONDS: Final = 1.0
 
 
@@ -85,10 +85,12 @@
         *,
         max_body_bytes: int,
         tls: SSLContext | None = None,
+        keep_alive_seconds: float = KEEP_ALIVE_SECONDS,
     ) -> None:
         """Keep the settings; ``start`` opens the session."""
         self._max_body_bytes = max_body_bytes
         self._tls = tls
+        self._keep_alive_seconds = keep_alive_seconds
         self._scheme = 'http' if tls is None else 'https'
         self._session: ClientSession | None = None
 
@@ -97,7 +99,7 @@
         connector = TCPConnector(
             limit=0,
             limit_per_host=_CONNECTIONS_PER_HOST,
-            keepalive_timeout=_KEEP_ALIVE_SECONDS,
+            keepalive_timeout=self._keep_alive_seconds,
             ssl=True if self._tls is None else self._tls,
             use_dns_cache=False,
         )
--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -244,3 +244,14 @@
             f'no decision is registered for {type(event).__name__}; pass one '
             'of the events that the package lists in its __all__',
         )
+
+
+class MalformedEnvelopeError(LovageshuntError):
+    """Raised when what a peer sent cannot be decoded."""
+
+    def __init__(self, reason: str) -> None:
+        """Keep the decoder's reason."""
+        super().__init__(
+            f'a message of a peer is malformed ({reason}); it is dropped, see '
+            'that all nodes run versions that know each other',
+        )
--- /dev/null
+++ b/src/lovageshunt/node/_assembly.py
@@ -0,0 +1,250 @@
+"""Builds the parts of a node from its settings."""
+
+from pathlib import Path
+from random import Random
+from ssl import SSLContext, create_default_context
+from time import time
+from typing import Final
+
+from lovageshunt.account import Account
+from lovageshunt.admission import Admission, AdmissionSettings
+from lovageshunt.client import Transport
+from lovageshunt.clock import now
+from lovageshunt.idempotency import RunOnce, RunOnceSettings
+from lovageshunt.membership import (
+    ElectionSettings,
+    ReaderElection,
+    new_incarnation,
+)
+from lovageshunt.node._admin import Admin
+from lovageshunt.node._calls import Calls
+from lovageshunt.node._control import Control
+from lovageshunt.node._gate import Gate
+from lovageshunt.node._identity import Identity
+from lovageshunt.node._ingress import Ingress
+from lovageshunt.node._inquiries import Inquiries
+from lovageshunt.node._kept_accounts import KeptAccounts
+from lovageshunt.node._life import NodeLife
+from lovageshunt.node._outbox import Outbox
+from lovageshunt.node._peer_link import PeerLink
+from lovageshunt.node._platform_loop import PlatformLoop
+from lovageshunt.node._reports import Reports
+from lovageshunt.node._runtime import Runtime
+from lovageshunt.node._servers import EmbeddedServer, ServerTls, make_server
+from lovageshunt.node._settling import Settling
+from lovageshunt.node._target import TargetLink
+from lovageshunt.observability import Metrics, Traces
+from lovageshunt.platform import PlatformReader
+from lovageshunt.retries import Quarantine, QuarantineSettings
+from lovageshunt.settings import NodeSettings, SecuritySection
+
+_SLOW_SECONDS: Final = 1.0
+_MS_PER_SECOND: Final = 1000
+#: Shorter than most servers keep idle connections: a call that must not
+#: repeat may not meet a connection that its target is closing.
+_TARGET_KEEP_ALIVE_SECONDS: Final = 2.0
+
+
+class Assembly:
+    """Every part of one node, put together."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Build the parts; nothing is opened yet."""
+        self._settings = settings
+        self._build_links(Random())  # noqa: S311
+        self._build_calls()
+        self._build_reports()
+        self.runtime = self._runtime()
+
+    async def open(self) -> None:
+        """Open the transports; called on the loop that will use them."""
+        await self._transport.start()
+        await self._plain.start()
+
+    async def close(self) -> None:
+        """Cancel what still runs and close every connection."""
+        await self._platform.stop()
+        await self._calls.stop()
+        await self._transport.close()
+        await self._plain.close()
+
+    def servers(self) -> tuple[EmbeddedServer, EmbeddedServer]:
+        """Return the servers of calls and of the admin side."""
+        ingress = Ingress(
+            control=self._control,
+            gate=self._gate,
+            calls=self._calls,
+            account=self._account,
+            traces=self._traces,
+            max_body_bytes=self._settings.limits.body_bytes,
+            observe=self.runtime.observe,
+        )
+        token = _token_of(self._settings.security)
+        admin = Admin(self.runtime, self._reports, token)
+        tls = _server_tls(self._settings.security)
+        drain_seconds = int(self._settings.limits.drain_seconds)
+        return (
+            make_server(ingress, self._identity.ingress, tls, drain_seconds),
+            make_server(admin.app(), self._identity.admin, tls, drain_seconds),
+        )
+
+    def _build_links(self, rng: Random) -> None:
+        settings = self._settings
+        body_bytes = settings.limits.body_bytes
+        self._identity = _identity_of(settings, rng)
+        self._transport = Transport(
+            max_body_bytes=body_bytes,
+            tls=_client_tls(settings.security),
+        )
+        self._plain = Transport(
+            max_body_bytes=body_bytes,
+            keep_alive_seconds=_TARGET_KEEP_ALIVE_SECONDS,
+        )
+        self._link = PeerLink(self._transport, _token_of(settings.security))
+        self._outbox = Outbox(self._identity, self._link)
+        self._control = Control(
+            identity=self._identity,
+            called_services=settings.calls.services,
+            election=_election_of(settings, rng),
+            outbox=self._outbox,
+            rng=rng,
+        )
+        self._platform = PlatformLoop(
+            PlatformReader(
+                addresses=tuple(map(str, settings.platform.addresses)),
+                transport=self._plain,
+            ),
+            self._control.tell,
+        )
+        self._control.read_platform = self._platform.start
+
+    def _build_calls(self) -> None:
+        settings = self._settings
+        self._gate = _gate_of(settings, self._identity)
+        self._target = TargetLink(
+            address=str(settings.target.address),
+            transport=self._plain,
+            health_path=settings.target.health_path,
+            load_path=settings.target.load_path,
+        )
+        self._inquiries = Inquiries(
+            self._control,
+            self._link,
+            self._transport,
+        )
+        self._calls = Calls(
+            identity=self._identity,
+            gate=self._gate,
+            target=self._target,
+            inquiries=self._inquiries,
+        )
+
+    def _build_reports(self) -> None:
+        identity = self._identity
+        self._account = Account(identity.name, identity.incarnation, time())
+        self._kept = KeptAccounts()
+        self._life = NodeLife()
+        self._traces = Traces(
+            node=identity.name,
+            share=self._settings.traces.sample_ratio,
+            slow_seconds=_SLOW_SECONDS,
+        )
+        self._reports = Reports(
+            control=self._control,
+            gate=self._gate,
+            account=self._account,
+            kept=self._kept,
+            traces=self._traces,
+            metrics=Metrics(identity.name),
+            life=self._life,
+            slots=self._settings.target.slots,
+        )
+
+    def _runtime(self) -> Runtime:
+        return Runtime(
+            identity=self._identity,
+            control=self._control,
+            gate=self._gate,
+            calls=self._calls,
+            inquiries=self._inquiries,
+            target=self._target,
+            account=self._account,
+            kept=self._kept,
+            settling=Settling(self._control, self._outbox, self._link),
+            life=self._life,
+            leave_seconds=self._settings.limits.leave_seconds,
+            drain_seconds=self._settings.limits.drain_seconds,
+        )
+
+
+def _identity_of(settings: NodeSettings, rng: Random) -> Identity:
+    return Identity(
+        name=settings.node.name,
+        service=settings.node.service,
+        failure_domain=settings.node.failure_domain,
+        region=settings.node.region,
+        ingress=str(settings.listen.ingress),
+        admin=str(settings.listen.admin),
+        incarnation=new_incarnation(time(), rng),
+    )
+
+
+def _election_of(settings: NodeSettings, rng: Random) -> ReaderElection:
+    return ReaderElection(
+        settings.node.name,
+        settings.node.failure_domain,
+        rng,
+        now=now(),
+        settings=ElectionSettings(
+            readers_per_failure_domain=(
+                settings.platform.readers_per_failure_domain
+            ),
+        ),
+    )
+
+
+def _gate_of(settings: NodeSettings, identity: Identity) -> Gate:
+    limits = settings.limits
+    admission = AdmissionSettings(
+        slots=settings.target.slots,
+        queue_target_seconds=(
+            settings.admission.queue_target_ms / _MS_PER_SECOND
+        ),
+        window_seconds=settings.admission.interval_ms / _MS_PER_SECOND,
+        drain_seconds=limits.drain_seconds,
+    )
+    run_once = RunOnceSettings(
+        retention_seconds=limits.retention_seconds,
+        max_entries=limits.table_entries,
+    )
+    return Gate(
+        admission=Admission(admission, now()),
+        run_once=RunOnce(
+            node=identity.name,
+            incarnation=identity.incarnation,
+            service=identity.service,
+            started_at=now(),
+            settings=run_once,
+        ),
+        quarantine=Quarantine(QuarantineSettings()),
+    )
+
+
+def _token_of(security: SecuritySection) -> str:
+    if security.admin_token_file is None:
+        return ''
+    path = Path(security.admin_token_file)
+    return path.read_text(encoding='utf-8').strip()
+
+
+def _client_tls(security: SecuritySection) -> SSLContext | None:
+    if security.authority_file is None:
+        return None
+    return create_default_context(cafile=security.authority_file)
+
+
+def _server_tls(security: SecuritySection) -> ServerTls:
+    return ServerTls(
+        certificate_file=security.certificate_file or '',
+        key_file=security.key_file or '',
+    )
--- /dev/null
+++ b/src/lovageshunt/node/_calls.py
@@ -0,0 +1,295 @@
+"""The calls in progress at this node, and what is done for them."""
+
+from asyncio import CancelledError, Future, Task, create_task, get_running_loop
+from collections.abc import Coroutine
+from functools import singledispatchmethod
+from itertools import count
+from logging import getLogger
+from typing import Any, Final
+
+from lovageshunt._record import Record
+from lovageshunt.calls import (
+    CONTEXT_HEADER,
+    Outcome,
+    RefusalReason,
+    encode_context,
+)
+from lovageshunt.client import Inbound
+from lovageshunt.clock import now
+from lovageshunt.idempotency import (
+    AnswerInquiry,
+    Ending,
+    HandOver,
+    Inquire,
+    Redirect,
+    StoredAnswer,
+)
+from lovageshunt.node._border import Admissible, forwarded_context
+from lovageshunt.node._gate import Gate
+from lovageshunt.node._gate_messages import (
+    CallAbandoned,
+    CallEnded,
+    CallRedirected,
+    CancelForward,
+    Forward,
+    Reply,
+    TargetDown,
+)
+from lovageshunt.node._identity import Identity
+from lovageshunt.node._inquiries import Inquiries
+from lovageshunt.node._target import TargetLink, TargetReply, forwardable
+from lovageshunt.observability import ActiveSpan
+from lovageshunt.retries import TellPeers
+
+_log = getLogger(__name__)
+#: Reasons of a failure that say nothing about the target itself.
+_NOT_ITS_FAULT: Final = frozenset(
+    (
+        RefusalReason.OVERLOAD,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.CANCELLED,
+    )
+)
+
+
+class CallInProgress:
+    """One arrival: what came, its deadline, and who waits for the reply."""
+
+    __slots__ = (
+        'ticket',
+        'inbound',
+        'admissible',
+        'span',
+        'arrived_at',
+        'deadline',
+        'forwarded_at',
+        'reply',
+        'target_reply',
+        'forwarding',
+    )
+
+    def __init__(
+        self,
+        *,
+        ticket: str,
+        inbound: Inbound,
+        admissible: Admissible,
+        span: ActiveSpan,
+        arrived_at: float,
+        deadline: float,
+    ) -> None:
+        """Begin with nobody having replied."""
+        self.ticket = ticket
+        self.inbound = inbound
+        self.admissible = admissible
+        self.span = span
+        self.arrived_at = arrived_at
+        self.deadline = deadline
+        self.forwarded_at: float | None = None
+        self.reply: Future[Reply] = get_running_loop().create_future()
+        self.target_reply: TargetReply | None = None
+        self.forwarding: Task[None] | None = None
+
+
+class Calls:
+    """Carries out what the gate asks for."""
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        gate: Gate,
+        target: TargetLink,
+        inquiries: Inquiries,
+    ) -> None:
+        """Begin with no calls."""
+        self._identity = identity
+        self._gate = gate
+        self._target = target
+        self._inquiries = inquiries
+        self._by_ticket: dict[str, CallInProgress] = {}
+        self._numbers = count(1)
+        self._tasks: set[Task[None]] = set()
+        self._crash_check: Task[bool] | None = None
+
+    def begin(
+        self,
+        inbound: Inbound,
+        admissible: Admissible,
+        span: ActiveSpan,
+        *,
+        arrived_at: float,
+        deadline: float,
+    ) -> CallInProgress:
+        """Take a call in; ``handle`` must be told of its arrival next."""
+        call = CallInProgress(
+            ticket=str(next(self._numbers)),
+            inbound=inbound,
+            admissible=admissible,
+            span=span,
+            arrived_at=arrived_at,
+            deadline=deadline,
+        )
+        self._by_ticket[call.ticket] = call
+        return call
+
+    def abandon(self, call: CallInProgress, reason: RefusalReason) -> None:
+        """Tell the gate that nobody waits for a call's reply."""
+        self.handle(CallAbandoned(call.ticket, reason))
+
+    def handle(self, event: Record) -> None:
+        """Tell the gate of an event and carry out what follows."""
+        for action in self._gate.handle(event, now()):
+            self._act(action)
+
+    async def stop(self) -> None:
+        """Cancel what still runs."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    @singledispatchmethod
+    def _act(self, action: Record) -> None:
+        _log.error('no way to carry out %r', action)
+
+    @_act.register
+    def _on_reply(self, action: Reply) -> None:
+        call = self._by_ticket[action.ticket]
+        if not call.reply.done():
+            call.reply.set_result(action)
+        if call.forwarding is None:
+            self._by_ticket.pop(action.ticket)
+
+    @_act.register
+    def _on_forward(self, action: Forward) -> None:
+        call = self._by_ticket[action.ticket]
+        call.forwarded_at = now()
+        call.forwarding = self._spawn(self._forward(call))
+
+    @_act.register
+    def _on_cancel(self, action: CancelForward) -> None:
+        call = self._by_ticket.get(action.ticket)
+        if call is not None and call.forwarding is not None:
+            call.forwarding.cancel()
+
+    @_act.register
+    def _on_redirect(self, action: Redirect) -> None:
+        call = self._by_ticket[action.call_id]
+        call.forwarding = self._spawn(self._redirect(call, action))
+
+    @_act.register
+    def _on_inquire(self, action: Inquire) -> None:
+        self._spawn(self._inquire(action))
+
+    @_act.register
+    def _on_answer(self, action: AnswerInquiry) -> None:
+        self._inquiries.answered(action)
+
+    @_act.register
+    def _on_hand_over(self, action: HandOver) -> None:
+        self._inquiries.start_hand_over(action)
+
+    @_act.register
+    def _on_tell(self, action: TellPeers) -> None:
+        self._inquiries.tell_suspects(action.reports)
+
+    async def _inquire(self, action: Inquire) -> None:
+        self.handle(await self._inquiries.ask(action))
+
+    async def _forward(self, call: CallInProgress) -> None:
+        reply = TargetReply(
+            outcome=self._outcome_if_cancelled(call),
+            reason=RefusalReason.CANCELLED,
+        )
+        try:
+            reply = await self._dispatch(call)
+        except CancelledError:
+            _log.debug('call %s was cancelled', call.ticket)
+        except Exception:
+            _log.exception('call %s could not be forwarded', call.ticket)
+        call.target_reply = reply
+        self.handle(_ended(call, reply))
+        self._by_ticket.pop(call.ticket, None)
+
+    async def _dispatch(self, call: CallInProgress) -> TargetReply:
+        context = call.admissible.context
+        rule = call.admissible.rule
+        at = now()
+        sent = forwarded_context(
+            context,
+            home=None if rule.is_repeatable else self._identity.home,
+            seconds_left=call.deadline - at,
+            elapsed_seconds=at - call.arrived_at,
+            trace_parent=call.span.trace_parent,
+        )
+        headers = forwardable(call.inbound.headers)
+        headers[CONTEXT_HEADER] = encode_context(sent)
+        reply = await self._target.dispatch(
+            call.inbound,
+            call_id=context.call_id,
+            headers=headers,
+            timeout_seconds=call.deadline - at,
+            is_repeatable=rule.is_repeatable,
+        )
+        if reply.was_cut:
+            await self._check_target()
+        return reply
+
+    async def _check_target(self) -> None:
+        """Find out once for all calls cut together whether it went down."""
+        if self._crash_check is None or self._crash_check.done():
+            self._crash_check = create_task(self._target.is_healthy())
+            is_healthy = await self._crash_check
+            if not is_healthy:
+                _log.error('the target went down with calls in flight')
+                self.handle(TargetDown())
+            return
+        await self._crash_check
+
+    async def _redirect(self, call: CallInProgress, action: Redirect) -> None:
+        ending = await self._inquiries.redirect(
+            call.inbound,
+            call.admissible,
+            action,
+            seconds_left=call.deadline - now(),
+        )
+        self.handle(CallRedirected(ticket=call.ticket, ending=ending))
+        self._by_ticket.pop(call.ticket, None)
+
+    def _outcome_if_cancelled(self, call: CallInProgress) -> Outcome:
+        if call.admissible.rule.is_repeatable:
+            return Outcome.FAILED
+        return Outcome.UNKNOWN
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> Task[None]:
+        task = create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+def _ended(call: CallInProgress, reply: TargetReply) -> CallEnded:
+    below = {} if reply.info is None else reply.info.threshold_by_service
+    is_good = reply.outcome is Outcome.ANSWERED
+    return CallEnded(
+        ticket=call.ticket,
+        ending=Ending(
+            outcome=reply.outcome,
+            reason=reply.reason,
+            answer=_stored(reply),
+        ),
+        is_complete=reply.whole is not None,
+        was_good=is_good or reply.reason in _NOT_ITS_FAULT,
+        retry_after_ms=reply.retry_after_ms,
+        threshold_by_service=below,
+    )
+
+
+def _stored(reply: TargetReply) -> StoredAnswer | None:
+    whole = reply.whole
+    if whole is None:
+        return None
+    return StoredAnswer(
+        status=whole.status,
+        headers=tuple(forwardable(whole.headers).items()),
+        body=whole.body,
+    )
--- a/src/lovageshunt/node/_gate_events.py
+++ b/src/lovageshunt/node/_gate_events.py
@@ -4,7 +4,12 @@
 from typing import Any, Final
 
 from lovageshunt._record import Record
-from lovageshunt.admission import Cancelled, DrainStarted, Finished
+from lovageshunt.admission import (
+    Cancelled,
+    DrainStarted,
+    Finished,
+    LoadReported,
+)
 from lovageshunt.admission import Ticked as AdmissionTicked
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.idempotency import (
@@ -20,11 +25,12 @@
     CallAbandoned,
     CallArrived,
     CallEnded,
+    CallRedirected,
     LeaveBegun,
     TargetDown,
     TimePassed,
 )
-from lovageshunt.node._gate_state import Arrival, GateState
+from lovageshunt.node._gate_state import RETRY_AFTER_MS, Arrival, GateState
 from lovageshunt.retries import CallEnded as FlightEnded
 from lovageshunt.retries import PeerReported, TargetCrashed
 
@@ -115,6 +121,16 @@
         follow(state.run_once.handle(withdrawn, now), state, now, out)
 
 
+@take.register
+def _redirected(
+    event: CallRedirected,
+    state: GateState,
+    now: float,
+    out: list[Record],
+) -> None:
+    state.settle(event.ticket, event.ending, RETRY_AFTER_MS, out)
+
+
 @take.register
 def _time_passed(
     event: TimePassed,
@@ -147,6 +163,16 @@
     out.extend(state.quarantine.handle(TargetCrashed(), now))
 
 
+@take.register
+def _load_reported(
+    event: LoadReported,
+    state: GateState,
+    now: float,
+    out: list[Record],
+) -> None:
+    follow(state.admission.handle(event, now), state, now, out)
+
+
 @take.register
 def _peer_reported(
     event: PeerReported,
--- a/src/lovageshunt/node/_gate_messages.py
+++ b/src/lovageshunt/node/_gate_messages.py
@@ -92,6 +92,17 @@
         self.reason = reason
 
 
+class CallRedirected(Record):
+    """A call that was sent to its home came back with an ending."""
+
+    __slots__ = ('ticket', 'ending')
+
+    def __init__(self, *, ticket: str, ending: Ending) -> None:
+        """Take the ending at the home, or the doubt about it."""
+        self.ticket = ticket
+        self.ending = ending
+
+
 class TimePassed(Record):
     """The timer turned."""
 
--- /dev/null
+++ b/src/lovageshunt/node/_ingress.py
@@ -0,0 +1,271 @@
+"""The data path: takes calls, passes them through the gate, answers them.
+
+It is a bare ASGI application, because every layer here is paid by each call.
+"""
+
+from asyncio import wait
+from collections.abc import Callable
+from logging import getLogger
+from typing import Final
+
+from lovageshunt.account import Account
+from lovageshunt.calls import (
+    ANSWER_HEADER,
+    AnswerInfo,
+    Outcome,
+    RefusalReason,
+    encode_answer,
+)
+from lovageshunt.client import (
+    VIEW_PATH,
+    AsgiScope,
+    Inbound,
+    Receive,
+    Send,
+    encode_view,
+    read_inbound,
+    respond,
+    until_disconnect,
+)
+from lovageshunt.clock import now
+from lovageshunt.idempotency import Ending
+from lovageshunt.node._border import (
+    Admissible,
+    admissible_of,
+    fingerprint_of,
+    page_of,
+    refusal_body,
+    stated_ending,
+)
+from lovageshunt.node._calls import CallInProgress, Calls
+from lovageshunt.node._control import Control
+from lovageshunt.node._gate import Gate
+from lovageshunt.node._gate_messages import CallArrived, Reply
+from lovageshunt.observability import Traces
+
+_log = getLogger(__name__)
+_MS_PER_SECOND: Final = 1000
+_TOO_LARGE_STATUS: Final = 413
+_BAD_REQUEST_STATUS: Final = 400
+_BOUND_STATUS: Final = 429
+_OK_STATUS: Final = 200
+_REFUSED_RETRY_MS: Final = 5000
+_ANSWER_NAME: Final = ANSWER_HEADER.encode()
+_JSON: Final = (b'content-type', b'application/json')
+
+
+class Ingress:
+    """Serves callers, and clients that want to know members and rules."""
+
+    def __init__(
+        self,
+        *,
+        control: Control,
+        gate: Gate,
+        calls: Calls,
+        account: Account,
+        traces: Traces,
+        max_body_bytes: int,
+        observe: Callable[[], None],
+    ) -> None:
+        """Take the parts that a call passes.
+
+        ``observe`` notices a pause of the process before a decision.
+        """
+        self._observe = observe
+        self._control = control
+        self._gate = gate
+        self._calls = calls
+        self._account = account
+        self._traces = traces
+        self._max_body_bytes = max_body_bytes
+        self._service = control.identity.service
+
+    async def __call__(
+        self,
+        scope: AsgiScope,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        """Serve one request."""
+        if scope['type'] != 'http':
+            return
+        if scope['path'] == VIEW_PATH:
+            await self._send_view(scope, send)
+            return
+        reading = await read_inbound(scope, receive, self._max_body_bytes)
+        if reading.is_ok():
+            await self._serve(reading.ok, receive, send)
+        elif not reading.error.is_gone:
+            await _refuse(send, _TOO_LARGE_STATUS, RefusalReason.MALFORMED)
+
+    async def _serve(
+        self,
+        inbound: Inbound,
+        receive: Receive,
+        send: Send,
+    ) -> None:
+        rule = self._control.rules.kind_for(
+            self._service,
+            inbound.method,
+            inbound.path,
+        )
+        admissible = admissible_of(inbound, rule)
+        if admissible.is_error():
+            is_bound = admissible.error is RefusalReason.RETRY_BOUND
+            status = _BOUND_STATUS if is_bound else _BAD_REQUEST_STATUS
+            await _refuse(send, status, admissible.error)
+            return
+        call = self._begin(inbound, admissible.ok)
+        if not call.reply.done():
+            waiting = self._wait(call)
+            if await until_disconnect(receive, waiting) is None:
+                self._calls.abandon(call, RefusalReason.CANCELLED)
+                self._end(call, call.reply.result())
+                return
+        await self._answer(call, call.reply.result(), send)
+
+    def _begin(
+        self, inbound: Inbound, admissible: Admissible
+    ) -> CallInProgress:
+        self._observe()
+        context = admissible.context
+        at = now()
+        span = self._traces.start(
+            f'{self._service} {admissible.rule.kind}',
+            trace_parent=context.trace_parent,
+            request_id=context.request_id,
+            call_id=context.call_id,
+            service=self._service,
+        )
+        call = self._calls.begin(
+            inbound,
+            admissible,
+            span,
+            arrived_at=at,
+            deadline=at + context.timeout_ms / _MS_PER_SECOND,
+        )
+        self._account.arrived(
+            self._service,
+            admissible.rule.kind,
+            context.importance,
+            is_retry=context.attempt != 1,
+            is_external=admissible.is_external,
+        )
+        self._calls.handle(self._arrival(call))
+        return call
+
+    def _arrival(self, call: CallInProgress) -> CallArrived:
+        peers = self._control.peers
+        return CallArrived(
+            ticket=call.ticket,
+            context=call.admissible.context,
+            is_repeatable=call.admissible.rule.is_repeatable,
+            fingerprint=fingerprint_of(call.inbound),
+            deadline=call.deadline,
+            peers=peers.peers,
+            gone=peers.gone(call.arrived_at),
+        )
+
+    async def _wait(self, call: CallInProgress) -> Reply:
+        # Unlike a timeout around the future, wait() never cancels it.
+        left = max(0, call.deadline - now())
+        done, _ = await wait((call.reply,), timeout=left)
+        if not done:
+            self._calls.abandon(call, RefusalReason.DEADLINE)
+        return call.reply.result()
+
+    async def _answer(
+        self,
+        call: CallInProgress,
+        reply: Reply,
+        send: Send,
+    ) -> None:
+        self._end(call, reply)
+        ending = stated_ending(call.admissible, reply.ending)
+        is_answered = ending.outcome is Outcome.ANSWERED
+        wait_ms = 0 if is_answered else reply.retry_after_ms
+        page = page_of(call.admissible.context, ending, wait_ms)
+        said = self._said(call, ending, wait_ms, len(page.body))
+        page.headers.append((_ANSWER_NAME, encode_answer(said).encode()))
+        await respond(
+            send,
+            status=page.status,
+            headers=page.headers,
+            body=page.body,
+        )
+
+    def _said(
+        self,
+        call: CallInProgress,
+        ending: Ending,
+        wait_ms: int,
+        body_length: int,
+    ) -> AnswerInfo:
+        context = call.admissible.context
+        return AnswerInfo(
+            call_id=context.call_id,
+            outcome=ending.outcome,
+            reason=ending.reason,
+            retry_after_ms=wait_ms,
+            unspent=_unspent(call),
+            threshold_by_service=self._gate.threshold_by_service(now()),
+            load=self._gate.load(),
+            home=context.home,
+            body_length=body_length,
+            suspicion=_suspicion(call),
+        )
+
+    def _end(self, call: CallInProgress, reply: Reply) -> None:
+        ending = reply.ending
+        context = call.admissible.context
+        self._account.ended(
+            self._service,
+            call.admissible.rule.kind,
+            context.importance,
+            ending.outcome,
+            ending.reason,
+            was_wasted=reply.ran and ending.outcome is not Outcome.ANSWERED,
+            ran=reply.ran,
+        )
+        self._traces.end(call.span, ending.outcome, ending.reason)
+        if ending.outcome is not Outcome.ANSWERED:
+            _log.info(
+                'call ended: %s, %s',
+                ending.outcome,
+                ending.reason,
+                extra={
+                    'request_id': context.request_id,
+                    'trace_id': call.span.trace_id,
+                },
+            )
+
+    async def _send_view(self, scope: AsgiScope, send: Send) -> None:
+        query = scope.get('query_string', b'').decode('latin-1')
+        named = query.removeprefix('services=')
+        services = tuple(name for name in named.split(',') if name)
+        view = encode_view(self._control.client_view(services))
+        await respond(send, status=_OK_STATUS, headers=[_JSON], body=view)
+
+
+async def _refuse(send: Send, status: int, reason: RefusalReason) -> None:
+    ending = Ending(outcome=Outcome.NOT_RUN, reason=reason)
+    if reason is RefusalReason.RETRY_BOUND:
+        ending = Ending(outcome=Outcome.FAILED, reason=reason)
+    body = refusal_body('', ending, _REFUSED_RETRY_MS)
+    await respond(send, status=status, headers=[_JSON], body=body)
+
+
+def _unspent(call: CallInProgress) -> int:
+    reply = call.target_reply
+    if reply is None:
+        # Nothing was sent on, so nothing of the share was spent.
+        is_sent = call.forwarded_at is not None
+        return 0 if is_sent else call.admissible.context.retries_left
+    return 0 if reply.info is None else reply.info.unspent
+
+
+def _suspicion(call: CallInProgress) -> int:
+    reply = call.target_reply
+    was_cut = reply is not None and reply.was_cut
+    return call.admissible.context.suspicion + was_cut
--- /dev/null
+++ b/src/lovageshunt/node/_reports.py
@@ -0,0 +1,134 @@
+"""What operators read of a node, as plain content for JSON."""
+
+from collections.abc import Iterable
+from time import time
+from typing import Any
+
+from lovageshunt.account import Account, AccountSnapshot
+from lovageshunt.calls import LOWEST_IMPORTANCE, RANK_COUNT
+from lovageshunt.clock import now
+from lovageshunt.node._control import Control
+from lovageshunt.node._gate import Gate
+from lovageshunt.node._kept_accounts import KeptAccounts
+from lovageshunt.node._life import NodeLife
+from lovageshunt.observability import Metrics, Traces
+from lovageshunt.rules import Conflict
+
+
+class Reports:
+    """Reads the parts of a node; changes none of them."""
+
+    def __init__(
+        self,
+        *,
+        control: Control,
+        gate: Gate,
+        account: Account,
+        kept: KeptAccounts,
+        traces: Traces,
+        metrics: Metrics,
+        life: NodeLife,
+        slots: int,
+    ) -> None:
+        """Take the parts."""
+        self._control = control
+        self._gate = gate
+        self._account = account
+        self._kept = kept
+        self._traces = traces
+        self._metrics = metrics
+        self._life = life
+        self._slots = slots
+
+    def status(self) -> dict[str, Any]:
+        """Return the node at a glance."""
+        load = self._gate.load()
+        snapshot = self._account.snapshot(time())
+        lines = snapshot.lines
+        return {
+            **self._names(),
+            'service': self._control.identity.service,
+            'failure_domain': self._control.identity.failure_domain,
+            'state': self._life.state,
+            'is_leaving': self._life.is_leaving,
+            'running': load.running,
+            'waiting': load.waiting,
+            'limit': load.limit,
+            'slots': self._slots,
+            'threshold': _shown_threshold(self._gate.threshold),
+            'arrived': sum(line.arrived for line in lines),
+            'answered': sum(line.answered for line in lines),
+            'refused': sum(line.refused for line in lines),
+            'rules_generation': self._generation(),
+            'members': {
+                service: [
+                    member.as_dict()
+                    for member in self._control.members(service)
+                ]
+                for service in self._control.services
+            },
+        }
+
+    def rules(self) -> dict[str, Any]:
+        """Return the rules in force and the conflicts on record."""
+        rules = self._control.rules
+        since = rules.in_force_since
+        return {
+            **self._names(),
+            'version': rules.version.as_dict() if rules.version else None,
+            'in_force_for_seconds': 0 if since is None else now() - since,
+            'conflicts': [_conflict_fields(one) for one in rules.conflicts],
+        }
+
+    def account(self) -> dict[str, Any]:
+        """Return the own account and those kept for others."""
+        return {
+            **self._names(),
+            'account': self._account.snapshot(time()).as_dict(),
+            'callers': _dicts(self._kept.callers()),
+            'kept': _dicts(self._kept.nodes()),
+        }
+
+    def traces(self, some_id: str) -> dict[str, Any]:
+        """Return the recent spans of a trace or request."""
+        spans = self._traces.recent(some_id)
+        return {**self._names(), 'spans': [span.as_dict() for span in spans]}
+
+    def metrics(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its headers."""
+        self._metrics.export_account(self._account.snapshot(time()))
+        load = self._gate.load()
+        service = self._control.identity.service
+        limit = self._metrics.cell('lovageshunt_concurrency_limit', service)
+        limit.value = load.limit
+        threshold = self._metrics.cell(
+            'lovageshunt_admission_threshold',
+            service,
+        )
+        threshold.value = _shown_threshold(self._gate.threshold)
+        generation = self._metrics.cell('lovageshunt_rules_generation')
+        generation.value = self._generation()
+        return self._metrics.render(accepts)
+
+    def _names(self) -> dict[str, Any]:
+        identity = self._control.identity
+        return {'node': identity.name, 'incarnation': identity.incarnation}
+
+    def _generation(self) -> int:
+        version = self._control.rules.version
+        return 0 if version is None else version.generation
+
+
+def _shown_threshold(threshold: int) -> int:
+    return min(threshold, (LOWEST_IMPORTANCE + 1) * RANK_COUNT)
+
+
+def _conflict_fields(conflict: Conflict) -> dict[str, Any]:
+    return {
+        'winner': conflict.winner.as_dict(),
+        'loser': conflict.loser.as_dict(),
+    }
+
+
+def _dicts(snapshots: Iterable[AccountSnapshot]) -> list[dict[str, Any]]:
+    return [snapshot.as_dict() for snapshot in snapshots]
--- /dev/null
+++ b/src/lovageshunt/node/_runtime.py
@@ -0,0 +1,214 @@
+"""One node while it runs: its timer, its peers and its planned stop."""
+
+from asyncio import Event, sleep
+from logging import getLogger
+from time import time
+from typing import Final
+
+from lovageshunt._record import Record
+from lovageshunt.account import Account
+from lovageshunt.admission import LoadReported
+from lovageshunt.clock import now
+from lovageshunt.idempotency import (
+    Drained,
+    Inquired,
+    InquiryAnswer,
+    Settled,
+    Woke,
+)
+from lovageshunt.membership import EpochClock, PauseEnded
+from lovageshunt.node._calls import Calls
+from lovageshunt.node._control import Control
+from lovageshunt.node._envelope import Envelope
+from lovageshunt.node._gate import Gate
+from lovageshunt.node._gate_messages import LeaveBegun, TimePassed
+from lovageshunt.node._identity import Identity
+from lovageshunt.node._inquiries import Inquiries, wait_for_answer
+from lovageshunt.node._kept_accounts import KeptAccounts
+from lovageshunt.node._life import NodeLife
+from lovageshunt.node._settling import Settling
+from lovageshunt.node._target import TargetLink
+from lovageshunt.retries import PeerReported
+
+#: The timer turns this often.
+TICK_SECONDS: Final = 0.1
+#: A turn that is later than this was a pause.
+PAUSE_SLACK_SECONDS: Final = 1.0
+_LOAD_SECONDS: Final = 1.0
+_SNAPSHOT_SECONDS: Final = 30.0
+_SNAPSHOT_PEERS: Final = 2
+_log = getLogger(__name__)
+
+
+class Runtime:
+    """Turns the timer, takes what peers send, and leaves in order."""
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        control: Control,
+        gate: Gate,
+        calls: Calls,
+        inquiries: Inquiries,
+        target: TargetLink,
+        account: Account,
+        kept: KeptAccounts,
+        settling: Settling,
+        life: NodeLife,
+        leave_seconds: float,
+        drain_seconds: float,
+    ) -> None:
+        """Take the parts; ``run`` starts them."""
+        self.identity = identity
+        self._control = control
+        self._gate = gate
+        self._calls = calls
+        self._inquiries = inquiries
+        self._target = target
+        self._account = account
+        self._kept = kept
+        self._settling = settling
+        self._life = life
+        self._leave_seconds = leave_seconds
+        self._drain_seconds = drain_seconds
+        self._epochs = EpochClock(
+            now(),
+            tick_seconds=TICK_SECONDS,
+            slack_seconds=PAUSE_SLACK_SECONDS,
+        )
+        self._seen_at = now()
+        self._load_at = now()
+        self._snapshot_at = now() + _SNAPSHOT_SECONDS
+        self._leaving = Event()
+        control.leave = self.begin_leave
+
+    @property
+    def state(self) -> str:
+        """Return the node's state by its chart."""
+        return self._life.state
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self._life.is_leaving
+
+    @property
+    def is_serving(self) -> bool:
+        """Return whether the node takes calls of every kind."""
+        return self._life.is_serving
+
+    def observe(self) -> None:
+        """Notice a pause before the next decision is made."""
+        at = now()
+        gap = at - self._seen_at
+        self._seen_at = at
+        if self._epochs.observe(at):
+            _log.warning('the process was paused for %.1f s', gap)
+            self._calls.handle(Woke(gap_seconds=gap))
+            self._control.tell(PauseEnded())
+
+    def handle(self, event: Record) -> None:
+        """Take an event about single calls."""
+        self.observe()
+        self._calls.handle(event)
+
+    def take(self, envelope: Envelope) -> None:
+        """Take what a peer sent."""
+        self.observe()
+        self._control.take(envelope)
+        if envelope.snapshot is not None:
+            self._kept.keep(envelope.snapshot)
+        if envelope.suspects:
+            reported = PeerReported(reports=tuple(envelope.suspects))
+            self._calls.handle(reported)
+
+    async def inquired(self, question: Inquired) -> InquiryAnswer:
+        """Return the answer to a peer's question about a call."""
+        peers = self._control.peers
+        question.peers = peers.peers or ()
+        question.gone = peers.gone(now())
+        answer = self._inquiries.expect(
+            question.key,
+            question.asker,
+            question.number,
+        )
+        self.handle(question)
+        return await wait_for_answer(answer)
+
+    def begin_leave(self) -> None:
+        """Begin a planned stop; nothing in progress is cut off."""
+        if not self._life.step('leave'):
+            return
+        _log.info('leaving: new calls are refused, %d go on', self._in_progress)
+        self._calls.handle(LeaveBegun())
+        self._control.begin_leave()
+        self._leaving.set()
+
+    async def run(self) -> None:
+        """Turn the timer until a planned stop is over."""
+        self._life.step('settle')
+        while not self._leaving.is_set():
+            await self._turn()
+        await self._leave()
+        self._life.step('stop')
+
+    async def _turn(self) -> None:
+        self.observe()
+        self._calls.handle(TimePassed())
+        self._control.tick()
+        await self._settle()
+        await self._read_load()
+        self._send_snapshot()
+        await sleep(TICK_SECONDS)
+
+    async def _settle(self) -> None:
+        if self._life.state != 'settling' or not self._control.has_list:
+            return
+        if await self._settling.is_known_to_all(now()):
+            self._calls.handle(Settled())
+            self._life.step('serve')
+            _log.info('serving')
+
+    async def _read_load(self) -> None:
+        if now() < self._load_at:
+            return
+        self._load_at = now() + _LOAD_SECONDS
+        load = await self._target.load()
+        if load.is_ok():
+            reported = LoadReported(
+                running=load.ok.running,
+                slots=load.ok.slots,
+            )
+            self._calls.handle(reported)
+
+    def _send_snapshot(self) -> None:
+        if now() < self._snapshot_at:
+            return
+        self._snapshot_at = now() + _SNAPSHOT_SECONDS
+        snapshot = self._account.snapshot(time())
+        self._control.send_snapshot(snapshot, _SNAPSHOT_PEERS)
+
+    @property
+    def _in_progress(self) -> int:
+        return self._gate.in_progress
+
+    async def _leave(self) -> None:
+        left_at = now()
+        while self._must_stay(now() - left_at):
+            await self._leaving_turn()
+        self._calls.handle(Drained())
+        snapshot = self._account.snapshot(time(), is_final=True)
+        self._control.send_snapshot(snapshot, _SNAPSHOT_PEERS)
+        await self._inquiries.flush()
+
+    async def _leaving_turn(self) -> None:
+        self.observe()
+        self._calls.handle(TimePassed())
+        self._control.tick()
+        await sleep(TICK_SECONDS)
+
+    def _must_stay(self, seconds: float) -> bool:
+        if seconds < self._leave_seconds:
+            return True
+        return self._in_progress > 0 and seconds < self._drain_seconds
