--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,20 @@
+"""Runs a benchmark: ``python -m bench NAME``."""
+
+import sys
+
+from bench.overload import run
+
+_USAGE = 'usage: python -m bench overload [DEPLOYMENT] [WORKLOAD]\n'
+
+
+def main(arguments: list[str]) -> int:
+    """Run the named benchmark; return 2 when there is none of the name."""
+    if arguments[:1] != ['overload']:
+        sys.stderr.write(_USAGE)
+        return 2
+    run(arguments[1:])
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/src/lovageshunt/admission/_admission.py
+++ b/src/lovageshunt/admission/_admission.py
@@ -127,8 +127,8 @@
             return
         self._control.record_finish(
             self._now - call.started_at,
-            was_good=event.was_good,
-            is_aborted=call.is_aborted,
+            was_good=event.was_good and not call.is_aborted,
+            was_shed=event.was_shed,
         )
 
     @_take.register
--- a/src/lovageshunt/admission/_control.py
+++ b/src/lovageshunt/admission/_control.py
@@ -66,18 +66,18 @@
         seconds: float,
         *,
         was_good: bool,
-        is_aborted: bool,
+        was_shed: bool,
     ) -> None:
         """Count a finished call.
 
-        An aborted call would have taken longer still, so it counts only
+        One that was aborted would have taken longer still, so it counts
         when it took longer than is typical.
         """
         self._completed += 1
-        if not is_aborted:
-            self._limit.record(seconds, was_good=was_good)
-        elif seconds > self.service_seconds:
-            self._limit.record(seconds, was_good=True)
+        if was_good or seconds > self.service_seconds:
+            self._limit.record(seconds)
+        if was_shed:
+            self._limit.record_shed()
 
     def finish_time(self, now: float, *, running: int, ahead: int) -> float:
         """Return when a call with so many ahead of it would be finished."""
--- a/src/lovageshunt/admission/_events.py
+++ b/src/lovageshunt/admission/_events.py
@@ -26,14 +26,26 @@
 
 
 class Finished(Record):
-    """A dispatched call left its target; an aborted one too."""
+    """A dispatched call left its target; an aborted one too.
 
-    __slots__ = ('call_id', 'was_good')
+    ``was_good`` is false when no whole answer came, whoever is at fault; the
+    call's time then says nothing. ``was_shed`` is true when the target itself
+    refused the call for its load, which lowers the limit.
+    """
+
+    __slots__ = ('call_id', 'was_good', 'was_shed')
 
-    def __init__(self, call_id: str, *, was_good: bool) -> None:
-        """Say whether the target answered as it should."""
+    def __init__(
+        self,
+        call_id: str,
+        *,
+        was_good: bool,
+        was_shed: bool = False,
+    ) -> None:
+        """Say how the call ended."""
         self.call_id = call_id
         self.was_good = was_good
+        self.was_shed = was_shed
 
 
 class Cancelled(_CallRecord):
--- a/src/lovageshunt/admission/_limit.py
+++ b/src/lovageshunt/admission/_limit.py
@@ -34,15 +34,16 @@
         """Return the number of calls that may run now."""
         return max(1, int(self._limit))
 
-    def record(self, seconds: float, *, was_good: bool) -> None:
-        """Note one finished call and its time in the target."""
-        if not was_good:
-            self._bad += 1
-            return
+    def record(self, seconds: float) -> None:
+        """Note the time of one call in the target."""
         self._good += 1
         error = seconds - self.service_seconds
         self.service_seconds += _SERVICE_WEIGHT * error
 
+    def record_shed(self) -> None:
+        """Note that the target itself refused a call for its load."""
+        self._bad += 1
+
     def close_window(self) -> None:
         """Move the limit by what the window showed."""
         calls = self._good + self._bad
