Prove running at most once over four nodes under faults

Hypothesis drives callers of four kinds, nodes and a network in memory: messages late, lost and out of order, nodes frozen, killed, replaced under the same or another name, stopped gracefully, cut off, and lists that lag or miss one. The first version failed: a replacement born while a resend was on its way took the call for younger than itself, because its age was stated when the message left. Ages now count as much older as a message may be on its way.

--- /dev/null
+++ b/bench/run_once/__init__.py
@@ -0,0 +1,14 @@
+"""Nodes that run calls at most once, in memory, under faults."""
+
+from bench.run_once._callers import Caller, CallerKind
+from bench.run_once._fleet import Fleet
+from bench.run_once._machine import Machine, NodeFactory, make_node
+
+__all__ = [
+    'Caller',
+    'CallerKind',
+    'Fleet',
+    'Machine',
+    'NodeFactory',
+    'make_node',
+]
--- /dev/null
+++ b/bench/run_once/_callers.py
@@ -0,0 +1,137 @@
+"""Callers with and without the library, and what they were told."""
+
+from collections.abc import Callable, Sequence
+from enum import StrEnum
+
+from bench.run_once._fleet import Fleet
+from bench.run_once._messages import RequestMessage
+from bench.run_once._network import age_ms_of
+from lovageshunt.calls import HomeStamp, Outcome
+
+Picker = Callable[[Sequence[HomeStamp]], HomeStamp]
+
+
+class CallerKind(StrEnum):
+    """How a caller names its attempts.
+
+    ``LIBRARY``: numbered and stamped. ``NUMBERED``: numbered only.
+    ``UNNUMBERED``: neither. ``HOP``: a numbered caller whose first attempt
+    passes a service that stamps it and sends it again by itself.
+    """
+
+    LIBRARY = 'library'
+    NUMBERED = 'numbered'
+    UNNUMBERED = 'unnumbered'
+    HOP = 'hop'
+
+
+class Caller:
+    """One person's purchase and its attempts.
+
+    ``told`` has the outcome of each attempt by its number. A hop answers
+    its caller only what holds for all that it sent.
+    """
+
+    def __init__(self, *, key: str, kind: CallerKind, born_at: float) -> None:
+        """Begin with nothing sent."""
+        self.key = key
+        self.kind = kind
+        self.born_at = born_at
+        self.last_attempt = 0
+        self.told: dict[int, Outcome] = {}
+        self._sends = 0
+        self._stamp: HomeStamp | None = None
+        self._hop_told: dict[int, Outcome | None] = {}
+
+    def attempt(
+        self, fleet: Fleet, homes: Sequence[HomeStamp], pick: Picker
+    ) -> None:
+        """Send the next attempt, as this kind of caller would."""
+        was_not_run = self.told.get(self.last_attempt) is Outcome.NOT_RUN
+        is_first = self.last_attempt == 0
+        self.last_attempt += 1
+        home = pick(homes)
+        if self.kind is CallerKind.LIBRARY:
+            if is_first or was_not_run:
+                self._stamp = home
+            self._send(
+                fleet, self.last_attempt, self._stamp, self._stamp or home
+            )
+            return
+        if self.kind is CallerKind.HOP and is_first:
+            self.hop(fleet, homes, pick)
+            return
+        number = self.last_attempt
+        if self.kind is CallerKind.UNNUMBERED:
+            number = 0
+        self._send(fleet, number, None, home)
+
+    def hop(
+        self, fleet: Fleet, homes: Sequence[HomeStamp], pick: Picker
+    ) -> None:
+        """Let the stamping service send the first attempt, or send again.
+
+        After *not run* it is a first attempt again, with a new home; in
+        doubt it goes to the same home without a number.
+        """
+        if self.kind is not CallerKind.HOP or 1 in self.told:
+            return
+        is_new = all(
+            each is Outcome.NOT_RUN for each in self._hop_told.values()
+        )
+        if is_new:
+            self._stamp = pick(homes)
+        self._hop_told[self._sends + 1] = None
+        attempt = 1 if is_new else 0
+        self._send(fleet, attempt, self._stamp, self._stamp or pick(homes))
+
+    def hop_gives_up(self) -> None:
+        """Let the stamping service answer the caller's first attempt."""
+        if not self._hop_told or 1 in self.told:
+            return
+        is_not_run = all(
+            each is Outcome.NOT_RUN for each in self._hop_told.values()
+        )
+        self.told[1] = Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN
+
+    def hear(self, call_id: str, outcome: Outcome) -> None:
+        """Take the answer to one attempt."""
+        _, _, attempt, send = call_id.split('/')
+        if self.kind is CallerKind.HOP and int(attempt) == 1:
+            self._hop_told[int(send)] = outcome
+            return
+        self.told[int(attempt)] = outcome
+
+    def is_wronged(self, executions: int) -> bool:
+        """Return whether the call ran twice, or ran though *not run*."""
+        if self.kind is CallerKind.UNNUMBERED:
+            was_refused = Outcome.NOT_RUN in self.told.values()
+        else:
+            last = self.told.get(self.last_attempt)
+            was_refused = last is Outcome.NOT_RUN
+        allowed = 0 if was_refused else 1
+        return executions > allowed
+
+    def _send(
+        self,
+        fleet: Fleet,
+        attempt: int,
+        stamp: HomeStamp | None,
+        home: HomeStamp,
+    ) -> None:
+        self._sends += 1
+        sent_for = self.last_attempt
+        if self.kind is CallerKind.HOP and stamp is not None:
+            sent_for = 1
+        call_id = f'{self.key}/{self.born_at}/{sent_for}/{self._sends}'
+        fleet.send(
+            RequestMessage(
+                call_id=call_id,
+                key=self.key,
+                attempt=attempt,
+                stamp=stamp,
+                age_ms=age_ms_of(call_id, fleet.now),
+                to=home.node,
+                sent_at=fleet.now,
+            ),
+        )
--- /dev/null
+++ b/bench/run_once/_network.py
@@ -0,0 +1,267 @@
+"""The messages between callers and nodes, and what nodes ask for."""
+
+from collections import Counter
+from collections.abc import Callable
+from functools import singledispatch, singledispatchmethod
+
+from bench.run_once._machine import Machine
+from bench.run_once._messages import (
+    AnswerMessage,
+    InquiryMessage,
+    Message,
+    ReplyMessage,
+    RequestMessage,
+)
+from lovageshunt import idempotency as run_once
+from lovageshunt.calls import HomeStamp, Outcome
+
+_DEADLINE_SECONDS = 5
+_TRANSIT_SECONDS = 10
+_MS_PER_SECOND = 1000
+
+
+class Network:
+    """Machines by name and the messages on their way.
+
+    It decides nothing about order or time: whoever drives it chooses which
+    message is delivered next and when time moves. ``executions`` counts by
+    key what the targets ran.
+    """
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self.now = float(1000)
+        self.by_name: dict[str, Machine] = {}
+        self.messages: list[Message] = []
+        self.executions: Counter[str] = Counter()
+        self.inquiries = 0
+        self.on_answer: Callable[[str, Outcome], None] = _ignore
+
+    def send(self, message: Message) -> None:
+        """Put a message on its way."""
+        self.messages.append(message)
+
+    def tell(self, machine: Machine, event: run_once.Event) -> None:
+        """Give a node an event and do what it asks."""
+        for action in machine.node.handle(event, self.now):
+            _perform(action, machine, self)
+
+    def receive(self, machine: Machine, message: Message) -> None:
+        """Let a node read a message, or hold it while it is frozen."""
+        if machine.frozen_at is not None:
+            machine.held.append(message)
+            return
+        self.tell(machine, _event_of(message, machine, self.now))
+
+    def reach(self, machine: Machine, home: HomeStamp) -> Machine | None:
+        """Return a peer that is there, with no cut between."""
+        peer = self.by_name.get(home.node)
+        if peer is None or peer.home != home or peer.side != machine.side:
+            return None
+        return peer
+
+    @singledispatchmethod
+    def deliver(self, message: Message) -> None:
+        """Let a message arrive."""
+        raise NotImplementedError(type(message))
+
+    @deliver.register
+    def _deliver_request(self, message: RequestMessage) -> None:
+        machine = self.by_name.get(message.to)
+        is_late = self.now - message.sent_at > _TRANSIT_SECONDS
+        if machine is not None and not is_late:
+            self.receive(machine, message)
+
+    @deliver.register
+    def _deliver_inquiry(self, message: InquiryMessage) -> None:
+        asker = self.by_name.get(message.asker.node)
+        if asker is None or asker.home != message.asker:
+            return
+        peer = self.reach(asker, message.question.peer)
+        if peer is not None:
+            self.receive(peer, message)
+            return
+        failed = ReplyMessage(
+            asker=message.asker,
+            question=message.question,
+            answer=None,
+        )
+        self.send(failed)
+
+    @deliver.register
+    def _deliver_reply(self, message: ReplyMessage) -> None:
+        machine = self.by_name.get(message.asker.node)
+        if machine is not None and machine.home == message.asker:
+            self.receive(machine, message)
+
+    @deliver.register
+    def _deliver_answer(self, message: AnswerMessage) -> None:
+        self.on_answer(message.call_id, message.outcome)
+
+
+def age_ms_of(call_id: str, now: float) -> int:
+    """Return the age of a request, from when its call id says it began."""
+    born_at = float(call_id.split('/')[1])
+    return round((now - born_at) * _MS_PER_SECOND)
+
+
+def _ignore(call_id: str, outcome: Outcome) -> None:
+    """Drop an answer that nobody waits for."""
+
+
+@singledispatch
+def _event_of(
+    message: Message,
+    machine: Machine,
+    now: float,
+) -> run_once.Event:
+    raise NotImplementedError(type(message))
+
+
+@_event_of.register
+def _requested(
+    message: RequestMessage,
+    machine: Machine,
+    now: float,
+) -> run_once.Event:
+    return run_once.Requested(
+        call_id=message.call_id,
+        key=message.key,
+        attempt=message.attempt,
+        deadline=now + _DEADLINE_SECONDS,
+        stamp=message.stamp,
+        age_ms=message.age_ms,
+        peers=tuple(machine.listed),
+        gone=machine.departed(now),
+    )
+
+
+@_event_of.register
+def _inquired(
+    message: InquiryMessage,
+    machine: Machine,
+    now: float,
+) -> run_once.Event:
+    return run_once.Inquired(
+        key=message.question.key,
+        asker=message.asker,
+        age_ms=message.question.age_ms,
+        number=message.question.number,
+        peers=tuple(machine.listed),
+        gone=machine.departed(now),
+    )
+
+
+@_event_of.register
+def _replied(
+    message: ReplyMessage,
+    machine: Machine,
+    now: float,
+) -> run_once.Event:
+    question = message.question
+    if message.answer is None:
+        return run_once.InquiryFailed(
+            key=question.key,
+            peer=question.peer,
+            number=question.number,
+        )
+    return run_once.InquiryAnswered(
+        key=question.key,
+        peer=question.peer,
+        number=question.number,
+        answer=message.answer,
+    )
+
+
+@singledispatch
+def _perform(
+    action: run_once.Action,
+    machine: Machine,
+    network: Network,
+) -> None:
+    """Do nothing: the call waits."""
+
+
+@_perform.register
+def _run(action: run_once.Run, machine: Machine, network: Network) -> None:
+    machine.queue.append(action.call_id)
+
+
+@_perform.register
+def _dispatch(
+    action: run_once.Dispatch,
+    machine: Machine,
+    network: Network,
+) -> None:
+    network.executions[action.key] += 1
+    machine.running[action.call_id] = action.key
+
+
+@_perform.register
+def _replay(
+    action: run_once.Replay,
+    machine: Machine,
+    network: Network,
+) -> None:
+    outcome = action.ending.outcome
+    network.send(AnswerMessage(call_id=action.call_id, outcome=outcome))
+
+
+@_perform.register(run_once.AnswerNotRun)
+@_perform.register(run_once.AnswerUnknown)
+def _refuse(
+    action: run_once.AnswerNotRun | run_once.AnswerUnknown,
+    machine: Machine,
+    network: Network,
+) -> None:
+    is_unknown = isinstance(action, run_once.AnswerUnknown)
+    outcome = Outcome.UNKNOWN if is_unknown else Outcome.NOT_RUN
+    network.send(AnswerMessage(call_id=action.call_id, outcome=outcome))
+
+
+@_perform.register
+def _redirect(
+    action: run_once.Redirect,
+    machine: Machine,
+    network: Network,
+) -> None:
+    redirected = RequestMessage(
+        call_id=action.call_id,
+        key=action.call_id.split('/')[0],
+        attempt=action.attempt,
+        stamp=action.stamp,
+        age_ms=age_ms_of(action.call_id, network.now),
+        to=action.home.node,
+        sent_at=network.now,
+    )
+    network.send(redirected)
+
+
+@_perform.register
+def _inquire(
+    action: run_once.Inquire,
+    machine: Machine,
+    network: Network,
+) -> None:
+    network.inquiries += 1
+    network.send(InquiryMessage(asker=machine.home, question=action))
+
+
+@_perform.register
+def _answer_inquiry(
+    action: run_once.AnswerInquiry,
+    machine: Machine,
+    network: Network,
+) -> None:
+    question = run_once.Inquire(
+        key=action.key,
+        peer=machine.home,
+        age_ms=0,
+        number=action.number,
+    )
+    reply = ReplyMessage(
+        asker=action.asker,
+        question=question,
+        answer=action.answer,
+    )
+    network.send(reply)
--- a/src/lovageshunt/idempotency/_inquiring.py
+++ b/src/lovageshunt/idempotency/_inquiring.py
@@ -34,9 +34,8 @@
     settle_refused,
     yield_to,
 )
-from lovageshunt.idempotency._state import NodeState
+from lovageshunt.idempotency._state import MS_PER_SECOND, NodeState
 
-_MS_PER_SECOND = 1000
 _HELD_STATES = frozenset(('queued', 'running', 'ended'))
 _ASKING_STATES = frozenset(('inquiring', 'doubtful'))
 
@@ -59,7 +58,7 @@
     inquiry = Inquiry(
         number=state.next_number(),
         due_at=now + state.settings.inquiry_seconds,
-        is_too_young=entry.born_at < state.started_at,
+        is_too_young=state.is_younger_than(entry.born_at),
     )
     inquiry.cover(state.expiry_by_leaver)
     inquiry.cover(excused)
@@ -82,7 +81,9 @@
     state: NodeState,
     now: float,
 ) -> list[Action]:
-    born_at = state.born_at(event.age_ms, now)
+    # An answer that took longer than the inquiry may is not used.
+    asked_at = now - state.settings.inquiry_seconds
+    born_at = asked_at - event.age_ms / MS_PER_SECOND
     entry = state.find(event.key, now)
     if entry is None:
         entry = state.create(event.key, born_at=born_at, now=now)
@@ -95,7 +96,7 @@
     moved = []
     if entry.state != 'elsewhere':
         moved = yield_to(state, entry, asker)
-    is_too_young = min(born_at, entry.born_at) < state.started_at
+    is_too_young = state.is_younger_than(min(born_at, entry.born_at))
     suspects = state.suspects(event.gone, born_at=born_at, now=now)
     answer = InquiryAnswer(
         claim=Claim.CANNOT_SAY if is_too_young else Claim.WILL_NOT_RUN,
@@ -198,13 +199,13 @@
     # This incarnation answers at the address of the earlier ones.
     earlier = [each for each in fresh if each[0] == state.me[0]]
     inquiry.fail(earlier)
-    if state.started_at <= entry.born_at:
+    if not state.is_younger_than(entry.born_at):
         inquiry.replace(state.me)
     return [
         Inquire(
             key=entry.key,
             peer=stamp_of(peer),
-            age_ms=round((now - entry.born_at) * _MS_PER_SECOND),
+            age_ms=round((now - entry.born_at) * MS_PER_SECOND),
             number=inquiry.number,
         )
         for peer in fresh
--- a/src/lovageshunt/idempotency/_settings.py
+++ b/src/lovageshunt/idempotency/_settings.py
@@ -8,7 +8,7 @@
 
     ``retention_seconds`` is how old a request may grow and still be resent.
     ``transit_seconds`` bounds how long a message may be on its way to a
-    process that is not suspended, and how far an age may be understated.
+    process that is not suspended; a stated age may be short by as much.
     ``settle_seconds`` is the least time before a node takes first attempts.
     ``caution_seconds`` is how long after a suspension a first attempt
     is inquired about. ``unstated_age_ms`` stands for an age not stated.
@@ -31,7 +31,7 @@
         self,
         *,
         retention_seconds: float = 900,
-        transit_seconds: float = 30,
+        transit_seconds: float = 10,
         settle_seconds: float = 5,
         inquiry_seconds: float = 0.25,
         caution_seconds: float = 2,
--- a/src/lovageshunt/idempotency/_state.py
+++ b/src/lovageshunt/idempotency/_state.py
@@ -6,7 +6,7 @@
 from lovageshunt.idempotency._records import Departed, Identity, identity_of
 from lovageshunt.idempotency._settings import RunOnceSettings
 
-_MS_PER_SECOND = 1000
+MS_PER_SECOND = 1000
 
 
 class NodeState:
@@ -116,10 +116,17 @@
         return self._last_number
 
     def born_at(self, age_ms: int | None, now: float) -> float:
-        """Return when a root request began, on this node's clock."""
+        """Return the earliest time at which a root request began.
+
+        Its age was stated when the message left, so its way is added.
+        """
         if age_ms is None:
             age_ms = self.settings.unstated_age_ms
-        return now - age_ms / _MS_PER_SECOND
+        return now - age_ms / MS_PER_SECOND - self.settings.transit_seconds
+
+    def is_younger_than(self, born_at: float) -> bool:
+        """Return whether this process may have begun after a call did."""
+        return born_at <= self.started_at
 
     def is_settled_for(self, born_at: float) -> bool:
         """Return whether all peers knew this node before the call began."""
@@ -148,5 +155,5 @@
             identity_of(departed.home)
             for departed in gone
             if not departed.is_proved_dead
-            or born_at < now - departed.seconds_ago
+            or born_at <= now - departed.seconds_ago
         }
