--- a/bench/observability.py
+++ b/bench/observability.py
@@ -6,7 +6,6 @@
 
 import io
 import logging
-import sys
 import time
 from collections.abc import Callable
 from functools import partial
@@ -17,7 +16,7 @@
 
 from lovageshunt.account import Account, decode_snapshot, encode_snapshot
 from lovageshunt.calls import Outcome
-from lovageshunt.cli._tables import format_table
+from lovageshunt.cli import write_table
 from lovageshunt.observability import Metrics, Traces, configure_logs
 
 _ROUNDS: Final = 7
@@ -127,8 +126,7 @@
     """Print the table."""
     measured = [*_per_call_rows(), *_rare_rows()]
     rows = [(step, f'{cost:.2f}') for step, cost in measured]
-    for line in format_table(('step', 'microseconds'), rows):
-        sys.stdout.write(f'{line}\n')
+    write_table(('step', 'microseconds'), rows)
 
 
 if __name__ == '__main__':
--- a/src/lovageshunt/cli/_account.py
+++ b/src/lovageshunt/cli/_account.py
@@ -1,52 +1,30 @@
 """The command that collects, merges and balances the account."""
 
 import csv
-import sys
 import time
-from asyncio import run
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from importlib import import_module
 from pathlib import Path
 from typing import Final
 
-import orjson
-from absl import flags
+from absl.flags import DEFINE_string, FlagValues
+from expression import Result
 
-from lovageshunt.account import AccountLine, causes_of
+from lovageshunt.account import AccountLine, Role, causes_of
 from lovageshunt.cli._account_report import AccountReport
-from lovageshunt.cli._admin_flags import (
-    EXIT_FAULT,
-    EXIT_OK,
-    EXIT_USAGE,
-    access_of,
-    admin_flags,
-    parse_admin_flags,
+from lovageshunt.cli._ask import ask_nodes, define_nodes
+from lovageshunt.cli._command import (
+    Command,
+    ExitCode,
+    write_error,
+    write_json,
+    write_line,
+    write_table,
 )
-from lovageshunt.cli._nodes import fetch_all
-from lovageshunt.cli._tables import format_table
-
-ACCOUNT_USAGE: Final = """\
-Collect the account from the nodes, merge it, check that it balances and name
-the holes that lost VMs leave.
-
-  lovageshunt account --nodes=10.0.0.1:7402,10.0.0.2:7402
-  lovageshunt account --nodes=10.0.0.1:7402 --csv=account.csv
-
-Exit code 0: it balances; 1: a node gave no answer, there is a hole, or it
-does not balance; 2: the flags are wrong."""
 
 _PATH: Final = '/v1/account'
-_CAUSE_HEADERS: Final = (
-    'service',
-    'kind',
-    'importance',
-    'end',
-    'why',
-    'calls',
-)
-_HEADERS: Final = (
-    'service',
-    'kind',
-    'importance',
+_KEY_HEADERS: Final = ('service', 'kind', 'importance')
+_COUNT_HEADERS: Final = (
     'arrived',
     'retries',
     'answered',
@@ -56,25 +34,45 @@
     'running',
     'wasted',
 )
-
-
-def run_account(argv: list[str]) -> int:
-    """Run ``lovageshunt account`` and return its exit code."""
-    values = admin_flags()
-    flags.DEFINE_string('csv', '', 'Also write a CSV.', flag_values=values)
-    flags.DEFINE_string('plot', '', 'Also write a plot.', flag_values=values)
+_CAUSE_HEADERS: Final = (*_KEY_HEADERS, 'end', 'why', 'calls')
+
+
+def account(arguments: Sequence[str], values: FlagValues) -> ExitCode:
+    """Collect the account, show it, and fail unless it is whole."""
+    if arguments:
+        write_error('expected flags only; see --help')
+        return ExitCode.FAULTS
+    match ask_nodes(_PATH, values):
+        case Result(tag='ok', ok=answers):
+            report = AccountReport(answers, time.time())
+        case Result(error=fault):
+            write_error(fault)
+            return ExitCode.FAULTS
+    if not _write_files(report, values):
+        return ExitCode.FAILED
+    if values.json:
+        write_json(report.as_dict())
+    else:
+        _show(report)
+    return ExitCode.FINE if report.is_whole else ExitCode.FAILED
+
+
+def _write_files(report: AccountReport, values: FlagValues) -> bool:
+    lines = report.account.lines()
     try:
-        parse_admin_flags(values, 'account', argv)
-        access = access_of(values)
-    except flags.Error as error:
-        sys.stderr.write(f'lovageshunt account: {error}\n')
-        return EXIT_USAGE
-    answers = run(fetch_all(values.nodes, _PATH, access))
-    report = AccountReport(answers, time.time())
-    if values.csv:
-        write_csv(report.account.lines(), Path(values.csv))
-    _show(report, is_json=values.json)
-    return EXIT_OK if report.is_whole else EXIT_FAULT
+        if values.csv is not None:
+            write_csv(lines, Path(values.csv))
+        if values.plot is not None:
+            # Loaded only here, because it takes long and is an extra.
+            plot = import_module('lovageshunt.cli._account_plot')
+            plot.write_plot(lines, values.plot)
+    except (ImportError, OSError, ValueError) as error:
+        write_error(
+            f'the file cannot be written ({error}); choose another path, and '
+            "for --plot install 'lovageshunt[plot]' and end it in .png or .svg",
+        )
+        return False
+    return True
 
 
 def write_csv(lines: Iterable[AccountLine], path: Path) -> None:
@@ -83,67 +81,81 @@
         writer = csv.writer(stream)
         writer.writerow(_CAUSE_HEADERS)
         for line in lines:
+            writer.writerows(_count_rows(line))
             writer.writerows(_cause_rows(line))
 
 
-def _cause_rows(line: AccountLine) -> list[tuple[object, ...]]:
-    counts = [
-        ('arrived', '', line.arrived),
-        ('answered', '', line.answered),
-        ('running', '', line.running),
+def _count_rows(line: AccountLine) -> list[tuple[str, ...]]:
+    key = _key_cells(line)
+    return [
+        (*key, 'arrived', '', str(line.arrived)),
+        (*key, 'answered', '', str(line.answered)),
+        (*key, 'running', '', str(line.running)),
     ]
-    counts.extend(
-        (cause.end, cause.reason, cause.calls) for cause in causes_of(line)
-    )
-    return [(*line.key, *count) for count in counts]
 
 
-def _show(report: AccountReport, *, is_json: bool) -> None:
-    if is_json:
-        sys.stdout.write(orjson.dumps(report.as_dict()).decode('utf-8'))
-        sys.stdout.write('\n')
-        return
-    for text in _report_lines(report):
-        sys.stdout.write(f'{text}\n')
+def _cause_rows(line: AccountLine) -> list[tuple[str, ...]]:
+    key = _key_cells(line)
+    return [
+        (*key, cause.end, cause.reason, str(cause.calls))
+        for cause in causes_of(line)
+    ]
 
 
-def _report_lines(report: AccountReport) -> list[str]:
-    lines = report.account.lines()
-    shown = format_table(
-        _HEADERS,
-        [[getattr(line, name) for name in _HEADERS] for line in lines],
-    )
-    shown.extend(('', 'Why:'))
-    shown.extend(
-        format_table(
-            _CAUSE_HEADERS,
-            [row for line in lines for row in _cause_rows(line) if row[4]],
-        ),
-    )
-    shown.extend(_faults(report))
-    verdict = 'balances' if report.is_whole else 'DOES NOT BALANCE OR IS CUT'
-    return [*shown, '', f'The account {verdict}.']
+def _key_cells(line: AccountLine) -> tuple[str, ...]:
+    return (line.service, line.kind, str(line.importance))
+
 
+def _show(report: AccountReport) -> None:
+    _show_lines('at nodes', report.account.lines())
+    callers = report.account.lines(Role.CALLER)
+    if callers:
+        _show_lines('as callers saw it', callers)
+    for fault in report.faults():
+        write_line(fault)
+    verdict = 'is whole' if report.is_whole else 'is NOT whole'
+    write_line(f'the account {verdict}')
 
-def _faults(report: AccountReport) -> list[str]:
-    shown = [str(error) for error in report.errors]
-    shown.extend(
-        f'hole: {hole.node} {hole.incarnation} from {_shown_time(hole.from_at)}'
-        f' to {_shown_time(hole.to_at)}'
-        for hole in report.holes
+
+def _show_lines(title: str, lines: list[AccountLine]) -> None:
+    write_line(f'{title}:')
+    write_table(
+        (*_KEY_HEADERS, *_COUNT_HEADERS),
+        [(*_key_cells(line), *_count_cells(line)) for line in lines],
     )
-    shown.extend(
-        f'imbalance: {fault.node} {fault.service} {fault.kind} '
-        f'{fault.importance}: {fault.law} is off by {fault.excess}'
-        for fault in report.imbalances
+    causes = [row for line in lines for row in _cause_rows(line)]
+    if causes:
+        write_line('\nwhy:')
+        write_table(_CAUSE_HEADERS, causes)
+    write_line('')
+
+
+def _count_cells(line: AccountLine) -> list[str]:
+    return [str(getattr(line, name)) for name in _COUNT_HEADERS]
+
+
+def _define(values: FlagValues) -> None:
+    define_nodes(values)
+    DEFINE_string(
+        'csv',
+        None,
+        'Also write the counts here, a row for each cause.',
+        flag_values=values,
     )
-    shown.extend(
-        f'difference: {fault.service} {fault.kind} {fault.importance}: '
-        f'{fault.claim} is off by {fault.excess}'
-        for fault in report.differences
+    DEFINE_string(
+        'plot',
+        None,
+        'Also draw what became of calls here, as .png or .svg.',
+        flag_values=values,
     )
-    return ['', *shown] if shown else []
 
 
-def _shown_time(seconds: float) -> str:
-    return time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime(seconds))
+COMMANDS: Final = (
+    Command(
+        name='',
+        summary='Collect the account, balance it and name what is missing.',
+        example='--nodes=127.0.0.1:8102,127.0.0.1:8202 --csv=account.csv',
+        define=_define,
+        run=account,
+    ),
+)
--- a/src/lovageshunt/cli/_account_report.py
+++ b/src/lovageshunt/cli/_account_report.py
@@ -1,5 +1,6 @@
 """The account of a deployment, as collected from its nodes."""
 
+import time
 from collections.abc import Iterable
 from typing import Any
 
@@ -62,19 +63,27 @@
             'errors': [str(error) for error in self.errors],
         }
 
+    def faults(self) -> list[str]:
+        """Return a line for each fault, for people."""
+        return [
+            *map(str, self.errors),
+            *map(_hole_line, self.holes),
+            *map(_imbalance_line, self.imbalances),
+            *map(_difference_line, self.differences),
+        ]
+
     def _take(self, answer: NodeAnswer) -> AccountSnapshot | None:
         if answer.error:
             self.errors.append(answer.error)
             return None
-        body = answer.body or {}
         try:
-            own = snapshot_from_dict(body.get('account', {}))
+            own = snapshot_from_dict(answer.body.get('account'))
             others = [
                 snapshot_from_dict(fields)
                 for name in ('callers', 'kept')
-                for fields in body.get(name, ())
+                for fields in answer.body.get(name, ())
             ]
-        except MalformedSnapshotError as error:
+        except (MalformedSnapshotError, TypeError) as error:
             self.errors.append(NodeAnswerError(answer.address, str(error)))
             return None
         for snapshot in (own, *others):
@@ -86,5 +95,30 @@
         return reconcile(callers, self.account.lines()) if callers else []
 
 
+def _hole_line(hole: Hole) -> str:
+    return (
+        f'hole: {hole.node} {hole.incarnation} from {_shown_time(hole.from_at)}'
+        f' to {_shown_time(hole.to_at)}'
+    )
+
+
+def _imbalance_line(fault: Imbalance) -> str:
+    return (
+        f'imbalance: {fault.node} {fault.service} {fault.kind} '
+        f'{fault.importance}: {fault.law} is off by {fault.excess}'
+    )
+
+
+def _difference_line(fault: Difference) -> str:
+    return (
+        f'difference: {fault.service} {fault.kind} {fault.importance}: '
+        f'{fault.claim} is off by {fault.excess}'
+    )
+
+
+def _shown_time(seconds: float) -> str:
+    return time.strftime('%Y-%m-%dT%H:%M:%SZ', time.gmtime(seconds))
+
+
 def _dicts(records: Iterable[Record]) -> list[dict[str, Any]]:
     return [record.as_dict() for record in records]
--- a/src/lovageshunt/cli/_app.py
+++ b/src/lovageshunt/cli/_app.py
@@ -54,6 +54,11 @@
         module='lovageshunt.cli._status',
         summary='Show a deployment at a glance.',
     ),
+    Group(
+        name='top',
+        module='lovageshunt.cli._top',
+        summary='Show a deployment at a glance, again and again.',
+    ),
     Group(
         name='account',
         module='lovageshunt.cli._account',
--- a/src/lovageshunt/cli/_nodes.py
+++ b/src/lovageshunt/cli/_nodes.py
@@ -1,7 +1,7 @@
 """Asking the admin sides of many nodes at once."""
 
 from asyncio import Semaphore, gather
-from pathlib import Path
+from collections.abc import Sequence
 from ssl import create_default_context
 from typing import Any, Final
 
@@ -32,63 +32,64 @@
     ) -> None:
         """Take the address and either of the two others."""
         self.address = address
-        self.body = body
+        self.body = body or {}
         self.error = error
 
 
 class AdminAccess(Record):
     """How to reach admin sides: token, certificate authority, timeout."""
 
-    __slots__ = ('token', 'ca_file', 'timeout_seconds')
+    __slots__ = ('token', 'authority_file', 'timeout_seconds')
 
     def __init__(
         self,
         *,
-        token: str = '',
-        ca_file: str = '',
-        timeout_seconds: float = 2,
+        token: str,
+        authority_file: str | None,
+        timeout_seconds: float,
     ) -> None:
         """Use TLS when there is a file of certificate authorities."""
         self.token = token
-        self.ca_file = ca_file
+        self.authority_file = authority_file
         self.timeout_seconds = timeout_seconds
 
+    @property
+    def scheme(self) -> str:
+        """Return the scheme of the nodes' URLs."""
+        return 'http' if self.authority_file is None else 'https'
 
-def read_token(path: str) -> str:
-    """Return the token in a file, or an empty one when no file is named."""
-    if not path:
-        return ''
-    return Path(path).read_text(encoding='utf-8').strip()
+    @property
+    def headers(self) -> dict[str, str]:
+        """Return the headers of each request."""
+        if not self.token:
+            return {}
+        return {'authorization': f'Bearer {self.token}'}
+
+    def connector(self) -> TCPConnector:
+        """Return what makes the connections, inside a running loop."""
+        if self.authority_file is None:
+            return TCPConnector(limit=_MAX_CONCURRENT)
+        tls = create_default_context(cafile=self.authority_file)
+        return TCPConnector(limit=_MAX_CONCURRENT, ssl=tls)
 
 
 async def fetch_all(
-    addresses: list[str],
+    addresses: Sequence[str],
     path: str,
     access: AdminAccess,
 ) -> list[NodeAnswer]:
     """Return one answer for each address, in their order."""
-    headers = {}
-    if access.token:
-        headers['authorization'] = f'Bearer {access.token}'
-    tls = (
-        create_default_context(cafile=access.ca_file)
-        if access.ca_file
-        else None
-    )
-    connector = TCPConnector(limit=_MAX_CONCURRENT, ssl=tls or True)
-    scheme = 'https' if tls else 'http'
     free = Semaphore(_MAX_CONCURRENT)
     async with ClientSession(
-        connector=connector,
-        headers=headers,
+        connector=access.connector(),
+        headers=access.headers,
         timeout=ClientTimeout(total=access.timeout_seconds),
     ) as session:
-        return await gather(
-            *(
-                _fetch(session, free, address, f'{scheme}://{address}{path}')
-                for address in addresses
-            ),
-        )
+        asked = [
+            _fetch(session, free, address, f'{access.scheme}://{address}{path}')
+            for address in addresses
+        ]
+        return await gather(*asked)
 
 
 async def _fetch(
@@ -113,11 +114,11 @@
     async with session.get(url, allow_redirects=False) as response:
         if response.status != _OK:
             raise ValueError(f'status {response.status}')
-        raw = await response.content.read(_MAX_ANSWER_BYTES + 1)
-        while not response.content.at_eof() and len(raw) <= _MAX_ANSWER_BYTES:
-            raw += await response.content.readany()
-    if len(raw) > _MAX_ANSWER_BYTES:
-        raise ValueError(f'answer longer than {_MAX_ANSWER_BYTES} bytes')
+        raw = bytearray()
+        async for chunk in response.content.iter_any():
+            raw += chunk
+            if len(raw) > _MAX_ANSWER_BYTES:
+                raise ValueError(f'longer than {_MAX_ANSWER_BYTES} bytes')
     body = orjson.loads(raw)
     if not isinstance(body, dict):
         raise ValueError('the answer is no JSON object')
--- /dev/null
+++ b/src/lovageshunt/cli/_top.py
@@ -0,0 +1,54 @@
+"""The command that shows the status again and again."""
+
+import time
+from collections.abc import Sequence
+from contextlib import suppress
+from itertools import count
+from typing import Final
+
+from absl.flags import DEFINE_float, DEFINE_integer, FlagValues
+
+from lovageshunt.cli._ask import define_nodes
+from lovageshunt.cli._command import Command, ExitCode
+from lovageshunt.cli._status import status
+
+
+def top(arguments: Sequence[str], values: FlagValues) -> ExitCode:
+    """Show the status until it was shown often enough or is interrupted."""
+    code = ExitCode.FINE
+    with suppress(KeyboardInterrupt):
+        for shown in count(1):
+            code = status(arguments, values)
+            if code is ExitCode.FAULTS or shown == values.count:
+                break
+            time.sleep(values.get_flag_value('interval-seconds', None))
+    return code
+
+
+def _define(values: FlagValues) -> None:
+    define_nodes(values)
+    DEFINE_float(
+        'interval-seconds',
+        2,
+        'Time between two showings.',
+        lower_bound=0.01,
+        flag_values=values,
+    )
+    DEFINE_integer(
+        'count',
+        0,
+        'How often to show; 0 goes on until interrupted.',
+        lower_bound=0,
+        flag_values=values,
+    )
+
+
+COMMANDS: Final = (
+    Command(
+        name='',
+        summary='Show the status again and again.',
+        example='--nodes=127.0.0.1:8102 --interval-seconds=1 --count=2',
+        define=_define,
+        run=top,
+    ),
+)
--- a/src/lovageshunt/cli/_trace.py
+++ b/src/lovageshunt/cli/_trace.py
@@ -1,22 +1,21 @@
 """The command that prints the tree of a trace."""
 
 import re
-import sys
-from asyncio import run
+from collections.abc import Sequence
 from typing import Final
 
-import orjson
-from absl import flags
+from absl.flags import FlagValues
+from expression import Result
 
-from lovageshunt.cli._admin_flags import (
-    EXIT_FAULT,
-    EXIT_OK,
-    EXIT_USAGE,
-    access_of,
-    admin_flags,
-    parse_admin_flags,
+from lovageshunt.cli._ask import ask_nodes, define_nodes
+from lovageshunt.cli._command import (
+    Command,
+    ExitCode,
+    write_error,
+    write_json,
+    write_line,
 )
-from lovageshunt.cli._nodes import NodeAnswer, fetch_all
+from lovageshunt.cli._nodes import NodeAnswer
 from lovageshunt.errors import (
     LovageshuntError,
     MalformedSpanError,
@@ -24,42 +23,27 @@
 )
 from lovageshunt.observability import SpanRecord, decode_span, trace_tree
 
-TRACE_USAGE: Final = """\
-Print the tree of a request from the nodes' recent memory, by its trace id or
-its request id.
+_ID: Final = re.compile('[A-Za-z0-9_.:-]+')
 
-  lovageshunt trace 0af7651916cd43dd8448eb211c80319c --nodes=10.0.0.1:7402
 
-Exit code 0: spans were found and all nodes answered; 1: no span, or a node
-gave no answer; 2: the flags are wrong."""
-
-_ID: Final = re.compile('[A-Za-z0-9_-]+')
-
-
-def run_trace(argv: list[str]) -> int:
-    """Run ``lovageshunt trace`` and return its exit code."""
-    values = admin_flags()
-    try:
-        words = parse_admin_flags(values, 'trace', argv, expected=1)
-        some_id = _checked_id(words[0])
-        access = access_of(values)
-    except flags.Error as error:
-        sys.stderr.write(f'lovageshunt trace: {error}\n')
-        return EXIT_USAGE
-    answers = run(fetch_all(values.nodes, f'/v1/traces/{some_id}', access))
-    spans, errors = _spans_of(answers)
-    _show(spans, some_id, is_json=values.json)
-    for fault in errors:
-        sys.stderr.write(f'lovageshunt trace: {fault}\n')
-    return EXIT_OK if spans and not errors else EXIT_FAULT
-
-
-def _checked_id(some_id: str) -> str:
-    if _ID.fullmatch(some_id):
-        return some_id
-    raise flags.Error(
-        f'{some_id!r} is no id; ids hold letters, digits, - and _',
-    )
+def trace(arguments: Sequence[str], values: FlagValues) -> ExitCode:
+    """Print the spans of one request, joined across the nodes."""
+    if len(arguments) != 1 or not _ID.fullmatch(arguments[0]):
+        write_error('expected one trace id or request id; see --help')
+        return ExitCode.FAULTS
+    match ask_nodes(f'/v1/traces/{arguments[0]}', values):
+        case Result(tag='ok', ok=answers):
+            spans, errors = _spans_of(answers)
+        case Result(error=fault):
+            write_error(fault)
+            return ExitCode.FAULTS
+    if values.json:
+        write_json({'spans': [span.as_dict() for span in spans]})
+    else:
+        _show(spans, arguments[0])
+    for error in errors:
+        write_error(str(error))
+    return ExitCode.FINE if spans and not errors else ExitCode.FAILED
 
 
 def _spans_of(
@@ -71,21 +55,30 @@
         if answer.error:
             errors.append(answer.error)
             continue
-        body = answer.body or {}
         try:
-            spans.extend(map(decode_span, body.get('spans', ())))
-        except MalformedSpanError as error:
+            spans.extend(map(decode_span, answer.body.get('spans', ())))
+        except (MalformedSpanError, TypeError) as error:
             errors.append(NodeAnswerError(answer.address, str(error)))
     return spans, errors
 
 
-def _show(spans: list[SpanRecord], some_id: str, *, is_json: bool) -> None:
-    if is_json:
-        shown = orjson.dumps({'spans': spans}, default=SpanRecord.as_dict)
-        sys.stdout.write(f'{shown.decode()}\n')
-        return
-    lines = trace_tree(spans) or [
-        f'No node keeps a span of {some_id}; it may be unsampled, or too old.',
-    ]
-    for line in lines:
-        sys.stdout.write(f'{line}\n')
+def _show(spans: list[SpanRecord], some_id: str) -> None:
+    for line in trace_tree(spans):
+        write_line(line)
+    if not spans:
+        write_line(
+            f'no node keeps a span of {some_id}; it was not sampled, or it is '
+            'too old',
+        )
+
+
+COMMANDS: Final = (
+    Command(
+        name='',
+        arguments='ID',
+        summary='Show the spans of one request, by its id or its trace id.',
+        example='0af7651916cd43dd8448eb211c80319c --nodes=127.0.0.1:8102',
+        define=define_nodes,
+        run=trace,
+    ),
+)
--- a/tests/cli/test_account.py
+++ b/tests/cli/test_account.py
@@ -5,7 +5,7 @@
 
 from lovageshunt.account import Account
 from lovageshunt.calls import Outcome, RefusalReason
-from lovageshunt.cli._account import run_account
+from lovageshunt.cli import main
 from tests.cli.admin_server import admin_server
 
 CALL = ('balances', 'lookup', 1)
@@ -26,7 +26,7 @@
     }
 
 
-class TestRunAccount:
+class TestAccount:
     """``lovageshunt account``."""
 
     def test_accounts_of_all_nodes_are_summed(self, capsys):
@@ -35,7 +35,7 @@
             admin_server({'/v1/account': body_of('n1')}) as one,
             admin_server({'/v1/account': body_of('n2')}) as two,
         ):
-            code = run_account([f'--nodes={one},{two}', '--json'])
+            code = main(['account', f'--nodes={one},{two}', '--json'])
 
         report = orjson.loads(capsys.readouterr().out)
         assert code == 0
@@ -47,7 +47,7 @@
         lost = body_of('n2', 'old')['account']
         body = body_of('n1', kept=[lost])
         with admin_server({'/v1/account': body}) as address:
-            code = run_account([f'--nodes={address}'])
+            code = main(['account', f'--nodes={address}'])
 
         shown = capsys.readouterr().out
         assert code == 1
@@ -55,7 +55,7 @@
 
     def test_unreachable_node_is_named(self, capsys):
         """A node that gives no answer makes the exit code 1."""
-        code = run_account(['--nodes=127.0.1:1'])
+        code = main(['account', '--nodes=127.0.1:1'])
 
         assert code == 1
         assert 'node 127.0.1:1 gave no usable answer' in capsys.readouterr().out
@@ -64,7 +64,7 @@
     def test_malformed_answer_is_named(self, capsys, body):
         """A node that answers something else makes the exit code 1."""
         with admin_server({'/v1/account': body}) as address:
-            code = run_account([f'--nodes={address}'])
+            code = main(['account', f'--nodes={address}'])
 
         assert code == 1
         assert f'node {address} gave no usable' in capsys.readouterr().out
@@ -74,8 +74,8 @@
         token_file = tmp_path / 'token'
         token_file.write_text('secret\n')
         with admin_server({'/v1/account': body_of('n1')}, 'secret') as address:
-            code = run_account(
-                [f'--nodes={address}', f'--token_file={token_file}'],
+            code = main(
+                ['account', f'--nodes={address}', f'--token-file={token_file}'],
             )
 
         assert code == 0
@@ -84,21 +84,40 @@
         """The CSV names service, kind, importance, end, why and calls."""
         path = tmp_path / 'account.csv'
         with admin_server({'/v1/account': body_of('n1')}) as address:
-            run_account([f'--nodes={address}', f'--csv={path}'])
+            main(['account', f'--nodes={address}', f'--csv={path}'])
 
         assert 'balances,lookup,1,refused,overload,1' in path.read_text()
 
+    def test_plot_is_drawn(self, tmp_path):
+        """The plot is written in the format of its ending."""
+        path = tmp_path / 'account.svg'
+        with admin_server({'/v1/account': body_of('n1')}) as address:
+            main(['account', f'--nodes={address}', f'--plot={path}'])
+
+        assert '<svg' in path.read_text()
+
+    @pytest.mark.parametrize('name', ['no/such/folder.csv', 'folder'])
+    def test_unwritable_file_is_named(self, capsys, tmp_path, name):
+        """A CSV that cannot be written makes the exit code 1."""
+        (tmp_path / 'folder').mkdir()
+        path = tmp_path / name
+        with admin_server({'/v1/account': body_of('n1')}) as address:
+            code = main(['account', f'--nodes={address}', f'--csv={path}'])
+
+        assert code == 1
+        assert str(path) in capsys.readouterr().err
+
     @pytest.mark.parametrize(
         'argv',
         [
             [],
             ['--nodes=here'],
-            ['--nodes=a:1', '--token_file=/nowhere'],
+            ['--nodes=a:1', '--token-file=/nowhere'],
             ['--nodes=a:1', '--unheard_of'],
             ['--nodes=a:1', 'left over'],
         ],
     )
     def test_wrong_flags_are_refused(self, capsys, argv):
         """A wrong flag is named with its remedy."""
-        assert run_account(argv) == 2
-        assert 'lovageshunt account: ' in capsys.readouterr().err
+        assert main(['account', *argv]) == 2
+        assert capsys.readouterr().err
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -2,19 +2,19 @@
 
 import orjson
 
-from lovageshunt.cli._status import run_status, run_top
+from lovageshunt.cli import main
 from tests.cli.admin_server import admin_server
 
 BODY = {'node': 'n1', 'incarnation': 'a', 'service': 'balances', 'limit': 12}
 
 
-class TestRunStatus:
+class TestStatus:
     """``lovageshunt status``."""
 
     def test_table_has_a_row_for_each_node(self, capsys):
         """A node's fields stand in its row, unknown ones as a dash."""
         with admin_server({'/v1/status': BODY}) as address:
-            code = run_status([f'--nodes={address}'])
+            code = main(['status', f'--nodes={address}'])
 
         header, row = capsys.readouterr().out.splitlines()
         assert code == 0
@@ -24,7 +24,7 @@
     def test_json_names_the_node_without_answer(self, capsys):
         """A node without an answer is in the JSON, and the exit code 1."""
         with admin_server({'/v1/status': BODY}) as address:
-            code = run_status([f'--nodes={address},127.0.1:1', '--json'])
+            code = main(['status', f'--nodes={address},127.0.1:1', '--json'])
 
         first, second = orjson.loads(capsys.readouterr().out)
         assert code == 1
@@ -32,14 +32,19 @@
         assert 'gave no usable answer' in second['error']
 
 
-class TestRunTop:
+class TestTop:
     """``lovageshunt top``."""
 
     def test_status_is_shown_count_times(self, capsys):
         """The table is printed as often as asked."""
         with admin_server({'/v1/status': BODY}) as address:
-            code = run_top(
-                [f'--nodes={address}', '--interval=0.1', '--count=2'],
+            code = main(
+                [
+                    'top',
+                    f'--nodes={address}',
+                    '--interval-seconds=0.1',
+                    '--count=2',
+                ],
             )
 
         assert code == 0
--- a/tests/cli/test_trace.py
+++ b/tests/cli/test_trace.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lovageshunt.calls import Outcome
-from lovageshunt.cli._trace import run_trace
+from lovageshunt.cli import main
 from lovageshunt.observability import Traces
 from tests.cli.admin_server import admin_server
 
@@ -14,7 +14,7 @@
     return {'node': 'n', 'incarnation': 'a', 'spans': spans}
 
 
-class TestRunTrace:
+class TestTrace:
     """``lovageshunt trace``."""
 
     def test_tree_is_joined_across_nodes(self, capsys):
@@ -34,7 +34,7 @@
             admin_server({'/v1/traces/r': body_of(below, 'r')}) as one,
             admin_server({'/v1/traces/r': body_of(above, 'r')}) as two,
         ):
-            code = run_trace(['r', f'--nodes={one},{two}'])
+            code = main(['trace', 'r', f'--nodes={one},{two}'])
 
         first, second = capsys.readouterr().out.splitlines()
         assert code == 0
@@ -44,13 +44,13 @@
     def test_missing_span_is_said(self, capsys):
         """An id of which no node keeps a span is said to be unknown."""
         with admin_server({'/v1/traces/r': {'spans': []}}) as address:
-            code = run_trace(['r', f'--nodes={address}'])
+            code = main(['trace', 'r', f'--nodes={address}'])
 
         assert code == 1
-        assert 'No node keeps a span of r' in capsys.readouterr().out
+        assert 'no node keeps a span of r' in capsys.readouterr().out
 
     @pytest.mark.parametrize('argv', [[], ['a', 'b'], ['../status']])
     def test_wrong_id_is_refused(self, capsys, argv):
         """One well-formed id is asked for."""
-        assert run_trace([*argv, '--nodes=127.0.1:1']) == 2
+        assert main(['trace', *argv, '--nodes=127.0.1:1']) == 2
         assert 'id' in capsys.readouterr().err
