Compare callers with nodes while calls are on their way

One reading is not at one moment on both sides, so a busy deployment looked contradictory. Two readings are compared crosswise: of each claim the side that may not be the greater is taken from the first. A false 'not run' is found out: without that claim its test fails.

A hole in the nodes' account explains answers that only callers counted. Running calls are checked against what admission holds, since a call whose end is never counted balances by construction.

--- a/src/lovageshunt/account/__init__.py
+++ b/src/lovageshunt/account/__init__.py
@@ -19,7 +19,7 @@
     total_of,
 )
 from lovageshunt.account._merge import Hole, MergedAccount
-from lovageshunt.account._reconcile import Difference, reconcile
+from lovageshunt.account._reconcile import Difference, Reading, reconcile
 from lovageshunt.account._snapshot import (
     AccountSnapshot,
     Role,
@@ -43,6 +43,7 @@
     'KeptSnapshots',
     'MergedAccount',
     'Peer',
+    'Reading',
     'Role',
     'SendSnapshot',
     'SnapshotHeard',
--- a/src/lovageshunt/account/_balance.py
+++ b/src/lovageshunt/account/_balance.py
@@ -1,11 +1,16 @@
 """The check that every call that arrived is accounted for."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from typing import Final
 
 from lovageshunt._record import Record
 from lovageshunt.account._line import AccountLine
 from lovageshunt.account._snapshot import AccountSnapshot
 
+#: The kind and importance of an imbalance that is of a whole service.
+_ALL_KINDS: Final = '(all)'
+_ALL_IMPORTANCES: Final = -1
+
 
 class Imbalance(Record):
     """A line that breaks a law of the account, and by how many calls.
@@ -34,9 +39,17 @@
         self.excess = excess
 
 
-def balance(snapshot: AccountSnapshot) -> list[Imbalance]:
-    """Return what does not balance in a snapshot; empty when all does."""
-    return [
+def balance(
+    snapshot: AccountSnapshot,
+    held_by_service: Mapping[str, int] | None = None,
+) -> list[Imbalance]:
+    """Return what does not balance in a snapshot; empty when all does.
+
+    ``held_by_service`` counts the calls that admission holds, waiting and
+    running, at the same moment; with it a call whose end was never counted
+    shows, too.
+    """
+    by_line = [
         Imbalance(
             node=snapshot.node,
             service=line.service,
@@ -48,6 +61,24 @@
         for line in snapshot.lines
         for law, excess in _excesses(line)
     ]
+    by_service = [
+        Imbalance(
+            node=snapshot.node,
+            service=service,
+            kind=_ALL_KINDS,
+            importance=_ALL_IMPORTANCES,
+            law='running = held by admission',
+            excess=_running_of(snapshot, service) - held,
+        )
+        for service, held in (held_by_service or {}).items()
+        if _running_of(snapshot, service) != held
+    ]
+    return by_line + by_service
+
+
+def _running_of(snapshot: AccountSnapshot, service: str) -> int:
+    lines = [line for line in snapshot.lines if line.service == service]
+    return sum(line.running for line in lines)
 
 
 def _excesses(line: AccountLine) -> Iterator[tuple[str, int]]:
--- a/src/lovageshunt/account/_merge.py
+++ b/src/lovageshunt/account/_merge.py
@@ -21,19 +21,21 @@
     to the moment of asking when there is none (``to_at``), in seconds.
     """
 
-    __slots__ = ('node', 'incarnation', 'from_at', 'to_at')
+    __slots__ = ('node', 'incarnation', 'services', 'from_at', 'to_at')
 
     def __init__(
         self,
         *,
         node: str,
         incarnation: str,
+        services: list[str],
         from_at: float,
         to_at: float,
     ) -> None:
-        """Name the incarnation and the two ends of the hole."""
+        """Name the incarnation, what it served and the two ends."""
         self.node = node
         self.incarnation = incarnation
+        self.services = services
         self.from_at = from_at
         self.to_at = to_at
 
@@ -48,13 +50,16 @@
 
     def __init__(self, snapshots: Iterable[AccountSnapshot] = ()) -> None:
         """Take in the snapshots, if any."""
-        self._newest_by_incarnation: dict[IncarnationKey, AccountSnapshot] = {}
+        self._newest_by_incarnation: dict[
+            tuple[Role, str, str],
+            AccountSnapshot,
+        ] = {}
         for snapshot in snapshots:
             self.add(snapshot)
 
     def add(self, snapshot: AccountSnapshot) -> None:
         """Take in a snapshot, unless a newer one of its life is held."""
-        key = (snapshot.node, snapshot.incarnation)
+        key = (snapshot.role, snapshot.node, snapshot.incarnation)
         held = self._newest_by_incarnation.get(key)
         if held is None or _age_order(held) < _age_order(snapshot):
             self._newest_by_incarnation[key] = snapshot
@@ -65,7 +70,7 @@
             self.add(snapshot)
 
     def snapshots(self) -> list[AccountSnapshot]:
-        """Return the newest snapshots, ordered by node and incarnation."""
+        """Return the newest snapshots, by role, node and incarnation."""
         newest = self._newest_by_incarnation
         return [newest[key] for key in sorted(newest)]
 
@@ -86,17 +91,19 @@
         """Return the holes, given the incarnations that answer ``now``.
 
         An incarnation that is neither live nor has handed over its final
-        snapshot leaves one.
+        snapshot leaves one. What a lost caller saw is in no account.
         """
         return [
             Hole(
                 node=snapshot.node,
                 incarnation=snapshot.incarnation,
+                services=sorted({line.service for line in snapshot.lines}),
                 from_at=snapshot.taken_at,
                 to_at=self._replaced_at(snapshot, now),
             )
             for snapshot in self.snapshots()
-            if not snapshot.is_final
+            if snapshot.role is Role.NODE
+            and not snapshot.is_final
             and (snapshot.node, snapshot.incarnation) not in live
         ]
 
@@ -104,7 +111,8 @@
         starts = [
             snapshot.started_at
             for snapshot in self.snapshots()
-            if snapshot.node == lost.node
+            if snapshot.role is lost.role
+            and snapshot.node == lost.node
             and snapshot.started_at >= lost.taken_at
         ]
         return min(starts, default=now)
--- a/src/lovageshunt/account/_reconcile.py
+++ b/src/lovageshunt/account/_reconcile.py
@@ -1,19 +1,34 @@
 """The check of callers' figures against nodes' figures."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
+from typing import Final
 
 from lovageshunt._record import Record
 from lovageshunt.account._line import (
     AccountLine,
+    LineKey,
     line_of,
     total_of,
 )
 
+#: How a claim begins whose left side is the callers'.
+_AT_CALLERS: Final = 'at callers'
+
 
 class Difference(Record):
-    """A claim that callers' and nodes' figures break, and by how many calls."""
+    """A claim that callers' and nodes' figures break, and by how many calls.
+
+    ``is_explained`` says that a hole in the nodes' account may be why.
+    """
 
-    __slots__ = ('service', 'kind', 'importance', 'claim', 'excess')
+    __slots__ = (
+        'service',
+        'kind',
+        'importance',
+        'claim',
+        'excess',
+        'is_explained',
+    )
 
     def __init__(
         self,
@@ -23,6 +38,7 @@
         importance: int,
         claim: str,
         excess: int,
+        is_explained: bool = False,
     ) -> None:
         """Take the line's key, the claim and the calls too many."""
         self.service = service
@@ -30,62 +46,117 @@
         self.importance = importance
         self.claim = claim
         self.excess = excess
+        self.is_explained = is_explained
+
+
+class Reading(Record):
+    """The lines of callers and of nodes, taken at about one moment.
+
+    ``holed_services`` are those with a hole in the nodes' account.
+    """
+
+    __slots__ = ('callers', 'nodes', 'holed_services')
+
+    def __init__(
+        self,
+        *,
+        callers: Iterable[AccountLine],
+        nodes: Iterable[AccountLine],
+        holed_services: Collection[str] = (),
+    ) -> None:
+        """Sum the lines of each side by key."""
+        self.callers = {line.key: line for line in total_of(callers)}
+        self.nodes = {line.key: line for line in total_of(nodes)}
+        self.holed_services = holed_services
+
+    def caller(self, key: LineKey) -> AccountLine:
+        """Return the callers' line, empty when they have none."""
+        return self.callers.get(key) or line_of(key)
+
+    def node(self, key: LineKey) -> AccountLine:
+        """Return the nodes' line, empty when they have none."""
+        return self.nodes.get(key) or line_of(key)
 
 
 def reconcile(
-    callers: Iterable[AccountLine],
-    nodes: Iterable[AccountLine],
+    first: Reading,
+    second: Reading | None = None,
 ) -> list[Difference]:
     """Return where callers' figures contradict nodes' figures.
 
-    The figures must cover the same calls: taken while no call is on its
-    way, from all nodes without a hole and from all callers but those whose
-    calls the nodes counted as external. Then, for each line:
+    While calls are on their way one reading cannot be at one moment on both
+    sides, so two are compared crosswise: of each claim the side that may
+    not be the greater is taken from the first. Without traffic one will do.
+    Callers without an account are counted by nodes as external. Then, for
+    each line:
 
     - what callers were answered, nodes answered;
-    - what callers were refused after sending it, nodes refused;
+    - what callers were told is not run after sending it, nodes refused;
     - what arrived at nodes, callers sent;
     - what nodes answered and no caller had, callers call unknown or failed,
       or still wait for.
     """
-    caller_by_key = {line.key: line for line in total_of(callers)}
-    node_by_key = {line.key: line for line in total_of(nodes)}
+    second = second or first
     return [
-        Difference(
-            service=key[0],
-            kind=key[1],
-            importance=key[2],
+        difference
+        for key in sorted(first.callers.keys() | first.nodes.keys())
+        for difference in _differences(key, first, second)
+        if difference.excess > 0
+    ]
+
+
+def _differences(
+    key: LineKey,
+    first: Reading,
+    second: Reading,
+) -> Iterator[Difference]:
+    service, kind, importance = key
+    is_holed = service in second.holed_services
+    by_nodes = _caller_excesses(first.caller(key), second.node(key))
+    by_callers = _node_excesses(first.node(key), second.caller(key))
+    for claim, excess in (*by_nodes, *by_callers):
+        yield Difference(
+            service=service,
+            kind=kind,
+            importance=importance,
             claim=claim,
             excess=excess,
+            # A hole hides calls of nodes, so nodes' figures are too low.
+            is_explained=is_holed and claim.startswith(_AT_CALLERS),
         )
-        for key in sorted(caller_by_key.keys() | node_by_key.keys())
-        for claim, excess in _claims(
-            caller_by_key.get(key) or line_of(key),
-            node_by_key.get(key) or line_of(key),
-        )
-        if excess > 0
-    ]
 
 
-def _claims(
+def _caller_excesses(
     caller: AccountLine,
     node: AccountLine,
-) -> Iterator[tuple[str, int]]:
-    yield (
-        'answered at callers <= answered at nodes',
-        caller.answered - node.answered,
-    )
-    yield (
-        'refused by nodes at callers <= refused at nodes',
-        _refused_by_nodes(caller) - node.refused,
+) -> tuple[tuple[str, int], ...]:
+    return (
+        (
+            f'{_AT_CALLERS} answered <= answered at nodes',
+            caller.answered - node.answered,
+        ),
+        (
+            f'{_AT_CALLERS} told not run <= refused at nodes',
+            _refused_by_nodes(caller) - node.refused,
+        ),
     )
-    yield (
-        'arrived at nodes <= sent by callers',
-        node.arrived - node.external - _sent(caller),
-    )
-    yield (
-        'answered at nodes <= answered or without outcome at callers',
-        node.answered - node.external - caller.answered - _open_at(caller),
+
+
+def _node_excesses(
+    node: AccountLine,
+    caller: AccountLine,
+) -> tuple[tuple[str, int], ...]:
+    open_calls = caller.unknown + caller.failed + caller.running
+    had = caller.answered + open_calls
+    return (
+        (
+            'at nodes arrived <= sent by callers',
+            node.arrived - node.external - caller.dispatched - caller.running,
+        ),
+        (
+            'at nodes answered <= answered or without outcome at callers',
+            node.answered - node.external - had,
+        ),
     )
 
 
@@ -93,11 +164,3 @@
     # What a caller never sent it refused itself, so it counts as not run.
     unsent = caller.ended - caller.dispatched
     return caller.refused - unsent
-
-
-def _sent(caller: AccountLine) -> int:
-    return caller.dispatched + caller.running
-
-
-def _open_at(caller: AccountLine) -> int:
-    return caller.unknown + caller.failed + caller.running
--- a/src/lovageshunt/cli/_account.py
+++ b/src/lovageshunt/cli/_account.py
@@ -7,11 +7,17 @@
 from pathlib import Path
 from typing import Final
 
-from absl.flags import DEFINE_string, FlagValues
-from expression import Result
-
-from lovageshunt.account import AccountLine, Role, causes_of
-from lovageshunt.cli._account_report import AccountReport
+import orjson
+from absl.flags import DEFINE_list, DEFINE_string, FlagValues
+from expression import Error, Ok, Result
+
+from lovageshunt.account import (
+    AccountLine,
+    Role,
+    causes_of,
+    snapshot_from_dict,
+)
+from lovageshunt.cli._account_report import AccountReport, Collection
 from lovageshunt.cli._ask import ask_nodes, define_nodes
 from lovageshunt.cli._command import (
     Command,
@@ -21,6 +27,7 @@
     write_line,
     write_table,
 )
+from lovageshunt.errors import LovageshuntError
 
 _PATH: Final = '/v1/account'
 _KEY_HEADERS: Final = ('service', 'kind', 'importance')
@@ -42,12 +49,46 @@
     if arguments:
         write_error('expected flags only; see --help')
         return ExitCode.FAULTS
-    match ask_nodes(_PATH, values):
-        case Result(tag='ok', ok=answers):
-            report = AccountReport(answers, time.time())
+    match _collect(values):
+        case Result(tag='ok', ok=report):
+            return _publish(report, values)
         case Result(error=fault):
             write_error(fault)
-            return ExitCode.FAULTS
+    return ExitCode.FAULTS
+
+
+def _collect(values: FlagValues) -> Result[AccountReport, str]:
+    earlier = _collect_once(values)
+    collection = _collect_once(values)
+    return earlier.map2(
+        collection,
+        lambda first, second: AccountReport(second, earlier=first),
+    )
+
+
+def _collect_once(values: FlagValues) -> Result[Collection, str]:
+    return ask_nodes(_PATH, values).bind(
+        lambda answers: _with_callers(
+            Collection(answers, time.time()),
+            values.callers or (),
+        ),
+    )
+
+
+def _with_callers(
+    collection: Collection,
+    paths: Sequence[str],
+) -> Result[Collection, str]:
+    for path in paths:
+        try:
+            fields = orjson.loads(Path(path).read_bytes())
+            collection.add(snapshot_from_dict(fields))
+        except (LovageshuntError, OSError, ValueError) as error:
+            return Error(f'--callers has {path!r} ({error}); name snapshots')
+    return Ok(collection)
+
+
+def _publish(report: AccountReport, values: FlagValues) -> ExitCode:
     if not _write_files(report, values):
         return ExitCode.FAILED
     if values.json:
@@ -58,7 +99,7 @@
 
 
 def _write_files(report: AccountReport, values: FlagValues) -> bool:
-    lines = report.account.lines()
+    lines = report.lines()
     try:
         if values.csv is not None:
             write_csv(lines, Path(values.csv))
@@ -107,8 +148,8 @@
 
 
 def _show(report: AccountReport) -> None:
-    _show_lines('at nodes', report.account.lines())
-    callers = report.account.lines(Role.CALLER)
+    _show_lines('at nodes', report.lines())
+    callers = report.lines(Role.CALLER)
     if callers:
         _show_lines('as callers saw it', callers)
     for fault in report.faults():
@@ -136,6 +177,12 @@
 
 def _define(values: FlagValues) -> None:
     define_nodes(values)
+    DEFINE_list(
+        'callers',
+        None,
+        'Files with snapshots that callers wrote, to be compared.',
+        flag_values=values,
+    )
     DEFINE_string(
         'csv',
         None,
--- a/src/lovageshunt/cli/_account_report.py
+++ b/src/lovageshunt/cli/_account_report.py
@@ -6,94 +6,133 @@
 
 from lovageshunt._record import Record
 from lovageshunt.account import (
+    AccountLine,
     AccountSnapshot,
     Difference,
     Hole,
     Imbalance,
     MergedAccount,
+    Reading,
     Role,
     balance,
     reconcile,
     snapshot_from_dict,
 )
 from lovageshunt.cli._nodes import NodeAnswer
-from lovageshunt.errors import (
-    LovageshuntError,
-    MalformedSnapshotError,
-    NodeAnswerError,
-)
+from lovageshunt.errors import LovageshuntError, NodeAnswerError
 
 
-class AccountReport:
-    """What was collected, and what is wrong with it."""
+class Collection:
+    """The snapshots in the answers of the nodes, and what went wrong."""
 
-    __slots__ = ('account', 'errors', 'holes', 'imbalances', 'differences')
+    __slots__ = ('account', 'errors', 'holes', 'imbalances')
 
     def __init__(self, answers: list[NodeAnswer], now: float) -> None:
         """Merge the nodes' answers as of ``now``, in seconds since 1970."""
         self.account = MergedAccount()
         self.errors: list[LovageshuntError] = []
-        live = []
-        for answer in answers:
-            snapshot = self._take(answer)
-            if snapshot:
-                live.append((snapshot.node, snapshot.incarnation))
-        self.holes: list[Hole] = self.account.holes(now, live)
-        self.imbalances: list[Imbalance] = [
-            imbalance
-            for snapshot in self.account.snapshots()
-            for imbalance in balance(snapshot)
+        self.imbalances: list[Imbalance] = []
+        live = [
+            (own.node, own.incarnation)
+            for own in map(self._take, answers)
+            if own is not None
         ]
-        self.differences: list[Difference] = self._differences()
+        self.holes: list[Hole] = self.account.holes(now, live)
+
+    def add(self, snapshot: AccountSnapshot) -> None:
+        """Take in a snapshot that a caller wrote."""
+        self.account.add(snapshot)
+        self.imbalances.extend(balance(snapshot))
+
+    def reading(self) -> Reading:
+        """Return the figures to compare callers with nodes."""
+        return Reading(
+            callers=self.account.lines(Role.CALLER),
+            nodes=self.account.lines(),
+            holed_services=[
+                service for hole in self.holes for service in hole.services
+            ],
+        )
+
+    def _take(self, answer: NodeAnswer) -> AccountSnapshot | None:
+        if answer.error:
+            self.errors.append(answer.error)
+            return None
+        try:
+            return self._take_body(answer.body)
+        except (LovageshuntError, TypeError, ValueError) as error:
+            self.errors.append(NodeAnswerError(answer.address, str(error)))
+            return None
+
+    def _take_body(self, body: dict[str, Any]) -> AccountSnapshot:
+        own = snapshot_from_dict(body.get('account'))
+        for name in ('callers', 'kept'):
+            for fields in body.get(name, ()):
+                self.add(snapshot_from_dict(fields))
+        held = body.get('held_by_service')
+        self.account.add(own)
+        self.imbalances.extend(balance(own, held))
+        return own
+
+
+class AccountReport:
+    """What was collected, and what is wrong with it.
+
+    ``earlier`` was collected just before, so that figures of callers and
+    nodes can be compared while calls are on their way.
+    """
+
+    __slots__ = ('_collection', 'differences')
+
+    def __init__(self, collection: Collection, earlier: Collection) -> None:
+        """Compare the two collections."""
+        self._collection = collection
+        self.differences: list[Difference] = []
+        if self.lines(Role.CALLER):
+            self.differences = reconcile(
+                earlier.reading(),
+                collection.reading(),
+            )
 
     @property
     def is_whole(self) -> bool:
         """Say whether nothing is missing and all balances."""
-        return not (self.errors or self.holes or self.imbalances)
+        found = self._collection
+        unexplained = [
+            difference
+            for difference in self.differences
+            if not difference.is_explained
+        ]
+        missing = found.errors or found.holes
+        return not (missing or found.imbalances or unexplained)
+
+    def lines(self, role: Role = Role.NODE) -> list[AccountLine]:
+        """Return the counts of all nodes, or of all callers."""
+        return self._collection.account.lines(role)
 
     def as_dict(self) -> dict[str, Any]:
         """Return the report for programs."""
+        found = self._collection
         return {
             'is_whole': self.is_whole,
-            'nodes': _dicts(self.account.lines()),
-            'callers': _dicts(self.account.lines(Role.CALLER)),
-            'holes': _dicts(self.holes),
-            'imbalances': _dicts(self.imbalances),
+            'nodes': _dicts(self.lines()),
+            'callers': _dicts(self.lines(Role.CALLER)),
+            'holes': _dicts(found.holes),
+            'imbalances': _dicts(found.imbalances),
             'differences': _dicts(self.differences),
-            'errors': [str(error) for error in self.errors],
+            'errors': [str(error) for error in found.errors],
         }
 
     def faults(self) -> list[str]:
         """Return a line for each fault, for people."""
+        found = self._collection
         return [
-            *map(str, self.errors),
-            *map(_hole_line, self.holes),
-            *map(_imbalance_line, self.imbalances),
+            *map(str, found.errors),
+            *map(_hole_line, found.holes),
+            *map(_imbalance_line, found.imbalances),
             *map(_difference_line, self.differences),
         ]
 
-    def _take(self, answer: NodeAnswer) -> AccountSnapshot | None:
-        if answer.error:
-            self.errors.append(answer.error)
-            return None
-        try:
-            own = snapshot_from_dict(answer.body.get('account'))
-            others = [
-                snapshot_from_dict(fields)
-                for name in ('callers', 'kept')
-                for fields in answer.body.get(name, ())
-            ]
-        except (MalformedSnapshotError, TypeError) as error:
-            self.errors.append(NodeAnswerError(answer.address, str(error)))
-            return None
-        for snapshot in (own, *others):
-            self.account.add(snapshot)
-        return own
-
-    def _differences(self) -> list[Difference]:
-        callers = self.account.lines(Role.CALLER)
-        return reconcile(callers, self.account.lines()) if callers else []
-
 
 def _hole_line(hole: Hole) -> str:
     return (
@@ -110,9 +149,10 @@
 
 
 def _difference_line(fault: Difference) -> str:
+    why = ', which a hole may explain' if fault.is_explained else ''
     return (
         f'difference: {fault.service} {fault.kind} {fault.importance}: '
-        f'{fault.claim} is off by {fault.excess}'
+        f'{fault.claim} is off by {fault.excess}{why}'
     )
 
 
--- a/tests/account/test_account.py
+++ b/tests/account/test_account.py
@@ -69,6 +69,17 @@
         assert imbalance.law == 'running >= 0'
         assert imbalance.excess == 1
 
+    def test_end_never_counted_is_an_imbalance(self):
+        """A call that admission no longer holds but never ended shows."""
+        account = Account('n1', 'a', 0)
+        account.arrived('balances', 'lookup', 1)
+        snapshot = account.snapshot(1)
+
+        imbalance = only(balance(snapshot, {'balances': 0}))
+
+        assert imbalance.excess == 1
+        assert not balance(snapshot, {'balances': 1})
+
     def test_waste_is_counted_by_reason(self):
         """A cancelled call that ran is wasted because it was cancelled."""
         account = Account('n1', 'a', 0)
--- a/tests/account/test_reconcile.py
+++ b/tests/account/test_reconcile.py
@@ -3,61 +3,166 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lovageshunt.account import Account, Role, reconcile
+from lovageshunt.account import Account, Reading, Role, reconcile
 from lovageshunt.calls import Outcome, RefusalReason
+from tests.only import only
 
 CALL = ('balances', 'lookup', 1)
-#: How a node ended a call, and whether its answer reached the caller.
-ENDS = st.lists(
-    st.tuples(st.sampled_from(Outcome), st.booleans(), st.booleans()),
-    max_size=30,
+
+
+class World:
+    """One caller and one node, whose accounts are read mid-flight."""
+
+    def __init__(self):
+        self.caller = Account('phone', 'a', 0, role=Role.CALLER)
+        self.node = Account('n1', 'a', 0)
+        self.sent = 0
+        self.at_node = 0
+        self.answers = []
+
+    def refuse(self, outcome):
+        """The caller refuses a call itself."""
+        self.caller.arrived(*CALL)
+        self.caller.ended(*CALL, Outcome.NOT_RUN, RefusalReason.NO_TARGET)
+
+    def send(self, outcome):
+        """The caller sends a call."""
+        self.caller.arrived(*CALL)
+        self.sent += 1
+
+    def lose(self, outcome):
+        """A call is lost on its way to the node."""
+        if self.sent:
+            self.sent -= 1
+            self.caller.ended(*CALL, Outcome.UNKNOWN, ran=True)
+
+    def arrive(self, outcome):
+        """A call arrives at the node."""
+        if self.sent:
+            self.sent -= 1
+            self.at_node += 1
+            self.node.arrived(*CALL)
+
+    def end(self, outcome):
+        """The node answers a call."""
+        if self.at_node:
+            self.at_node -= 1
+            self.node.ended(*CALL, outcome, ran=outcome != Outcome.NOT_RUN)
+            self.answers.append(outcome)
+
+    def receive(self, outcome):
+        """The caller has the oldest answer."""
+        if self.answers:
+            self.caller.ended(*CALL, self.answers.pop(0), ran=True)
+
+    def lose_answer(self, outcome):
+        """The oldest answer is lost on its way to the caller."""
+        if self.answers:
+            self.answers.pop(0)
+            self.caller.ended(*CALL, Outcome.UNKNOWN, ran=True)
+
+    def reading(self, **fields):
+        """Return the figures of this moment."""
+        return Reading(
+            callers=self.caller.snapshot(1).lines,
+            nodes=self.node.snapshot(1).lines,
+            **fields,
+        )
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                World.refuse,
+                World.send,
+                World.lose,
+                World.arrive,
+                World.end,
+                World.receive,
+                World.lose_answer,
+            ],
+        ),
+        st.sampled_from(Outcome),
+    ),
+    max_size=40,
 )
 
 
-def accounts_of(ends):
-    """Return a caller's and a node's lines after calls that ended so."""
-    caller = Account('phone', 'a', 0, role=Role.CALLER)
-    node = Account('n1', 'a', 0)
-    for outcome, reached_node, reached_caller in ends:
-        caller.arrived(*CALL)
-        if not reached_node:
-            caller.ended(*CALL, Outcome.NOT_RUN, RefusalReason.NO_TARGET)
-            continue
-        node.arrived(*CALL)
-        node.ended(*CALL, outcome, ran=outcome is not Outcome.NOT_RUN)
-        seen = outcome if reached_caller else Outcome.UNKNOWN
-        caller.ended(*CALL, seen, ran=True)
-    return caller.snapshot(1.0).lines, node.snapshot(1.0).lines
+def run(*steps):
+    """Return a world after steps that all end in an answer."""
+    world = World()
+    for step in steps:
+        step(world, Outcome.ANSWERED)
+    return world
 
 
 class TestReconcile:
     """Reconciling."""
 
-    @given(ends=ENDS)
-    def test_lost_answers_are_no_contradiction(self, ends):
-        """Answers lost on the way and calls never sent are explained."""
-        assert not reconcile(*accounts_of(ends))
+    @given(before=STEPS, between=STEPS, after=STEPS)
+    def test_honest_figures_never_differ(self, before, between, after):
+        """Readings taken at different moments of a lossy world agree.
+
+        Callers are read before nodes the first time and after them the
+        second time, with calls on their way all along.
+        """
+        world = World()
+        for step, outcome in before:
+            step(world, outcome)
+        first = world.reading()
+        for step, outcome in between:
+            step(world, outcome)
+        first = Reading(
+            callers=first.callers.values(),
+            nodes=world.reading().nodes.values(),
+        )
+        for step, outcome in after:
+            step(world, outcome)
+
+        assert not reconcile(first, world.reading())
 
     def test_answer_that_no_node_gave_is_a_difference(self):
-        """A caller that was answered more often than nodes answered."""
-        callers, _ = accounts_of([(Outcome.ANSWERED, True, True)])
+        """A caller was answered more often than nodes answered."""
+        world = run(World.send, World.arrive, World.end, World.receive)
+        world.node = Account('n1', 'a', 0)
+
+        difference = only(reconcile(world.reading()))
+
+        assert difference.claim == 'at callers answered <= answered at nodes'
+        assert not difference.is_explained
+
+    def test_hole_explains_missing_answers(self):
+        """Answers that a lost node gave are missed, and the hole says why."""
+        world = run(World.send, World.arrive, World.end, World.receive)
+        world.node = Account('n1', 'a', 0)
+
+        found = reconcile(world.reading(holed_services=['balances']))
+
+        assert only(found).is_explained
+
+    def test_false_not_run_is_a_difference(self):
+        """A caller that says not run of what a node ran is found out."""
+        world = run(World.send, World.arrive, World.end)
+        world.caller.ended(*CALL, Outcome.NOT_RUN, ran=True)
 
-        claims = [found.claim for found in reconcile(callers, [])]
+        claims = [found.claim for found in reconcile(world.reading())]
 
-        assert 'answered at callers <= answered at nodes' in claims
+        assert 'at callers told not run <= refused at nodes' in claims
 
     def test_call_that_no_caller_sent_is_a_difference(self):
-        """A node at which more arrived than callers sent."""
-        _, nodes = accounts_of([(Outcome.ANSWERED, True, True)])
+        """More arrived at a node than callers sent."""
+        world = run(World.send, World.arrive)
+        world.caller = Account('phone', 'a', 0, role=Role.CALLER)
 
-        claims = [found.claim for found in reconcile([], nodes)]
+        difference = only(reconcile(world.reading()))
 
-        assert 'arrived at nodes <= sent by callers' in claims
+        assert difference.claim == 'at nodes arrived <= sent by callers'
 
     def test_external_callers_are_left_out(self):
         """Calls of callers that keep no account are no difference."""
-        node = Account('n1', 'a', 0)
-        node.arrived(*CALL, is_external=True)
-        node.ended(*CALL, Outcome.ANSWERED, ran=True)
+        world = World()
+        world.node.arrived(*CALL, is_external=True)
+        world.node.ended(*CALL, Outcome.ANSWERED, ran=True)
 
-        assert not reconcile([], node.snapshot(1.0).lines)
+        assert not reconcile(world.reading())
--- a/tests/cli/test_account.py
+++ b/tests/cli/test_account.py
@@ -3,7 +3,7 @@
 import orjson
 import pytest
 
-from lovageshunt.account import Account
+from lovageshunt.account import Account, Role
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.cli import main
 from tests.cli.admin_server import admin_server
@@ -53,6 +53,22 @@
         assert code == 1
         assert 'hole: n2 old from 1970-01-01T00:01:00Z' in shown
 
+    def test_callers_are_compared(self, capsys, tmp_path):
+        """A caller's snapshot that contradicts the nodes' is named."""
+        path = tmp_path / 'phone.json'
+        phone = Account('phone', 'a', 0, role=Role.CALLER)
+        for _ in range(3):
+            phone.arrived(*CALL)
+            phone.ended(*CALL, Outcome.ANSWERED, ran=True)
+        path.write_bytes(orjson.dumps(phone.snapshot(9).as_dict()))
+        with admin_server({'/v1/account': body_of('n1')}) as address:
+            code = main(
+                ['account', f'--nodes={address}', f'--callers={path}'],
+            )
+
+        assert code == 1
+        assert 'answered at nodes is off by 2' in capsys.readouterr().out
+
     def test_unreachable_node_is_named(self, capsys):
         """A node that gives no answer makes the exit code 1."""
         code = main(['account', '--nodes=127.0.1:1'])
@@ -115,6 +131,7 @@
             ['--nodes=a:1', '--token-file=/nowhere'],
             ['--nodes=a:1', '--unheard_of'],
             ['--nodes=a:1', 'left over'],
+            ['--nodes=127.0.0.1:1', '--callers=/nowhere'],
         ],
     )
     def test_wrong_flags_are_refused(self, capsys, argv):
