--- a/tests/account/test_reconcile.py
+++ b/tests/account/test_reconcile.py
@@ -122,6 +122,15 @@
 
         assert not reconcile(first, world.reading())
 
+    def test_calls_between_readings_are_no_difference(self):
+        """What moves on between the two readings contradicts nothing."""
+        world = run(World.send, World.arrive)
+        first = world.reading()
+        for step in (World.end, World.receive, World.send, World.arrive):
+            step(world, Outcome.ANSWERED)
+
+        assert not reconcile(first, world.reading())
+
     def test_answer_that_no_node_gave_is_a_difference(self):
         """A caller was answered more often than nodes answered."""
         world = run(World.send, World.arrive, World.end, World.receive)
