Keep callers' accounts beside nodes', and count suppressed logs

An account is named by role, node and incarnation, so that a caller named like a node is not taken for it. configure_logs returns the rate limit, whose total of suppressed records is a metric.

--- a/bench/observability.py
+++ b/bench/observability.py
@@ -62,10 +62,8 @@
 
 
 def _log_step(records_per_second: int) -> Step:
-    handler = configure_logs('INFO', records_per_second, io.StringIO())
+    configure_logs('INFO', records_per_second, io.StringIO())
     logger = logging.getLogger('bench')
-    logger.handlers = [handler]
-    logger.propagate = False
     return lambda: logger.info('refused', extra={'reason': 'overload'})
 
 
--- a/src/lovageshunt/account/_keeping.py
+++ b/src/lovageshunt/account/_keeping.py
@@ -10,14 +10,18 @@
 from lovageshunt.account._keepers import Peer, keepers_of
 from lovageshunt.account._kept import KeptSnapshots
 from lovageshunt.account._merge import IncarnationKey
-from lovageshunt.account._snapshot import AccountSnapshot, encode_snapshot
+from lovageshunt.account._snapshot import (
+    AccountSnapshot,
+    Owner,
+    encode_snapshot,
+)
 
 #: Time between two snapshots to the keepers; a kill loses at most this much.
 INTERVAL_SECONDS: Final = 30
 #: What keeping may send, on average; a longer account is sent less often.
 BYTES_PER_SECOND: Final = 200
 #: An account, and the life of a keeper that it was handed to.
-_Handing = tuple[IncarnationKey, IncarnationKey]
+_Handing = tuple[Owner, IncarnationKey]
 #: An account that was not heard for so long belongs to a lost node.
 _QUIET_SECONDS: Final = 3 * INTERVAL_SECONDS
 
@@ -158,9 +162,9 @@
         now: float,
         peers: Sequence[Peer],
     ) -> Iterator[SendSnapshot]:
-        for key, raw in self.kept.quiet_since(now - _QUIET_SECONDS):
-            for keeper in keepers_of(key[0], peers):
-                handing = (key, (keeper.node, keeper.incarnation))
+        for owner, raw in self.kept.quiet_since(now - _QUIET_SECONDS):
+            for keeper in keepers_of(owner[1], peers):
+                handing = (owner, (keeper.node, keeper.incarnation))
                 is_own = keeper.node == self._own.node
                 if is_own or handing in self._handed_on:
                     continue
--- a/src/lovageshunt/account/_kept.py
+++ b/src/lovageshunt/account/_kept.py
@@ -3,9 +3,10 @@
 from typing import Final
 
 from lovageshunt._record import Record
-from lovageshunt.account._merge import IncarnationKey
 from lovageshunt.account._snapshot import (
     AccountSnapshot,
+    Owner,
+    Role,
     decode_snapshot,
     encode_snapshot,
 )
@@ -48,60 +49,64 @@
     The wire form is kept, because it takes a fraction of the memory.
     """
 
-    __slots__ = ('forgotten', '_kept_by_incarnation')
+    __slots__ = ('forgotten', '_kept_by_owner')
 
     def __init__(self) -> None:
         """Start with nothing."""
         self.forgotten = 0
-        self._kept_by_incarnation: dict[IncarnationKey, KeptSnapshot] = {}
+        self._kept_by_owner: dict[Owner, KeptSnapshot] = {}
 
-    def __contains__(self, key: IncarnationKey) -> bool:
-        """Say whether anything of an incarnation is kept."""
-        return key in self._kept_by_incarnation
+    def __contains__(self, owner: Owner) -> bool:
+        """Say whether an account is kept."""
+        return owner in self._kept_by_owner
 
     def keep(self, snapshot: AccountSnapshot, now: float) -> None:
         """Keep a snapshot unless a newer one of its life is kept."""
-        key = (snapshot.node, snapshot.incarnation)
-        held = self._kept_by_incarnation.get(key)
+        owner = snapshot.owner
+        held = self._kept_by_owner.get(owner)
         if held and held.sequence >= snapshot.sequence:
             return
-        self._kept_by_incarnation[key] = KeptSnapshot(
+        self._kept_by_owner[owner] = KeptSnapshot(
             raw=encode_snapshot(snapshot),
             sequence=snapshot.sequence,
             taken_at=snapshot.taken_at,
             heard_at=now,
             is_final=snapshot.is_final,
         )
-        if len(self._kept_by_incarnation) > MAX_KEPT:
+        if len(self._kept_by_owner) > MAX_KEPT:
             self._forget(self._oldest())
 
     def drop_old(self, now: float) -> None:
         """Drop what is older than a day and a little."""
         old = [
-            key
-            for key, kept in self._kept_by_incarnation.items()
+            owner
+            for owner, kept in self._kept_by_owner.items()
             if now - kept.heard_at > MAX_KEPT_SECONDS
         ]
-        for key in old:
-            self._forget(key)
+        for owner in old:
+            self._forget(owner)
 
-    def quiet_since(self, moment: float) -> list[tuple[IncarnationKey, bytes]]:
+    def quiet_since(self, moment: float) -> list[tuple[Owner, bytes]]:
         """Return those that are final or were last heard before ``moment``."""
         return [
-            (key, kept.raw)
-            for key, kept in self._kept_by_incarnation.items()
+            (owner, kept.raw)
+            for owner, kept in self._kept_by_owner.items()
             if kept.is_final or kept.heard_at < moment
         ]
 
-    def snapshots(self) -> list[AccountSnapshot]:
-        """Return all that is kept, ordered by node and incarnation."""
-        kept = self._kept_by_incarnation
-        return [decode_snapshot(kept[key].raw) for key in sorted(kept)]
+    def snapshots(self, role: Role) -> list[AccountSnapshot]:
+        """Return what is kept of one role, ordered by node."""
+        kept = self._kept_by_owner
+        return [
+            decode_snapshot(kept[owner].raw)
+            for owner in sorted(kept)
+            if owner[0] is role
+        ]
 
-    def _oldest(self) -> IncarnationKey:
-        kept = self._kept_by_incarnation
-        return min(kept, key=lambda key: (kept[key].heard_at, key))
+    def _oldest(self) -> Owner:
+        kept = self._kept_by_owner
+        return min(kept, key=lambda owner: (kept[owner].heard_at, owner))
 
-    def _forget(self, key: IncarnationKey) -> None:
-        self._kept_by_incarnation.pop(key)
+    def _forget(self, owner: Owner) -> None:
+        self._kept_by_owner.pop(owner)
         self.forgotten += 1
--- a/src/lovageshunt/account/_merge.py
+++ b/src/lovageshunt/account/_merge.py
@@ -7,10 +7,12 @@
 from lovageshunt.account._line import AccountLine, total_of
 from lovageshunt.account._snapshot import (
     AccountSnapshot,
+    Owner,
     Role,
     encode_snapshot,
 )
 
+#: A node and one life of it.
 IncarnationKey = tuple[str, str]
 
 
@@ -46,23 +48,19 @@
     The order in which snapshots come, and how often, makes no difference.
     """
 
-    __slots__ = ('_newest_by_incarnation',)
+    __slots__ = ('_newest_by_owner',)
 
     def __init__(self, snapshots: Iterable[AccountSnapshot] = ()) -> None:
         """Take in the snapshots, if any."""
-        self._newest_by_incarnation: dict[
-            tuple[Role, str, str],
-            AccountSnapshot,
-        ] = {}
+        self._newest_by_owner: dict[Owner, AccountSnapshot] = {}
         for snapshot in snapshots:
             self.add(snapshot)
 
     def add(self, snapshot: AccountSnapshot) -> None:
         """Take in a snapshot, unless a newer one of its life is held."""
-        key = (snapshot.role, snapshot.node, snapshot.incarnation)
-        held = self._newest_by_incarnation.get(key)
+        held = self._newest_by_owner.get(snapshot.owner)
         if held is None or _age_order(held) < _age_order(snapshot):
-            self._newest_by_incarnation[key] = snapshot
+            self._newest_by_owner[snapshot.owner] = snapshot
 
     def merge(self, other: 'MergedAccount') -> None:
         """Take in all that another merged account holds."""
@@ -71,7 +69,7 @@
 
     def snapshots(self) -> list[AccountSnapshot]:
         """Return the newest snapshots, by role, node and incarnation."""
-        newest = self._newest_by_incarnation
+        newest = self._newest_by_owner
         return [newest[key] for key in sorted(newest)]
 
     def lines(self, role: Role = Role.NODE) -> list[AccountLine]:
--- a/src/lovageshunt/account/_snapshot.py
+++ b/src/lovageshunt/account/_snapshot.py
@@ -26,6 +26,10 @@
     CALLER = 'caller'
 
 
+#: What names an account: role, node and incarnation.
+Owner = tuple[Role, str, str]
+
+
 class AccountSnapshot(Record):
     """The cumulative counters of one incarnation at one moment.
 
@@ -67,6 +71,11 @@
         self.is_final = is_final
         self.lines = lines or []
 
+    @property
+    def owner(self) -> Owner:
+        """Return whose account this is."""
+        return (self.role, self.node, self.incarnation)
+
     def as_dict(self) -> dict[str, Any]:
         """Return the fields by name; counters that are 0 are left out."""
         fields = super().as_dict()
--- a/src/lovageshunt/cli/_status.py
+++ b/src/lovageshunt/cli/_status.py
@@ -24,7 +24,7 @@
     {
         'node': 'node',
         'service': 'service',
-        'target': 'target_state',
+        'state': 'state',
         'running': 'running',
         'waiting': 'waiting',
         'limit': 'limit',
--- a/src/lovageshunt/observability/_logs.py
+++ b/src/lovageshunt/observability/_logs.py
@@ -34,6 +34,7 @@
         self._records_per_second = records_per_second
         self._clock = clock
         self._second = -1
+        self.suppressed_total = 0
         self._passed = 0
         self._passed_errors = 0
         self._suppressed = 0
@@ -43,6 +44,7 @@
         self._turn(int(self._clock()))
         if not self._has_room(record):
             self._suppressed += 1
+            self.suppressed_total += 1
             return False
         if self._suppressed:
             record.suppressed = self._suppressed
@@ -89,15 +91,16 @@
     level: str,
     records_per_second: int,
     stream: TextIO | None = None,
-) -> logging.Handler:
+) -> RateLimit:
     """Send all logs as JSON lines to one stream, by default standard error.
 
-    ``level`` is a name such as ``INFO``. Returns the handler, which takes
-    the place of all earlier ones.
+    ``level`` is a name such as ``INFO``. All earlier handlers are removed.
+    Returns the limit, whose ``suppressed_total`` goes into the metrics.
     """
+    limit = RateLimit(records_per_second)
     handler = logging.StreamHandler(stream)
     handler.setFormatter(OrjsonFormatter(_FORMAT, timestamp=True))
-    handler.addFilter(RateLimit(records_per_second))
+    handler.addFilter(limit)
     handler.addFilter(_Scope())
     logging.basicConfig(level=level, handlers=[handler], force=True)
-    return handler
+    return limit
--- a/tests/account/test_keeping.py
+++ b/tests/account/test_keeping.py
@@ -19,6 +19,7 @@
     KeptSnapshots,
     MergedAccount,
     Peer,
+    Role,
     SnapshotHeard,
     decode_snapshot,
     encode_snapshot,
@@ -105,7 +106,7 @@
         merged = MergedAccount()
         for node, keeping in self.keeping_by_node.items():
             merged.add(self.account_by_node[node].snapshot(self.now))
-            merged.merge(MergedAccount(keeping.kept.snapshots()))
+            merged.merge(MergedAccount(keeping.kept.snapshots(Role.NODE)))
         return merged
 
     def live(self):
@@ -269,9 +270,9 @@
             account = Account(f'n{number}', 'a', 0)
             kept.keep(account.snapshot(1), number)
 
-        assert len(kept.snapshots()) == 64
+        assert len(kept.snapshots(Role.NODE)) == 64
         assert kept.forgotten == 6
-        assert ('n5', 'a') not in kept
+        assert (Role.NODE, 'n5', 'a') not in kept
 
     def test_old_ones_are_dropped(self):
         """After a day and a little an account is dropped."""
@@ -280,4 +281,4 @@
 
         kept.drop_old(27 * 3600)
 
-        assert not kept.snapshots()
+        assert not kept.snapshots(Role.NODE)
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -63,6 +63,7 @@
         assert passed == [True, True, False, False, False]
         assert limit.filter(later)
         assert later.suppressed == 3
+        assert limit.suppressed_total == 3
 
     def test_errors_have_their_own_room(self):
         """An error passes when other records have used up the second."""
