--- a/bench/observability.py
+++ b/bench/observability.py
@@ -6,7 +6,6 @@
 
 import io
 import logging
-import sys
 import time
 from collections.abc import Callable
 from functools import partial
@@ -17,7 +16,7 @@
 
 from lovageshunt.account import Account, decode_snapshot, encode_snapshot
 from lovageshunt.calls import Outcome
-from lovageshunt.cli._tables import format_table
+from lovageshunt.cli import write_table
 from lovageshunt.observability import Metrics, Traces, configure_logs
 
 _ROUNDS: Final = 7
@@ -63,10 +62,8 @@
 
 
 def _log_step(records_per_second: int) -> Step:
-    handler = configure_logs('INFO', records_per_second, io.StringIO())
+    configure_logs('INFO', records_per_second, io.StringIO())
     logger = logging.getLogger('bench')
-    logger.handlers = [handler]
-    logger.propagate = False
     return lambda: logger.info('refused', extra={'reason': 'overload'})
 
 
@@ -127,8 +124,7 @@
     """Print the table."""
     measured = [*_per_call_rows(), *_rare_rows()]
     rows = [(step, f'{cost:.2f}') for step, cost in measured]
-    for line in format_table(('step', 'microseconds'), rows):
-        sys.stdout.write(f'{line}\n')
+    write_table(('step', 'microseconds'), rows)
 
 
 if __name__ == '__main__':
--- a/src/lovageshunt/account/_merge.py
+++ b/src/lovageshunt/account/_merge.py
@@ -7,10 +7,12 @@
 from lovageshunt.account._line import AccountLine, total_of
 from lovageshunt.account._snapshot import (
     AccountSnapshot,
+    Owner,
     Role,
     encode_snapshot,
 )
 
+#: A node and one life of it.
 IncarnationKey = tuple[str, str]
 
 
@@ -21,19 +23,21 @@
     to the moment of asking when there is none (``to_at``), in seconds.
     """
 
-    __slots__ = ('node', 'incarnation', 'from_at', 'to_at')
+    __slots__ = ('node', 'incarnation', 'services', 'from_at', 'to_at')
 
     def __init__(
         self,
         *,
         node: str,
         incarnation: str,
+        services: list[str],
         from_at: float,
         to_at: float,
     ) -> None:
-        """Name the incarnation and the two ends of the hole."""
+        """Name the incarnation, what it served and the two ends."""
         self.node = node
         self.incarnation = incarnation
+        self.services = services
         self.from_at = from_at
         self.to_at = to_at
 
@@ -44,20 +48,19 @@
     The order in which snapshots come, and how often, makes no difference.
     """
 
-    __slots__ = ('_newest_by_incarnation',)
+    __slots__ = ('_newest_by_owner',)
 
     def __init__(self, snapshots: Iterable[AccountSnapshot] = ()) -> None:
         """Take in the snapshots, if any."""
-        self._newest_by_incarnation: dict[IncarnationKey, AccountSnapshot] = {}
+        self._newest_by_owner: dict[Owner, AccountSnapshot] = {}
         for snapshot in snapshots:
             self.add(snapshot)
 
     def add(self, snapshot: AccountSnapshot) -> None:
         """Take in a snapshot, unless a newer one of its life is held."""
-        key = (snapshot.node, snapshot.incarnation)
-        held = self._newest_by_incarnation.get(key)
+        held = self._newest_by_owner.get(snapshot.owner)
         if held is None or _age_order(held) < _age_order(snapshot):
-            self._newest_by_incarnation[key] = snapshot
+            self._newest_by_owner[snapshot.owner] = snapshot
 
     def merge(self, other: 'MergedAccount') -> None:
         """Take in all that another merged account holds."""
@@ -65,8 +68,8 @@
             self.add(snapshot)
 
     def snapshots(self) -> list[AccountSnapshot]:
-        """Return the newest snapshots, ordered by node and incarnation."""
-        newest = self._newest_by_incarnation
+        """Return the newest snapshots, by role, node and incarnation."""
+        newest = self._newest_by_owner
         return [newest[key] for key in sorted(newest)]
 
     def lines(self, role: Role = Role.NODE) -> list[AccountLine]:
@@ -86,17 +89,19 @@
         """Return the holes, given the incarnations that answer ``now``.
 
         An incarnation that is neither live nor has handed over its final
-        snapshot leaves one.
+        snapshot leaves one. What a lost caller saw is in no account.
         """
         return [
             Hole(
                 node=snapshot.node,
                 incarnation=snapshot.incarnation,
+                services=sorted({line.service for line in snapshot.lines}),
                 from_at=snapshot.taken_at,
                 to_at=self._replaced_at(snapshot, now),
             )
             for snapshot in self.snapshots()
-            if not snapshot.is_final
+            if snapshot.role is Role.NODE
+            and not snapshot.is_final
             and (snapshot.node, snapshot.incarnation) not in live
         ]
 
@@ -104,7 +109,8 @@
         starts = [
             snapshot.started_at
             for snapshot in self.snapshots()
-            if snapshot.node == lost.node
+            if snapshot.role is lost.role
+            and snapshot.node == lost.node
             and snapshot.started_at >= lost.taken_at
         ]
         return min(starts, default=now)
