--- a/src/lovageshunt/client/_client.py
+++ b/src/lovageshunt/client/_client.py
@@ -40,10 +40,11 @@
         self._watcher: Task[None] | None = None
 
     async def start(self) -> None:
-        """Open the transport and begin to follow the view."""
+        """Open the transport, ask every seed, and follow the view."""
         await self._transport.start()
         if self._options.services:
-            await self.refresh()
+            for _ in self._options.seeds:
+                await self.refresh()
             self._watcher = create_task(self._follow_view())
 
     async def close(self) -> None:
@@ -118,12 +119,22 @@
         )
 
     def _adopt(self, view: View) -> None:
-        if view.generation < self.engine.view.generation:
-            # An older generation never replaces a newer; members may.
-            known = self.engine.view
-            view.generation = known.generation
-            view.rules_by_service = known.rules_by_service
-        self.engine.adopt(view, now())
+        known = self.engine.view
+        # Seeds know different services, and not all are up to date: what is
+        # missing stays, and an older generation never replaces a newer.
+        newer = view.rules_by_service
+        older = known.rules_by_service
+        if view.generation < known.generation:
+            newer, older = older, newer
+        merged = View(
+            generation=max(known.generation, view.generation),
+            rules_by_service={**older, **newer},
+            members_by_service={
+                **known.members_by_service,
+                **view.members_by_service,
+            },
+        )
+        self.engine.adopt(merged, now())
 
     async def _follow_view(self) -> None:
         while True:
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -172,6 +172,8 @@
             kept=self._kept,
             settling=Settling(self._control, self._outbox, self._link),
             life=self._life,
+            settle_seconds=self._settings.limits.settle_seconds,
+            transit_seconds=self._settings.limits.transit_seconds,
             leave_seconds=self._settings.limits.leave_seconds,
             drain_seconds=self._settings.limits.drain_seconds,
         )
@@ -216,6 +218,8 @@
     run_once = RunOnceSettings(
         retention_seconds=limits.retention_seconds,
         max_entries=limits.table_entries,
+        settle_seconds=limits.settle_seconds,
+        transit_seconds=limits.transit_seconds,
     )
     return Gate(
         admission=Admission(admission, now()),
--- a/src/lovageshunt/node/_control.py
+++ b/src/lovageshunt/node/_control.py
@@ -179,7 +179,10 @@
         return None
 
     def client_view(self, services: tuple[str, ...]) -> View:
-        """Return what a client needs to know of some services."""
+        """Return what a client needs to know of some services.
+
+        Services that this node neither serves nor calls are left out.
+        """
         document = self.rules.current
         by_service = {} if document is None else document.by_service
         return View(
@@ -190,7 +193,9 @@
                 if service in by_service
             },
             members_by_service={
-                service: self._route_members(service) for service in services
+                service: self._route_members(service)
+                for service in services
+                if service in self.services
             },
         )
 
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -56,6 +56,8 @@
         kept: KeptAccounts,
         settling: Settling,
         life: NodeLife,
+        settle_seconds: float,
+        transit_seconds: float,
         leave_seconds: float,
         drain_seconds: float,
     ) -> None:
@@ -81,6 +83,9 @@
         self._load_at = now()
         self._snapshot_at = now() + _SNAPSHOT_SECONDS
         self._leaving = Event()
+        self._is_settled = False
+        self._transit_seconds = transit_seconds
+        self._serves_from = now() + settle_seconds
         control.leave = self.begin_leave
 
     @property
@@ -165,8 +170,13 @@
     async def _settle(self) -> None:
         if self._life.state != 'settling' or not self._control.has_list:
             return
-        if await self._settling.is_known_to_all(now()):
-            self._calls.handle(Settled())
+        if not self._is_settled:
+            self._is_settled = await self._settling.is_known_to_all(now())
+            if self._is_settled:
+                self._calls.handle(Settled())
+                settled_at = max(now(), self._serves_from)
+                self._serves_from = settled_at + self._transit_seconds
+        if self._is_settled and now() >= self._serves_from:
             self._life.step('serve')
             _log.info('serving')
 
--- a/src/lovageshunt/settings/_keys.py
+++ b/src/lovageshunt/settings/_keys.py
@@ -291,6 +291,26 @@
             unit='seconds',
             meaning='How long the outcome of such a call is remembered.',
         ),
+        Key(
+            name='settle_seconds',
+            kind=number(0, _DAY_SECONDS),
+            default='5',
+            unit='seconds',
+            meaning=(
+                'The least age of a node that takes first attempts of calls '
+                'that run at most once.'
+            ),
+        ),
+        Key(
+            name='transit_seconds',
+            kind=number(0, _DAY_SECONDS),
+            default='10',
+            unit='seconds',
+            meaning=(
+                'How long a request may be on its way in the network; a new '
+                'node waits as long before such first attempts.'
+            ),
+        ),
         Key(
             name='leave_seconds',
             kind=number(0, _DAY_SECONDS),
--- a/src/lovageshunt/settings/_sections.py
+++ b/src/lovageshunt/settings/_sections.py
@@ -156,6 +156,8 @@
         'table_entries',
         'body_bytes',
         'retention_seconds',
+        'settle_seconds',
+        'transit_seconds',
         'leave_seconds',
         'drain_seconds',
     )
@@ -166,6 +168,8 @@
         table_entries: int,
         body_bytes: int,
         retention_seconds: float,
+        settle_seconds: float,
+        transit_seconds: float,
         leave_seconds: float,
         drain_seconds: float,
     ) -> None:
@@ -173,6 +177,8 @@
         self.table_entries = table_entries
         self.body_bytes = body_bytes
         self.retention_seconds = retention_seconds
+        self.settle_seconds = settle_seconds
+        self.transit_seconds = transit_seconds
         self.leave_seconds = leave_seconds
         self.drain_seconds = drain_seconds
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -268,6 +268,7 @@
             f'connections = {vm.plan.slots * 8}\n'
             f'[platform]\naddresses = {self.platform_address}\n'
             f'[calls]\nservices = {called}\n'
+            '[limits]\nsettle_seconds = 1\ntransit_seconds = 1\n'
         )
 
     def _target_spec(self, vm: Vm) -> dict[str, Any]:
--- a/standins/target.py
+++ b/standins/target.py
@@ -127,7 +127,7 @@
         for call in self.spec.calls:
             reply = await scope.call(
                 call['service'],
-                call.get('method', 'GET'),
+                request.method,
                 call['path'],
             )
             if reply.is_error():
