--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -70,6 +70,14 @@
         self.node_process: asyncio.subprocess.Process | None = None
         self.target_process: asyncio.subprocess.Process | None = None
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the node and the target both run."""
+        return all(
+            process is not None and process.returncode is None
+            for process in (self.node_process, self.target_process)
+        )
+
     def listing(self) -> dict[str, str]:
         """Return the VM's entry in the published list."""
         return {
--- /dev/null
+++ b/tests/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios against real processes."""
