--- a/src/lovageshunt/rules/_dialogue.py
+++ b/src/lovageshunt/rules/_dialogue.py
@@ -52,8 +52,15 @@
     def take_document(self, read: DocumentRead, now: float) -> None:
         """Take what this node read from the platform."""
         before = self._rules.heard
-        self._rules.offer(read.version, read.document, now)
-        self._pass_on_news(before, reader=self._settings.name, teller='')
+        name = self._settings.name
+        offer = self._rules.offer(read.version, read.document, now)
+        self._pass_on_news(before, reader=name, teller='')
+        if offer.verdict is not Verdict.ADOPTED:
+            return
+        # The node that was said to hold every part may be gone since.
+        self._sources.note_reader(name)
+        for peer in self._draw(self._settings.fanout, but=''):
+            self._tell_manifest(peer, read.version)
 
     def tell_version(self) -> None:
         """Tell one peer which version is known; it says if it knows better."""
@@ -127,6 +134,7 @@
         if verdict is Verdict.UNSOUND:
             return
         self._pass_on_news(before, reader=message.reader, teller=peer)
+        self._sources.note_reader(message.reader)
         self._sources.note_teller(peer)
 
     @take.register
--- a/src/lovageshunt/rules/_sources.py
+++ b/src/lovageshunt/rules/_sources.py
@@ -15,7 +15,7 @@
     hold its rules, and whoever told the version may.
     """
 
-    __slots__ = ('_rng', '_own_name', '_reader', '_tellers', '_is_first')
+    __slots__ = ('_rng', '_own_name', '_reader', '_tellers', '_asked')
 
     def __init__(self, rng: Random, own_name: str) -> None:
         """Start without any."""
@@ -23,7 +23,7 @@
         self._own_name = own_name
         self._reader = ''
         self._tellers: list[str] = []
-        self._is_first = True
+        self._asked: set[str] = set()
 
     @property
     def reader(self) -> str:
@@ -34,7 +34,13 @@
         """Begin anew for another version."""
         self._reader = reader
         self._tellers.clear()
-        self._is_first = True
+        self._asked.clear()
+
+    def note_reader(self, reader: str) -> None:
+        """Take another node that read the version."""
+        if reader and reader != self._reader:
+            self._reader = reader
+            self._asked.discard(reader)
 
     def note_teller(self, peer: str) -> None:
         """Remember a peer that knows the version."""
@@ -49,7 +55,7 @@
     ) -> dict[str, list[str]]:
         """Return the services to ask for, by the peer to ask.
 
-        The reader is asked first, as it surely holds them; later the
+        The reader is asked first, as it surely holds them; then the
         members share the work.
         """
         services_by_peer: dict[str, list[str]] = {}
@@ -58,12 +64,18 @@
             peer = self._choose_one(members)
             if peer:
                 services_by_peer.setdefault(peer, []).append(service)
-        self._is_first = False
+        self._asked.update(services_by_peer)
         return services_by_peer
 
     def _choose_one(self, members: Sequence[str]) -> str:
-        if self._is_first and self._reader not in {'', self._own_name}:
+        known = {*members, *self._tellers, self._reader}
+        known -= {'', self._own_name}
+        if not known:
+            return ''
+        if self._reader in known and self._reader not in self._asked:
             return self._reader
-        known = [*members, *self._tellers, self._reader]
-        others = [peer for peer in known if peer not in {'', self._own_name}]
-        return self._rng.choice(others) if others else ''
+        # Each is asked once before any is asked again.
+        fresh = known - self._asked
+        if not fresh:
+            self._asked -= known
+        return self._rng.choice(sorted(fresh or known))
