--- a/src/lovageshunt/rules/_dialogue.py
+++ b/src/lovageshunt/rules/_dialogue.py
@@ -80,10 +80,7 @@
         if heard is None:
             return
         missing = self._rules.missing_now()
-        services_by_peer = self._sources.choose(
-            missing,
-            self.ticked.peers_by_service,
-        )
+        services_by_peer = self._sources.choose(missing, self.ticked)
         for peer, services in services_by_peer.items():
             asked = PartsAsked(version=heard.version, services=services)
             self._outbox.put(peer, asked)
--- a/src/lovageshunt/rules/_events.py
+++ b/src/lovageshunt/rules/_events.py
@@ -31,23 +31,26 @@
 
 
 class SpreadTicked(Record):
-    """The timer turned; about once a second.
+    """The timer turned; about twice a second.
 
     ``peers`` are candidates for the exchange and ``peers_by_service`` the
-    members of the services that this node serves and calls.
+    members of the services that this node serves and calls. ``readers`` are
+    the nodes that now read the platform, as far as this node knows.
     """
 
-    __slots__ = ('peers', 'peers_by_service')
+    __slots__ = ('peers', 'peers_by_service', 'readers')
 
     def __init__(
         self,
         *,
         peers: Sequence[str],
         peers_by_service: dict[str, Sequence[str]] | None = None,
+        readers: Sequence[str] = (),
     ) -> None:
         """Take the names that the view of members supplies."""
         self.peers = peers
         self.peers_by_service = peers_by_service or {}
+        self.readers = readers
 
 
 class SendMessage(Record):
--- a/src/lovageshunt/rules/_sources.py
+++ b/src/lovageshunt/rules/_sources.py
@@ -4,8 +4,12 @@
 from random import Random
 from typing import Final
 
+from lovageshunt.rules._events import SpreadTicked
+
 #: How many of those who told a version are remembered.
 _MAX_TELLERS: Final = 4
+#: How many peers are asked for the same part at once.
+_PEERS: Final = 2
 
 
 class Sources:
@@ -51,31 +55,30 @@
     def choose(
         self,
         services: Sequence[str],
-        members_by_service: dict[str, Sequence[str]],
+        ticked: SpreadTicked,
     ) -> dict[str, list[str]]:
         """Return the services to ask for, by the peer to ask.
 
-        The reader is asked first, as it surely holds them; then the
-        members share the work.
+        The members of a service ask a reader first; the others ask members,
+        so that a reader is not asked by everyone at once.
         """
+        readers = {self._reader, *ticked.readers}
         services_by_peer: dict[str, list[str]] = {}
         for service in services:
-            members = members_by_service.get(service, ())
-            peer = self._choose_one(members)
-            if peer:
+            members = set(ticked.peers_by_service.get(service, ()))
+            for peer in self._choose_some(members, readers):
                 services_by_peer.setdefault(peer, []).append(service)
         self._asked.update(services_by_peer)
         return services_by_peer
 
-    def _choose_one(self, members: Sequence[str]) -> str:
-        known = {*members, *self._tellers, self._reader}
-        known -= {'', self._own_name}
-        if not known:
-            return ''
-        if self._reader in known and self._reader not in self._asked:
-            return self._reader
+    def _choose_some(self, members: set[str], readers: set[str]) -> list[str]:
+        known = members | readers
+        if self._own_name in members and not readers & self._asked:
+            known = readers
+        known = known - {'', self._own_name} or set(self._tellers)
         # Each is asked once before any is asked again.
         fresh = known - self._asked
         if not fresh:
             self._asked -= known
-        return self._rng.choice(sorted(fresh or known))
+        candidates = sorted(fresh or known)
+        return self._rng.sample(candidates, min(_PEERS, len(candidates)))
--- a/src/lovageshunt/rules/_spread.py
+++ b/src/lovageshunt/rules/_spread.py
@@ -98,7 +98,7 @@
         if now >= self._exchange_at:
             self._exchange_at = now + self._settings.exchange_seconds
             self._dialogue.tell_version()
-            self._dialogue.ask_parts()
+        self._dialogue.ask_parts()
 
     def _settle(self, now: float) -> None:
         held = self._settling.end(now)
