--- a/tests/rules/test_in_force.py
+++ b/tests/rules/test_in_force.py
@@ -119,6 +119,30 @@
 
         assert in_force.missing_now() == ('stock',)
 
+    def test_part_of_another_version_is_not_taken(self):
+        """A part whose digest is not the manifest's stays missing."""
+        document = document_of(2, 2000)
+        manifest = manifest_of(document, version_of(document, 1))
+        in_force = RulesInForce(frozenset(('stock',)))
+
+        in_force.offer_parts(manifest, document_of(1).by_service, 1)
+
+        assert in_force.missing_now() == ('stock',)
+        assert in_force.current is None
+
+    def test_part_that_is_held_is_kept(self):
+        """A part of another version does not take the place of a right one."""
+        document = document_of(2, 2000)
+        manifest = manifest_of(document, version_of(document, 1))
+        in_force = RulesInForce()
+        right = {'stock': document.by_service['stock']}
+        wrong = {'stock': document_of(1).by_service['stock']}
+
+        in_force.offer_parts(manifest, right, 1)
+        in_force.offer_parts(manifest, wrong, 2)
+
+        assert in_force.missing_now() == ('precios',)
+
     def test_nothing_older_than_a_manifest_heard(self):
         """A manifest counts as heard before its parts are there."""
         newer = document_of(5)
--- a/tests/rules/test_spread.py
+++ b/tests/rules/test_spread.py
@@ -152,6 +152,16 @@
 
         assert set(fleet.versions()) == {read_of(1).version}
 
+    def test_exchange_finds_those_whom_the_rumour_missed(self):
+        """A version whose every rumour was lost still reaches all."""
+        fleet = Fleet()
+        fleet.settle(3)
+        fleet.take('a', read_of(1))
+        fleet.waiting.clear()
+        fleet.settle(6)
+
+        assert set(fleet.versions()) == {read_of(1).version}
+
     def test_only_needed_parts_are_fetched(self):
         """A node that did not read the document holds only what it needs."""
         fleet = Fleet()
