--- /dev/null
+++ b/tests/cli/test_rules_status.py
@@ -0,0 +1,100 @@
+"""What nodes answer about their rules."""
+
+import asyncio
+from threading import Thread
+
+import orjson
+import pytest
+from aiohttp import web
+
+from lovageshunt.cli import main
+from lovageshunt.cli._rules_status import decode_status, mark_laggards
+
+ANSWER = {
+    'node': 'payments-1',
+    'version': {'generation': 2, 'revision': 5, 'digest': 'd'},
+    'in_force_for_seconds': 61,
+    'conflicts': [],
+}
+
+
+def answer_of(generation):
+    """Return a node's answer with a generation in force."""
+    version = {'generation': generation, 'revision': 1, 'digest': 'd'}
+    raw = orjson.dumps({**ANSWER, 'version': version})
+    return decode_status('127.0.0.1:1', raw)
+
+
+class TestAnswers:
+    """Answers of single nodes."""
+
+    def test_is_read(self):
+        """An answer gives the version and how long it is in force."""
+        answer = decode_status('127.0.0.1:1', orjson.dumps(ANSWER))
+
+        assert answer.node == 'payments-1'
+        assert answer.version.generation == 2
+        assert answer.in_force_for_seconds == 61
+
+    @pytest.mark.parametrize(
+        'raw',
+        [b'', b'[]', b'null', b'{}', b'{"node": 1, "version": 2}', b'"x"'],
+    )
+    def test_noise_is_a_problem(self, raw):
+        """An answer that cannot be read is the node's problem."""
+        assert decode_status('127.0.0.1:1', raw).problem
+
+    def test_laggards_are_named(self):
+        """A node under an older version, or under none, lags."""
+        answers = [answer_of(2), answer_of(1), answer_of(2)]
+        answers[2].version = None
+        mark_laggards(answers)
+
+        assert [answer.problem for answer in answers] == ['', 'lags', 'lags']
+
+
+@pytest.fixture
+def node_address():
+    """Serve one node's answer on a loop of its own."""
+    loop = asyncio.new_event_loop()
+    app = web.Application()
+
+    async def answer(request):
+        return web.json_response(ANSWER)
+
+    app.router.add_get('/v1/rules', answer)
+    runner = web.AppRunner(app)
+    loop.run_until_complete(runner.setup())
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    loop.run_until_complete(site.start())
+    thread = Thread(target=loop.run_forever)
+    thread.start()
+    yield '{}:{}'.format(*runner.addresses[0])
+    loop.call_soon_threadsafe(loop.stop)
+    thread.join()
+    loop.run_until_complete(runner.cleanup())
+    loop.close()
+
+
+class TestStatus:
+    """``rules status``."""
+
+    def test_all_in_force(self, node_address, capsys):
+        """Nodes that all serve under one version end with 0."""
+        assert main(['rules', 'status', f'--nodes={node_address}']) == 0
+        assert 'payments-1' in capsys.readouterr().out
+
+    def test_silent_node(self, node_address, capsys):
+        """A node that does not answer is named, and ends with 1."""
+        words = ['rules', 'status', f'--nodes={node_address},127.0.0.1:1']
+
+        assert main([*words, '--json']) == 1
+        shown = orjson.loads(capsys.readouterr().out)
+        assert [bool(node['problem']) for node in shown] == [False, True]
+
+    def test_unreadable_token(self, capsys):
+        """A token file that cannot be read ends with 2."""
+        words = ['rules', 'status', '--nodes=127.0.0.1:1']
+
+        assert main([*words, '--token-file=no-such-file']) == 2
+        assert 'no-such-file' in capsys.readouterr().err
