--- a/src/lovageshunt/rules/__init__.py
+++ b/src/lovageshunt/rules/__init__.py
@@ -3,7 +3,9 @@
 from lovageshunt.rules._codec import (
     MAX_DOCUMENT_BYTES,
     decode_document,
+    decode_parts,
     encode_document,
+    encode_parts,
 )
 from lovageshunt.rules._conflicts import Conflict
 from lovageshunt.rules._defaults import DEFAULT_KIND, default_kind
@@ -75,8 +77,10 @@
     'VersionTold',
     'decode_document',
     'decode_message',
+    'decode_parts',
     'default_kind',
     'encode_document',
+    'encode_parts',
     'encode_message',
     'manifest_of',
     'parse_sheet',
