Let an event that ends a call go before the call's deadline

A call cancelled, or finished, at or after its deadline was first refused or aborted by the lateness check and then ended again by its own event, so a node heard of a call that it had already let go. The state machine had always ticked when time passed; now time also passes without a tick, and it fails on the earlier order.

--- a/src/lovageshunt/admission/_admission.py
+++ b/src/lovageshunt/admission/_admission.py
@@ -84,9 +84,10 @@
         """Take an event and return what is to be done, in order."""
         self._now = max(self._now, now)
         actions: list[Action] = []
-        self._expire(actions)
         self._control.advance(self._now, waiting=len(self._queue))
+        # The event goes first: what it ends must not be ended twice.
         self._take(event, actions)
+        self._expire(actions)
         self._fill(actions)
         return actions
 
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -31,6 +31,8 @@
 NEVER = 1e9
 MIDDLE = RANK_COUNT // 2
 
+LATE = st.sampled_from((0, 0, 0, 0.01, 1))
+
 
 class AdmissionMachine(RuleBasedStateMachine):
     """Drives admission with any events and checks what always holds."""
@@ -51,8 +53,10 @@
         rank=st.integers(0, RANK_COUNT - 1),
         seconds=st.sampled_from((0, 0.01, 0.1, 1, 5)),
         count=st.integers(1, 8),
+        late=LATE,
     )
-    def arrive(self, importance, rank, seconds, count):
+    def arrive(self, importance, rank, seconds, count, late):
+        self.pass_time(late)
         for number in range(count):
             level = importance * RANK_COUNT + (rank + number) % RANK_COUNT
             call_id = str(len(self.calls))
@@ -67,15 +71,24 @@
             )
 
     @precondition(lambda machine: machine.running)
-    @rule(pick=st.randoms(use_true_random=False), was_good=st.booleans())
-    def finish(self, pick, was_good):
+    @rule(
+        pick=st.randoms(use_true_random=False),
+        was_good=st.booleans(),
+        was_shed=st.booleans(),
+        late=LATE,
+    )
+    def finish(self, pick, was_good, was_shed, late):
+        self.pass_time(late)
         call_id = pick.choice(sorted(self.running))
         self.running.discard(call_id)
-        self.send(Finished(call_id, was_good=was_good))
+        self.send(
+            Finished(call_id, was_good=was_good, was_shed=was_shed),
+        )
 
     @precondition(lambda machine: machine.running or machine.waiting)
-    @rule(pick=st.randoms(use_true_random=False))
-    def cancel(self, pick):
+    @rule(pick=st.randoms(use_true_random=False), late=LATE)
+    def cancel(self, pick, late):
+        self.pass_time(late)
         call_id = pick.choice(sorted(self.waiting | self.running))
         self.waiting.discard(call_id)
         self.send(Cancelled(call_id))
@@ -83,8 +96,7 @@
 
     @rule(seconds=st.sampled_from((0.001, 0.05, 0.1, 0.5, 3)))
     def wait(self, seconds):
-        self.now += seconds
-        self.refused_levels.clear()
+        self.pass_time(seconds)
         self.send(Ticked())
 
     @rule()
@@ -98,8 +110,13 @@
         assert load.running == len(self.running)
         assert load.waiting == len(self.waiting)
 
-    @invariant()
-    def late_calls_do_not_linger(self):
+    def pass_time(self, seconds):
+        """Let time pass without a tick."""
+        self.now += seconds
+        if seconds:
+            self.refused_levels.clear()
+
+    def check_that_late_calls_are_gone(self):
         late = {
             call_id
             for call_id in self.waiting | self.running
@@ -110,6 +127,7 @@
     def send(self, event):
         for action in self.admission.handle(event, self.now):
             self.check(action)
+        self.check_that_late_calls_are_gone()
         assert len(self.running) <= SLOTS * self.settings.most_share
         assert self.admission.next_wake(self.now) >= self.now
 
