Aim at a queue as long as one service, and tell only what a call asked

The threshold aimed at 20 ms of queue where a service takes 100 ms, so it refused for queues that a run of chance makes. The target is capped at 250 ms, since a service that became ten times slower would otherwise spend the deadline on its queue.

An answer now carries the thresholds of the services that its call asked, not all that the node knows: the latter would teach callers that a kind needs services that only other kinds call. A service that has just opened is told for 5 s, since its silence could not be told from calm.

--- a/bench/_protected.py
+++ b/bench/_protected.py
@@ -156,11 +156,9 @@
         self._answer(call, reply, info)
 
     def _learn(self, call: Call) -> None:
-        self._thresholds.learn_needs(
-            call.request.kind.name,
-            list(call.named),
-            self.network.loop.now,
-        )
+        now = self.network.loop.now
+        told = self._thresholds.merged(now, call.asked)
+        self._thresholds.learn_needs(call.request.kind.name, list(told), now)
 
     def _refuse(
         self,
@@ -178,8 +176,9 @@
     def _answer(self, call: Call, reply: Reply, info: AnswerInfo) -> None:
         info.unspent = call.unspent
         if self._variant.tells_callers:
+            told = self._thresholds.merged(self.network.loop.now, call.asked)
             own = {call.step.service: self.admission.threshold}
-            info.threshold_by_service = call.named | own
+            info.threshold_by_service = told | own
         info.load = self.admission.load()
         reply(info)
 
@@ -375,7 +374,7 @@
         thresholds = self._sender.node.thresholds
         for service, threshold in info.threshold_by_service.items():
             thresholds.learn(service, threshold, now)
-            self._parent.named[service] = threshold
+            self._parent.asked.add(service)
 
     def _settle(self, info: AnswerInfo) -> None:
         now = self._network.loop.now
--- a/bench/_report.py
+++ b/bench/_report.py
@@ -96,7 +96,8 @@
         for request in requests
         if deployment.needs_bottleneck(request.kind.step)
     ]
-    room = min(len(deep), deployment.bottleneck_rate * seconds)
+    rate = deployment.bottleneck_rate * workload.deep_share
+    room = min(len(deep), rate * seconds)
     fitting = len(requests) - len(deep) + room
     return sum(request.is_good for request in requests) / fitting
 
--- a/bench/_request.py
+++ b/bench/_request.py
@@ -53,7 +53,7 @@
         self.share = share
         self.unspent = share
         self.is_over = False
-        self.named: dict[str, int] = {}
+        self.asked: set[str] = set()
         self.stop: Callable[[], None] = _do_nothing
 
 
--- a/bench/_workloads.py
+++ b/bench/_workloads.py
@@ -22,7 +22,7 @@
     ``load`` is a share of capacity; the trigger holds from
     ``starts_seconds`` to ``ends_seconds``. The run ends at ``run_seconds``.
     Goodput is taken of requests born between ``from_seconds`` and
-    ``to_seconds``.
+    ``to_seconds``, when the deep service has ``deep_share`` of its speed.
     """
 
     __slots__ = (
@@ -34,6 +34,7 @@
         'run_seconds',
         'from_seconds',
         'to_seconds',
+        'deep_share',
         'begin',
         'end',
     )
@@ -51,8 +52,10 @@
         to_seconds: float,
         begin: Trigger,
         end: Trigger,
+        deep_share: float = 1,
     ) -> None:
         """Take every field by name."""
+        self.deep_share = deep_share
         self.name = name
         self.load = load
         self.manner = manner
@@ -76,8 +79,8 @@
         load=load,
         manner=manner,
         starts_seconds=0,
-        ends_seconds=12,
-        run_seconds=12,
+        ends_seconds=15,
+        run_seconds=15,
         from_seconds=3,
         to_seconds=8,
         begin=_nothing,
@@ -92,6 +95,7 @@
     *,
     begin: Trigger,
     end: Trigger,
+    deep_share: float = 1,
 ) -> Workload:
     return Workload(
         name,
@@ -104,6 +108,7 @@
         to_seconds=5 + seconds,
         begin=begin,
         end=end,
+        deep_share=deep_share,
     )
 
 
@@ -151,6 +156,7 @@
         PATIENT,
         begin=partial(_set_speed, _SLOW_FACTOR),
         end=partial(_set_speed, 1),
+        deep_share=1 / _SLOW_FACTOR,
     ),
     _passing(
         'surge x3, hard retries, 5 s',
--- a/src/lovageshunt/admission/_caller.py
+++ b/src/lovageshunt/admission/_caller.py
@@ -1,5 +1,6 @@
 """What a caller remembers of the thresholds that answers told it."""
 
+from collections.abc import Collection
 from typing import Final
 
 from lovageshunt._record import Record
@@ -11,11 +12,12 @@
 
 
 class _Heard(Record):
-    __slots__ = ('threshold', 'heard_at')
+    __slots__ = ('threshold', 'heard_at', 'refused_at')
 
     def __init__(self, *, threshold: float, heard_at: float) -> None:
         self.threshold = threshold
         self.heard_at = heard_at
+        self.refused_at = float('-inf')
 
 
 class CallerThresholds:
@@ -36,11 +38,15 @@
     def learn(self, service: str, threshold: int, now: float) -> None:
         """Take a threshold from an answer; one target's word counts a share."""
         known = self._threshold(service, now)
-        change = self._settings.smoothing * (threshold - known)
-        self._heard_by_service[service] = _Heard(
-            threshold=known + change,
-            heard_at=now,
+        heard = self._heard_by_service.setdefault(
+            service,
+            _Heard(threshold=OPEN_THRESHOLD, heard_at=now),
         )
+        change = self._settings.smoothing * (threshold - known)
+        heard.threshold = known + change
+        heard.heard_at = now
+        if threshold < OPEN_THRESHOLD:
+            heard.refused_at = now
 
     def learn_needs(self, kind: str, services: list[str], now: float) -> None:
         """Remember which services an answer to a kind of request named."""
@@ -71,16 +77,24 @@
         needs = self._needs_by_kind.get(kind, {})
         return [service for service, at in needs.items() if at >= since]
 
-    def merged(self, now: float) -> dict[str, int]:
-        """Return the thresholds below every level, to ride on answers."""
-        by_service = {
-            service: int(self._threshold(service, now))
-            for service in self._heard_by_service
-        }
+    def merged(
+        self,
+        now: float,
+        services: Collection[str] | None = None,
+    ) -> dict[str, int]:
+        """Return the thresholds to ride on an answer.
+
+        ``services`` are those that the answered call asked; without them all
+        are told, also to kinds that do not need them. A service that refused
+        nothing for a while is left out; one that has just opened is told, so
+        that callers hear of it.
+        """
+        since = now - self._settings.news_seconds
         return {
-            service: threshold
-            for service, threshold in by_service.items()
-            if threshold < OPEN_THRESHOLD
+            service: int(self._threshold(service, now))
+            for service, heard in self._heard_by_service.items()
+            if heard.refused_at >= since
+            and (services is None or service in services)
         }
 
     def _threshold(self, service: str, now: float) -> float:
--- a/src/lovageshunt/admission/_control.py
+++ b/src/lovageshunt/admission/_control.py
@@ -103,6 +103,7 @@
         self._limit.close_window()
         self._levels.close_window(
             capacity=self._capacity(seconds),
+            queue_seconds=self._queue_target(),
             waiting=waiting,
             seconds=seconds,
         )
@@ -114,3 +115,8 @@
         if self._was_saturated:
             return self._completed / seconds
         return self.slots / self.service_seconds
+
+    def _queue_target(self) -> float:
+        most = self._settings.most_queue_target_seconds
+        least = self._settings.queue_target_seconds
+        return max(least, min(self.service_seconds, most))
--- a/src/lovageshunt/admission/_settings.py
+++ b/src/lovageshunt/admission/_settings.py
@@ -8,8 +8,9 @@
 
     ``slots`` is what the platform publishes for the target and may be wrong;
     the limit on running calls stays between ``least_share`` and
-    ``most_share`` of it. ``queue_target_seconds`` is the queue time that the
-    threshold aims at, ``window_seconds`` the period of control,
+    ``most_share`` of it. The threshold aims at a queue time of one time of
+    service, but at least ``queue_target_seconds`` and at most
+    ``most_queue_target_seconds``. ``window_seconds`` is the period of control,
     ``most_waiting`` the bound of the queue, ``floor_ranks`` the ranks of each
     importance that the threshold never refuses. ``drain_seconds`` is the
     time after which a drain aborts what still runs.
@@ -18,6 +19,7 @@
     __slots__ = (
         'slots',
         'queue_target_seconds',
+        'most_queue_target_seconds',
         'window_seconds',
         'most_waiting',
         'floor_ranks',
@@ -34,6 +36,7 @@
         *,
         slots: int,
         queue_target_seconds: float = 0.02,
+        most_queue_target_seconds: float = 0.25,
         window_seconds: float = 0.1,
         most_waiting: int = 1000,
         floor_ranks: int = 328,
@@ -47,6 +50,7 @@
         """Take the published slots; the rest has defaults."""
         self.slots = slots
         self.queue_target_seconds = queue_target_seconds
+        self.most_queue_target_seconds = most_queue_target_seconds
         self.window_seconds = window_seconds
         self.most_waiting = most_waiting
         self.floor_ranks = floor_ranks
@@ -64,7 +68,8 @@
     A threshold holds for ``hold_seconds`` after it was last heard. Then it
     rises by ``probe_ranks`` and twice as many each ``doubling_seconds``, so
     that a silent service is tried again, a few ranks first. ``memory_seconds``
-    is how long the services that a kind of request needs are remembered.
+    is how long the services that a kind of request needs are remembered,
+    ``news_seconds`` how long a service that refuses no more is still told of.
     """
 
     __slots__ = (
@@ -75,6 +80,7 @@
         'floor_ranks',
         'retry_after_seconds',
         'memory_seconds',
+        'news_seconds',
     )
 
     def __init__(
@@ -87,6 +93,7 @@
         floor_ranks: int = 328,
         retry_after_seconds: float = 0.5,
         memory_seconds: float = 30,
+        news_seconds: float = 5,
     ) -> None:
         """Take every setting by name; all have defaults."""
         self.hold_seconds = hold_seconds
@@ -96,3 +103,4 @@
         self.floor_ranks = floor_ranks
         self.retry_after_seconds = retry_after_seconds
         self.memory_seconds = memory_seconds
+        self.news_seconds = news_seconds
--- a/src/lovageshunt/admission/_threshold.py
+++ b/src/lovageshunt/admission/_threshold.py
@@ -15,7 +15,7 @@
 #: The largest rise of the threshold in one window, in levels.
 _RISE: Final = RANK_COUNT // 4
 #: Windows in which a queue that is off its target is brought back to it.
-_CORRECTION_WINDOWS: Final = 3
+_CORRECTION_WINDOWS: Final = 6
 #: Importances in the order of refusal, the last refused first.
 _IMPORTANCES: Final = range(LOWEST_IMPORTANCE + 1)
 
@@ -95,16 +95,18 @@
         self,
         *,
         capacity: float,
+        queue_seconds: float,
         waiting: int,
         seconds: float,
     ) -> None:
         """Move the threshold by what a window showed.
 
-        ``capacity`` is in calls a second, ``waiting`` counts the queue.
+        ``capacity`` is in calls a second, ``queue_seconds`` the queue time
+        aimed at, ``waiting`` counts the queue.
         """
         self._capacity += _WEIGHT * (capacity - self._capacity)
         self._demand.close_window(self.threshold, seconds)
-        wanted = self._capacity * self._settings.queue_target_seconds
+        wanted = self._capacity * queue_seconds
         horizon = seconds * _CORRECTION_WINDOWS
         room = self._capacity + (wanted - waiting) / horizon
         found = self._threshold_for(room)
