--- a/bench/run_once/_machine.py
+++ b/bench/run_once/_machine.py
@@ -6,6 +6,9 @@
 from lovageshunt.calls import HomeStamp
 from lovageshunt.idempotency import Departed, RunOnce, RunOnceSettings
 
+#: A node remembers who departed for as long as a request may be resent.
+_MEMORY_SECONDS = 930
+
 NodeFactory = Callable[[HomeStamp, float], RunOnce]
 
 
@@ -80,4 +83,5 @@
             )
             for each in self.gone
             if each.home not in self.listed
+            and now + each.seconds_ago < _MEMORY_SECONDS
         )
--- a/tests/idempotency/test_fleet.py
+++ b/tests/idempotency/test_fleet.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bench.run_once import Caller, CallerKind, Fleet
+from bench.run_once import Caller, CallerKind, Fleet, make_node
 from lovageshunt.calls import Outcome
 from lovageshunt.idempotency import Ticked
 
@@ -22,10 +22,12 @@
 class RunOnceMachine(RuleBasedStateMachine):
     """Callers, nodes and a network in which anything may come late."""
 
+    factory = staticmethod(make_node)
+
     def __init__(self):
         """Start four nodes that know one another."""
         super().__init__()
-        self.fleet = Fleet()
+        self.fleet = Fleet(self.factory)
         self.callers = []
         self.fleet.on_answer = self._hear
         for name in _NAMES:
