--- a/tests/idempotency/test_fleet.py
+++ b/tests/idempotency/test_fleet.py
@@ -22,12 +22,10 @@
 class RunOnceMachine(RuleBasedStateMachine):
     """Callers, nodes and a network in which anything may come late."""
 
-    factory = staticmethod(make_node)
-
     def __init__(self):
         """Start four nodes that know one another."""
         super().__init__()
-        self.fleet = Fleet(self.factory)
+        self.fleet = self.make_fleet()
         self.callers = []
         self.fleet.on_answer = self._hear
         for name in _NAMES:
@@ -39,6 +37,10 @@
             self.fleet.settle(machine)
         self.fleet.now += 10
 
+    def make_fleet(self):
+        """Return the fleet under test."""
+        return Fleet(make_node)
+
     @rule(kind=st.sampled_from(CallerKind), which=_INDEX, index=_INDEX)
     def send(self, kind, which, index):
         """A person begins a purchase, or tries again through any node."""
