--- a/src/lovageshunt/retries/_pool.py
+++ b/src/lovageshunt/retries/_pool.py
@@ -1,9 +1,6 @@
 """One hop's share of the allowance, divided over the calls below it."""
 
-from typing import Final
-
-#: A hop with more than this keeps one retry for an answer that is lost.
-_HANDED_WHOLE: Final = 1
+from collections.abc import Sequence
 
 
 class AllowancePool:
@@ -24,22 +21,33 @@
         """Return what this hop's own answer may give back."""
         return self._left
 
-    def share(self) -> int:
+    def share(self, *, calls_below: bool = True) -> int:
         """Take the share of one sequential call from the pool.
 
-        All but one is handed down, because the hop nearest to a failure
-        retries it; the one kept serves when the share's answer is lost.
+        The whole pool is handed down, because the hop nearest to a failure
+        retries it, and an answer brings back what was not needed. A service
+        that calls no other has no use for a share: its callers keep theirs,
+        also when its answer is lost.
         """
-        return self._take(self._handed_down())
+        if not calls_below:
+            return 0
+        return self._take(self._to_hand_down())
+
+    def shares(self, calls_below: Sequence[bool]) -> list[int]:
+        """Take the shares of parallel calls, set before any of them starts.
 
-    def shares(self, count: int) -> list[int]:
-        """Take the shares of parallel calls, set before any of them starts."""
-        if count <= 0:
-            return []
-        each, remainder = divmod(self._handed_down(), count)
-        return [
-            self._take(each + (index < remainder)) for index in range(count)
-        ]
+        ``calls_below`` tells for each whether its service calls others.
+        """
+        takers = sum(calls_below)
+        if not takers:
+            return [0 for _ in calls_below]
+        each, remainder = divmod(self._to_hand_down(), takers)
+        shares: list[int] = []
+        for is_taker in calls_below:
+            extra = int(is_taker and remainder > 0)
+            remainder -= extra
+            shares.append(self._take(each + extra) if is_taker else 0)
+        return shares
 
     def give_back(self, *, share: int, unspent: int) -> None:
         """Return what an answer proves unspent of its share."""
@@ -52,10 +60,8 @@
         self._left -= 1
         return True
 
-    def _handed_down(self) -> int:
-        if self._left <= _HANDED_WHOLE:
-            return self._left
-        return self._left - 1
+    def _to_hand_down(self) -> int:
+        return self._left
 
     def _take(self, count: int) -> int:
         self._left -= count
--- /dev/null
+++ b/tests/retries/test_bound.py
@@ -0,0 +1,71 @@
+"""One request's retries stay within its bound, counted at the targets."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bench.retry_shares import Chain, Odds, random_graph
+from lovageshunt.retries import AllowancePool
+
+_SEEDS = st.integers(0, 2**32)
+_CHANCE = st.floats(0, 0.6)
+_MAX_DEPTH = 13
+
+
+class _CopyingPool(AllowancePool):
+    """Gives every call the whole share and takes nothing for it."""
+
+    def _take(self, count):
+        return self._left
+
+    def give_back(self, *, share, unspent):
+        """Have nothing to return."""
+
+
+def _retries(seed, *, depth, odds, bound, resends, pool_factory=AllowancePool):
+    random = Random(seed)
+    graph = random_graph(random, depth, 2)
+    chain = Chain(graph, odds, random, pool_factory)
+    for attempt in range(1, resends + 2):
+        chain.request(bound, attempt)
+    return chain.retries
+
+
+class TestBound:
+    """The sum of all retries below one root request."""
+
+    @given(
+        seed=_SEEDS,
+        depth=st.integers(1, _MAX_DEPTH),
+        odds=st.builds(Odds, failed=_CHANCE, not_run=_CHANCE, lost=_CHANCE),
+        bound=st.integers(0, 12),
+        resends=st.integers(0, 8),
+    )
+    def test_never_exceeded(self, seed, depth, odds, bound, resends):
+        """No fault, loss or resend makes targets see more retries."""
+        retries = _retries(
+            seed,
+            depth=depth,
+            odds=odds,
+            bound=bound,
+            resends=resends,
+        )
+
+        assert retries <= bound
+
+    def test_copied_allowance_exceeds_it(self):
+        """Where each call gets the whole allowance, the bound is broken."""
+        retries = [
+            _retries(
+                seed,
+                depth=_MAX_DEPTH,
+                odds=Odds(failed=0.3, not_run=0, lost=0),
+                bound=3,
+                resends=0,
+                pool_factory=_CopyingPool,
+            )
+            for seed in range(10)
+        ]
+
+        assert max(retries) > 3
