--- a/bench/run_once/_network.py
+++ b/bench/run_once/_network.py
@@ -147,6 +147,7 @@
         asker=message.asker,
         age_ms=message.question.age_ms,
         number=message.question.number,
+        digest=message.question.digest,
         peers=tuple(machine.listed),
         gone=machine.departed(now),
     )
--- a/src/lovageshunt/idempotency/_actions.py
+++ b/src/lovageshunt/idempotency/_actions.py
@@ -107,9 +107,12 @@
 
 
 class Inquire(Record):
-    """Ask a peer about a call; report the answer or the failure."""
+    """Ask a peer about a call; report the answer or the failure.
 
-    __slots__ = ('key', 'peer', 'age_ms', 'number')
+    ``digest`` is that of the nodes which the asker knows.
+    """
+
+    __slots__ = ('key', 'peer', 'age_ms', 'number', 'digest')
 
     def __init__(
         self,
@@ -118,12 +121,14 @@
         peer: HomeStamp,
         age_ms: int,
         number: int,
+        digest: int = 0,
     ) -> None:
         """Name the call, the peer, the call's age and the inquiry."""
         self.key = key
         self.peer = peer
         self.age_ms = age_ms
         self.number = number
+        self.digest = digest
 
 
 class AnswerInquiry(Record):
--- a/src/lovageshunt/idempotency/_entry.py
+++ b/src/lovageshunt/idempotency/_entry.py
@@ -43,7 +43,14 @@
     every node asked gave its promise, or handed its calls to one that did.
     """
 
-    __slots__ = ('number', 'due_at', 'is_too_young', 'pending', '_by_claim')
+    __slots__ = (
+        'number',
+        'due_at',
+        'is_too_young',
+        'digest',
+        'pending',
+        '_by_claim',
+    )
 
     def __init__(
         self,
@@ -51,11 +58,13 @@
         number: int,
         due_at: float,
         is_too_young: bool,
+        digest: int,
     ) -> None:
         """Begin with nobody asked."""
         self.number = number
         self.due_at = due_at
         self.is_too_young = is_too_young
+        self.digest = digest
         self.pending: set[Identity] = set()
         self._by_claim: dict[str, set[Identity]] = {
             'asked': set(),
--- a/src/lovageshunt/idempotency/_events.py
+++ b/src/lovageshunt/idempotency/_events.py
@@ -120,7 +120,15 @@
 class Inquired(Record):
     """A peer asks whether a call ran here, and for a promise that it won't."""
 
-    __slots__ = ('key', 'asker', 'age_ms', 'number', 'peers', 'gone')
+    __slots__ = (
+        'key',
+        'asker',
+        'age_ms',
+        'number',
+        'digest',
+        'peers',
+        'gone',
+    )
 
     def __init__(
         self,
@@ -129,6 +137,7 @@
         asker: HomeStamp,
         age_ms: int,
         number: int,
+        digest: int = 0,
         peers: tuple[HomeStamp, ...] = (),
         gone: tuple[Departed, ...] = (),
     ) -> None:
@@ -137,6 +146,7 @@
         self.asker = asker
         self.age_ms = age_ms
         self.number = number
+        self.digest = digest
         self.peers = peers
         self.gone = gone
 
--- a/src/lovageshunt/idempotency/_inquiring.py
+++ b/src/lovageshunt/idempotency/_inquiring.py
@@ -23,6 +23,7 @@
     Claim,
     Identity,
     InquiryAnswer,
+    digest_of,
     identity_of,
     stamp_of,
 )
@@ -59,6 +60,7 @@
         number=state.next_number(),
         due_at=now + state.settings.inquiry_seconds,
         is_too_young=state.is_younger_than(entry.born_at),
+        digest=digest_of(asked | {state.me}),
     )
     inquiry.cover(state.expiry_by_leaver)
     inquiry.cover(excused)
@@ -102,7 +104,7 @@
         claim=Claim.CANNOT_SAY if is_too_young else Claim.WILL_NOT_RUN,
         home=before,
         refused_through=entry.refused_through,
-        known=(*event.peers, *map(stamp_of, sorted(suspects))),
+        known=_unknown_to(event, state, suspects),
         covered=tuple(map(stamp_of, state.expiry_by_leaver)),
     )
     return [_reply(event, answer), *moved]
@@ -207,6 +209,7 @@
             peer=stamp_of(peer),
             age_ms=round((now - entry.born_at) * MS_PER_SECOND),
             number=inquiry.number,
+            digest=inquiry.digest,
         )
         for peer in fresh
         if peer not in earlier
@@ -268,6 +271,18 @@
     return entry.state in _HELD_STATES
 
 
+def _unknown_to(
+    event: Inquired,
+    state: NodeState,
+    suspects: set[Identity],
+) -> tuple[HomeStamp, ...]:
+    """Return the nodes known here, unless the asker knows the same."""
+    known = suspects.union(map(identity_of, event.peers), (state.me,))
+    if digest_of(known) == event.digest:
+        return ()
+    return tuple(map(stamp_of, sorted(known)))
+
+
 def _promised_before(entry: Entry, asker: Identity) -> HomeStamp | None:
     if entry.home is None or entry.home == asker:
         return None
--- a/src/lovageshunt/idempotency/_records.py
+++ b/src/lovageshunt/idempotency/_records.py
@@ -1,7 +1,10 @@
 """What events, actions and entries are made of."""
 
+from collections.abc import Iterable
 from enum import StrEnum
 
+from xxhash import xxh3_64_intdigest
+
 from lovageshunt._record import Record
 from lovageshunt.calls import HomeStamp, Outcome, RefusalReason
 
@@ -19,6 +22,12 @@
     return HomeStamp(node=identity[0], incarnation=identity[1])
 
 
+def digest_of(identities: Iterable[Identity]) -> int:
+    """Return a digest of a set of nodes, the same in every process."""
+    names = '\n'.join(' '.join(identity) for identity in sorted(identities))
+    return xxh3_64_intdigest(names.encode())
+
+
 class StoredAnswer(Record):
     """A whole answer, kept for later attempts of the same call."""
 
@@ -99,8 +108,9 @@
 
     ``home`` names the node to which the answering one gave its promise
     before. Attempts up to ``refused_through`` were told *not run*.
-    ``known`` lists the nodes of the service that the answering one knows and
-    ``covered`` the departed ones whose keys were handed to it.
+    ``known`` lists the nodes of the service that the answering one knows,
+    unless the asker's digest of them is the same, and ``covered`` the
+    departed ones whose keys were handed to it.
     """
 
     __slots__ = ('claim', 'home', 'refused_through', 'known', 'covered')
