--- a/src/lovageshunt/account/__init__.py
+++ b/src/lovageshunt/account/__init__.py
@@ -1,1 +1,58 @@
 """What was answered, refused, failed and wasted, and its balance."""
+
+from lovageshunt.account._account import Account
+from lovageshunt.account._balance import Imbalance, balance
+from lovageshunt.account._keepers import Peer, keepers_of
+from lovageshunt.account._keeping import (
+    AccountClosed,
+    AccountKeeping,
+    KeepingTick,
+    SendSnapshot,
+    SnapshotHeard,
+)
+from lovageshunt.account._kept import KeptSnapshots
+from lovageshunt.account._line import (
+    REQUEST_FAILED,
+    AccountLine,
+    Cause,
+    causes_of,
+    total_of,
+)
+from lovageshunt.account._merge import Hole, MergedAccount
+from lovageshunt.account._reconcile import Difference, Reading, reconcile
+from lovageshunt.account._snapshot import (
+    AccountSnapshot,
+    Role,
+    decode_snapshot,
+    encode_snapshot,
+    snapshot_from_dict,
+)
+
+__all__ = [
+    'REQUEST_FAILED',
+    'Account',
+    'AccountClosed',
+    'AccountKeeping',
+    'AccountLine',
+    'AccountSnapshot',
+    'Cause',
+    'Difference',
+    'Hole',
+    'Imbalance',
+    'KeepingTick',
+    'KeptSnapshots',
+    'MergedAccount',
+    'Peer',
+    'Reading',
+    'Role',
+    'SendSnapshot',
+    'SnapshotHeard',
+    'balance',
+    'causes_of',
+    'decode_snapshot',
+    'encode_snapshot',
+    'keepers_of',
+    'reconcile',
+    'snapshot_from_dict',
+    'total_of',
+]
--- /dev/null
+++ b/src/lovageshunt/account/_kept.py
@@ -0,0 +1,112 @@
+"""The accounts of others that a node keeps in its memory."""
+
+from typing import Final
+
+from lovageshunt._record import Record
+from lovageshunt.account._snapshot import (
+    AccountSnapshot,
+    Owner,
+    Role,
+    decode_snapshot,
+    encode_snapshot,
+)
+
+#: Accounts kept at most; the oldest make room.
+MAX_KEPT: Final = 64
+#: Accounts older than this are dropped: the parent asks every day.
+MAX_KEPT_SECONDS: Final = 26 * 3600
+
+
+class KeptSnapshot(Record):
+    """The newest snapshot of an incarnation in its wire form."""
+
+    __slots__ = ('raw', 'sequence', 'taken_at', 'heard_at', 'is_final')
+
+    def __init__(
+        self,
+        *,
+        raw: bytes,
+        sequence: int,
+        taken_at: float,
+        heard_at: float,
+        is_final: bool,
+    ) -> None:
+        """Take the wire form and what orders it.
+
+        ``taken_at`` is on the clock of its node and ``heard_at`` on that of
+        the keeper, both in seconds.
+        """
+        self.raw = raw
+        self.sequence = sequence
+        self.taken_at = taken_at
+        self.heard_at = heard_at
+        self.is_final = is_final
+
+
+class KeptSnapshots:
+    """A bounded memory of others' accounts; ``forgotten`` counts the dropped.
+
+    The wire form is kept, because it takes a fraction of the memory.
+    """
+
+    __slots__ = ('forgotten', '_kept_by_owner')
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.forgotten = 0
+        self._kept_by_owner: dict[Owner, KeptSnapshot] = {}
+
+    def __contains__(self, owner: Owner) -> bool:
+        """Say whether an account is kept."""
+        return owner in self._kept_by_owner
+
+    def keep(self, snapshot: AccountSnapshot, now: float) -> None:
+        """Keep a snapshot unless a newer one of its life is kept."""
+        owner = snapshot.owner
+        held = self._kept_by_owner.get(owner)
+        if held and held.sequence >= snapshot.sequence:
+            return
+        self._kept_by_owner[owner] = KeptSnapshot(
+            raw=encode_snapshot(snapshot),
+            sequence=snapshot.sequence,
+            taken_at=snapshot.taken_at,
+            heard_at=now,
+            is_final=snapshot.is_final,
+        )
+        if len(self._kept_by_owner) > MAX_KEPT:
+            self._forget(self._oldest())
+
+    def drop_old(self, now: float) -> None:
+        """Drop what is older than a day and a little."""
+        old = [
+            owner
+            for owner, kept in self._kept_by_owner.items()
+            if now - kept.heard_at > MAX_KEPT_SECONDS
+        ]
+        for owner in old:
+            self._forget(owner)
+
+    def quiet_since(self, moment: float) -> list[tuple[Owner, bytes]]:
+        """Return those that are final or were last heard before ``moment``."""
+        return [
+            (owner, kept.raw)
+            for owner, kept in self._kept_by_owner.items()
+            if kept.is_final or kept.heard_at < moment
+        ]
+
+    def snapshots(self, role: Role) -> list[AccountSnapshot]:
+        """Return what is kept of one role, ordered by node."""
+        kept = self._kept_by_owner
+        return [
+            decode_snapshot(kept[owner].raw)
+            for owner in sorted(kept)
+            if owner[0] is role
+        ]
+
+    def _oldest(self) -> Owner:
+        kept = self._kept_by_owner
+        return min(kept, key=lambda owner: (kept[owner].heard_at, owner))
+
+    def _forget(self, owner: Owner) -> None:
+        self._kept_by_owner.pop(owner)
+        self.forgotten += 1
