--- a/bench/retry_shares.py
+++ b/bench/retry_shares.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping
 from random import Random
 from sys import stdout
 from types import MappingProxyType
@@ -136,7 +136,10 @@
 
     def _run_below(self, path: str, graph: Graph, pool: AllowancePool) -> bool:
         for at, group in enumerate(graph.groups):
-            shares = pool.shares([bool(child.groups) for child in group])
+            leaves = [
+                index for index, child in enumerate(group) if not child.groups
+            ]
+            shares = pool.shares(len(group), leaves=leaves)
             ended = [
                 self._call(f'{path}/{at}-{index}', child, shares[index], pool)
                 for index, child in enumerate(group)
@@ -199,9 +202,14 @@
         """Take the share of any call."""
         return super().share()
 
-    def shares(self, calls_below: Sequence[bool]) -> list[int]:
+    def shares(
+        self,
+        count: int,
+        *,
+        leaves: Collection[int] = (),
+    ) -> list[int]:
         """Take the shares of any parallel calls."""
-        return super().shares([True for _ in calls_below])
+        return super().shares(count)
 
 
 class KeepOnePool(AllowancePool):
--- a/src/lovageshunt/retries/_pool.py
+++ b/src/lovageshunt/retries/_pool.py
@@ -1,6 +1,6 @@
 """One hop's share of the allowance, divided over the calls below it."""
 
-from collections.abc import Sequence
+from collections.abc import Collection
 
 
 class AllowancePool:
@@ -33,20 +33,23 @@
             return 0
         return self._take(self._to_hand_down())
 
-    def shares(self, calls_below: Sequence[bool]) -> list[int]:
+    def shares(
+        self,
+        count: int,
+        *,
+        leaves: Collection[int] = (),
+    ) -> list[int]:
         """Take the shares of parallel calls, set before any of them starts.
 
-        ``calls_below`` tells for each whether its service calls others.
+        ``leaves`` are the places of calls to services that call no other.
         """
-        takers = sum(calls_below)
+        takers = [at for at in range(count) if at not in leaves]
+        shares = [0 for _ in range(count)]
         if not takers:
-            return [0 for _ in calls_below]
-        each, remainder = divmod(self._to_hand_down(), takers)
-        shares: list[int] = []
-        for is_taker in calls_below:
-            extra = int(is_taker and remainder > 0)
-            remainder -= extra
-            shares.append(self._take(each + extra) if is_taker else 0)
+            return shares
+        each, remainder = divmod(self._to_hand_down(), len(takers))
+        for order, place in enumerate(takers):
+            shares[place] = self._take(each + int(order < remainder))
         return shares
 
     def give_back(self, *, share: int, unspent: int) -> None:
--- a/tests/idempotency/nodes.py
+++ b/tests/idempotency/nodes.py
@@ -81,9 +81,3 @@
         retry_after_ms=50,
     )
     return node.handle(refused, NOW)
-
-
-def only(actions):
-    """Return the one action."""
-    assert len(actions) == 1
-    return actions[0]
--- a/tests/idempotency/test_arriving.py
+++ b/tests/idempotency/test_arriving.py
@@ -32,10 +32,10 @@
     PEERS,
     dispatch,
     make_node,
-    only,
     promise,
     requested,
 )
+from tests.only import only
 
 
 class TestFirstAttempt:
--- a/tests/idempotency/test_leaving.py
+++ b/tests/idempotency/test_leaving.py
@@ -23,10 +23,10 @@
     ME,
     NOW,
     dispatch,
-    only,
     promise,
     requested,
 )
+from tests.only import only
 
 
 class TestLeaving:
--- a/tests/idempotency/test_running.py
+++ b/tests/idempotency/test_running.py
@@ -17,11 +17,11 @@
     NOW,
     dispatch,
     make_node,
-    only,
     promise,
     refuse,
     requested,
 )
+from tests.only import only
 
 
 class TestEnding:
--- a/tests/retries/test_pool.py
+++ b/tests/retries/test_pool.py
@@ -10,7 +10,7 @@
         """The shares and what stays sum to the pool."""
         pool = AllowancePool(5)
 
-        shares = pool.shares([True, False, True])
+        shares = pool.shares(3, leaves=[1])
 
         assert shares == [3, 0, 2]
         assert pool.unspent == 0
@@ -25,7 +25,7 @@
     def test_answer_gives_back_no_more_than_its_share(self):
         """An answer that claims too much does not revive lost shares."""
         pool = AllowancePool(3)
-        shares = pool.shares([True, True])
+        shares = pool.shares(2)
 
         pool.give_back(share=shares[1], unspent=9)
 
