--- a/bench/run_once/_callers.py
+++ b/bench/run_once/_callers.py
@@ -7,6 +7,7 @@
 from bench.run_once._messages import RequestMessage
 from bench.run_once._network import age_ms_of
 from lovageshunt.calls import HomeStamp, Outcome
+from lovageshunt.idempotency import attempt_to_send
 
 Picker = Callable[[Sequence[HomeStamp]], HomeStamp]
 
@@ -82,7 +83,7 @@
         if is_new:
             self._stamp = pick(homes)
         self._hop_told[self._sends + 1] = None
-        attempt = 1 if is_new else 0
+        attempt = attempt_to_send(1, is_proved_not_run=is_new)
         self._send(fleet, attempt, self._stamp, self._stamp or pick(homes))
 
     def hop_gives_up(self) -> None:
--- a/src/lovageshunt/idempotency/__init__.py
+++ b/src/lovageshunt/idempotency/__init__.py
@@ -31,6 +31,7 @@
     WaiterCancelled,
     Woke,
 )
+from lovageshunt.idempotency._numbering import attempt_to_send
 from lovageshunt.idempotency._records import (
     Claim,
     Departed,
@@ -78,4 +79,5 @@
     'Wait',
     'WaiterCancelled',
     'Woke',
+    'attempt_to_send',
 ]
