--- a/bench/observability.py
+++ b/bench/observability.py
@@ -1,7 +1,8 @@
 """The cost per call of the account, spans, metrics and logs.
 
-Run ``python -m bench.observability``; each row is the median of several
-rounds, in microseconds.
+Run ``python -m bench.observability``. The first table has the median of
+several rounds, in microseconds. The second has the bytes of an account: one
+message for all lines, or one for each line, and what keeping it costs.
 """
 
 import io
@@ -9,20 +10,33 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from itertools import repeat
+from random import Random
 from statistics import median
 from typing import Final
 
 from aioprometheus.collectors import Counter, Registry
 
-from lovageshunt.account import Account, decode_snapshot, encode_snapshot
-from lovageshunt.calls import Outcome
-from lovageshunt.cli import write_table
+from lovageshunt.account import (
+    BYTES_PER_SECOND,
+    INTERVAL_SECONDS,
+    KEEPER_COUNT,
+    Account,
+    decode_snapshot,
+    encode_snapshot,
+)
+from lovageshunt.calls import Outcome, RefusalReason
+from lovageshunt.cli import write_line, write_table
 from lovageshunt.observability import Metrics, Traces, configure_logs
 
 _ROUNDS: Final = 7
 _CALLS_PER_ROUND: Final = 5000
 _US_PER_SECOND: Final = 1_000_000
 _LINES: Final = 30
+_LINE_COUNTS: Final = (3, 16, 30, 90)
+_MAX_CALLS: Final = 1000
+_OUTCOMES: Final = (*Outcome, *repeat(Outcome.ANSWERED, 10))
+_REASONS: Final = tuple(RefusalReason)[:6]
 _PARENT: Final = '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-'
 _CALL: Final = ('balances', 'view_balance', 1)
 
@@ -67,14 +81,34 @@
     return lambda: logger.info('refused', extra={'reason': 'overload'})
 
 
-def _full_account() -> Account:
+def _account_of(line_count: int) -> Account:
+    """Return an account whose lines all differ, as after a busy day."""
+    rng = Random(line_count)
     account = Account('balances-12', 'life-1', 0)
-    for number in range(_LINES):
-        account.arrived('balances', f'kind_{number}', 1)
-        account.ended('balances', f'kind_{number}', 1, Outcome.ANSWERED)
+    for number in range(line_count):
+        call = ('balances', f'kind_{number}', 1)
+        for _ in range(rng.randrange(_MAX_CALLS)):
+            account.arrived(*call)
+            outcome = rng.choice(_OUTCOMES)
+            reason = None
+            if outcome is not Outcome.ANSWERED:
+                reason = rng.choice(_REASONS)
+            account.ended(*call, outcome, reason)
     return account
 
 
+def _size_row(line_count: int) -> tuple[str, ...]:
+    snapshot = _account_of(line_count).snapshot(1)
+    together = len(encode_snapshot(snapshot))
+    lines = snapshot.lines
+    apart = 0
+    for line in lines:
+        snapshot.lines = [line]
+        apart += len(encode_snapshot(snapshot))
+    rate = min(together * KEEPER_COUNT / INTERVAL_SECONDS, BYTES_PER_SECOND)
+    return (str(line_count), str(together), str(apart), f'{rate:.0f}')
+
+
 def _per_call_rows() -> list[tuple[str, float]]:
     metrics = Metrics('n1')
     cell = metrics.cell('lovageshunt_pauses_total')
@@ -101,7 +135,7 @@
 
 def _rare_rows() -> list[tuple[str, float]]:
     metrics = Metrics('n1')
-    snapshot = _full_account().snapshot(1)
+    snapshot = _account_of(_LINES).snapshot(1)
     raw = encode_snapshot(snapshot)
     metrics.export_account(snapshot)
     return [
@@ -125,6 +159,11 @@
     measured = [*_per_call_rows(), *_rare_rows()]
     rows = [(step, f'{cost:.2f}') for step, cost in measured]
     write_table(('step', 'microseconds'), rows)
+    write_line('')
+    write_table(
+        ('lines', 'bytes together', 'bytes apart', 'bytes a second to keep'),
+        map(_size_row, _LINE_COUNTS),
+    )
 
 
 if __name__ == '__main__':
--- a/src/lovageshunt/account/__init__.py
+++ b/src/lovageshunt/account/__init__.py
@@ -2,8 +2,10 @@
 
 from lovageshunt.account._account import Account
 from lovageshunt.account._balance import Imbalance, balance
-from lovageshunt.account._keepers import Peer, keepers_of
+from lovageshunt.account._keepers import KEEPER_COUNT, Peer, keepers_of
 from lovageshunt.account._keeping import (
+    BYTES_PER_SECOND,
+    INTERVAL_SECONDS,
     AccountClosed,
     AccountKeeping,
     KeepingTick,
@@ -29,6 +31,9 @@
 )
 
 __all__ = [
+    'BYTES_PER_SECOND',
+    'INTERVAL_SECONDS',
+    'KEEPER_COUNT',
     'REQUEST_FAILED',
     'Account',
     'AccountClosed',
