Hand on a lost node's account again after half an hour

It was sent once to each keeper and counted as delivered, so one lost message could leave a single copy. Nothing acknowledges it, so it is repeated within the same rate; the test fails without the repeat.

--- a/src/lovageshunt/account/_keeping.py
+++ b/src/lovageshunt/account/_keeping.py
@@ -20,6 +20,8 @@
 INTERVAL_SECONDS: Final = 30
 #: What keeping may send, on average; a longer account is sent less often.
 BYTES_PER_SECOND: Final = 200
+#: What was handed on is sent again after so long, in case it was lost.
+_REPEAT_SECONDS: Final = 1800
 #: An account, and the life of a keeper that it was handed to.
 _Handing = tuple[Owner, IncarnationKey]
 #: An account that was not heard for so long belongs to a lost node.
@@ -88,7 +90,7 @@
     __slots__ = (
         'kept',
         '_account',
-        '_handed_on',
+        '_handed_at',
         '_next_at',
         '_own',
         '_queue',
@@ -103,7 +105,7 @@
         self._next_at = float('-inf')
         self._resume_at = float('-inf')
         self._queue: deque[SendSnapshot] = deque()
-        self._handed_on: set[_Handing] = set()
+        self._handed_at: dict[_Handing, float] = {}
 
     @singledispatchmethod
     def handle(self, event: KeepingEvent) -> list[SendSnapshot]:
@@ -136,8 +138,10 @@
 
     def _fill_queue(self, event: KeepingTick) -> None:
         self.kept.drop_old(event.now)
-        self._handed_on = {
-            handing for handing in self._handed_on if handing[0] in self.kept
+        self._handed_at = {
+            handing: at
+            for handing, at in self._handed_at.items()
+            if handing[0] in self.kept and event.now - at < _REPEAT_SECONDS
         }
         # An account too long for the rate is not begun again before it went.
         if not self._queue:
@@ -166,7 +170,7 @@
             for keeper in keepers_of(owner[1], peers):
                 handing = (owner, (keeper.node, keeper.incarnation))
                 is_own = keeper.node == self._own.node
-                if is_own or handing in self._handed_on:
+                if is_own or handing in self._handed_at:
                     continue
-                self._handed_on.add(handing)
+                self._handed_at[handing] = now
                 yield SendSnapshot(to_node=keeper.node, raw=raw)
--- a/tests/account/test_keeping.py
+++ b/tests/account/test_keeping.py
@@ -48,6 +48,7 @@
     def __init__(self):
         self.now = 0
         self.births = 0
+        self.is_cut = False
         self.peer_by_node = {}
         self.account_by_node = {}
         self.keeping_by_node = {}
@@ -90,8 +91,8 @@
                 self.deliver(node, keeping.handle(tick))
 
     def deliver(self, sender, actions):
-        """Carry what a node sends."""
-        for action in actions:
+        """Carry what a node sends, unless messages are lost."""
+        for action in () if self.is_cut else actions:
             sent = self.bytes_by_node.get(sender, 0) + len(action.raw)
             self.bytes_by_node[sender] = sent
             self.keeping_by_node[action.to_node].handle(
@@ -219,6 +220,22 @@
         holes = fleet.collect().holes(fleet.now, fleet.live())
         assert [hole.node for hole in holes] == ['n0', 'n1', 'n2', 'n3', 'n4']
 
+    def test_lost_handing_on_is_repeated(self):
+        """An account handed on in vain is handed on again half an hour on."""
+        fleet = fleet_of(5)
+        fleet.lose('n0')
+        keeper = keepers_of('n0', list(fleet.peer_by_node.values()))[0].node
+        fleet.lose(keeper)
+        fleet.start(int(keeper.removeprefix('n')))
+        fleet.is_cut = True
+        fleet.run(200)
+        fleet.is_cut = False
+        fleet.run(1860)
+
+        kept = fleet.keeping_by_node[keeper].kept.snapshots(Role.NODE)
+
+        assert 'n0' in [snapshot.node for snapshot in kept]
+
     def test_bytes_stay_within_the_rate(self):
         """Over any time a node sends its rate and one message at most."""
         fleet = fleet_of(3)
