--- a/src/lovageshunt/cli/_ask.py
+++ b/src/lovageshunt/cli/_ask.py
@@ -20,6 +20,12 @@
         'Admin addresses of the nodes to ask.',
         flag_values=values,
     )
+    DEFINE_string(
+        'nodes-file',
+        None,
+        'A file with more admin addresses, parted by blanks or lines.',
+        flag_values=values,
+    )
     DEFINE_string(
         'token-file',
         None,
@@ -43,15 +49,29 @@
 
 def ask_nodes(path: str, values: FlagValues) -> Answers:
     """Ask every node for a path, or say which flag is wrong and its remedy."""
-    addresses: Sequence[str] = values['nodes'].value or ()
+    return _read_addresses(values).map2(
+        _read_access(values),
+        lambda addresses, access: asyncio.run(
+            fetch_all(addresses, path, access),
+        ),
+    )
+
+
+def _read_addresses(values: FlagValues) -> Result[Sequence[str], str]:
+    addresses = list(values.nodes or ())
+    nodes_file = values.get_flag_value('nodes-file', None)
+    if nodes_file is not None:
+        try:
+            text = Path(nodes_file).read_text(encoding='utf-8')
+        except (OSError, ValueError) as error:
+            return Error(f'{nodes_file!r}: {error}; name a file of addresses')
+        addresses.extend(text.split())
     for address in addresses:
         if not address.rpartition(':')[2].isdigit():
-            return Error(f'--nodes has {address!r}; write each as IP:PORT')
+            return Error(f'{address!r} is no address; write IP:PORT')
     if not addresses:
         return Error('no nodes to ask; name them with --nodes=IP:PORT,IP:PORT')
-    return _read_access(values).map(
-        lambda access: asyncio.run(fetch_all(addresses, path, access)),
-    )
+    return Ok(addresses)
 
 
 def _read_access(values: FlagValues) -> Result[AdminAccess, str]:
--- a/src/lovageshunt/cli/_status.py
+++ b/src/lovageshunt/cli/_status.py
@@ -1,5 +1,6 @@
 """The command that shows a deployment at a glance."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 from types import MappingProxyType
 from typing import Any, Final
@@ -7,6 +8,8 @@
 from absl.flags import FlagValues
 from expression import Result
 
+from lovageshunt.admission import OPEN_THRESHOLD
+from lovageshunt.calls import RANK_COUNT
 from lovageshunt.cli._ask import ask_nodes, define_nodes
 from lovageshunt.cli._command import (
     Command,
@@ -18,6 +21,9 @@
 )
 from lovageshunt.cli._nodes import NodeAnswer
 
+#: What a node's admin side answered.
+_Body = dict[str, Any]
+
 _PATH: Final = '/v1/status'
 #: Column headers and the fields of the status that they show.
 _FIELD_BY_HEADER: Final = MappingProxyType(
@@ -38,6 +44,8 @@
     },
 )
 _NONE: Final = '-'
+#: Shown for the threshold of a target that refuses nothing for its load.
+_OPEN: Final = 'open'
 
 
 def status(arguments: Sequence[str], values: FlagValues) -> ExitCode:
@@ -62,17 +70,52 @@
         return
     bodies = [answer.body for answer in answers if not answer.error]
     write_table(tuple(_FIELD_BY_HEADER), map(_row_of, bodies))
+    for name, witnesses in _leaving_members(bodies).items():
+        write_line(f'leaving: {name}, as {", ".join(witnesses)} has it')
     for answer in answers:
         if answer.error:
             write_line(str(answer.error))
 
 
-def _row_of(body: dict[str, Any]) -> list[str]:
+def _row_of(body: _Body) -> list[str]:
+    threshold = _shown_threshold(body.get('threshold'))
+    shown = {**body, 'threshold': threshold}
     fields = _FIELD_BY_HEADER.values()
-    return [str(body.get(field, _NONE)) for field in fields]
+    return [str(shown.get(field, _NONE)) for field in fields]
+
+
+def _shown_threshold(threshold: Any) -> str:
+    """Return the importance from which calls are refused, in hundredths."""
+    if not isinstance(threshold, int):
+        return _NONE
+    if threshold >= OPEN_THRESHOLD:
+        return _OPEN
+    return f'{threshold / RANK_COUNT:.2f}'
+
+
+def _leaving_members(bodies: list[_Body]) -> dict[str, list[str]]:
+    """Return who has each leaving member as leaving, by the member's name."""
+    witnesses_by_name: defaultdict[str, list[str]] = defaultdict(list)
+    for body in bodies:
+        witness = str(body.get('node', _NONE))
+        for name in _leaving_at(body):
+            witnesses_by_name[name].append(witness)
+    return witnesses_by_name
+
+
+def _leaving_at(body: _Body) -> list[str]:
+    members_by_service = body.get('members')
+    if not isinstance(members_by_service, dict):
+        return []
+    return [
+        str(member.get('name'))
+        for members in members_by_service.values()
+        for member in members
+        if member.get('is_leaving')
+    ]
 
 
-def _content_of(answer: NodeAnswer) -> dict[str, Any]:
+def _content_of(answer: NodeAnswer) -> _Body:
     if answer.error:
         return {'address': answer.address, 'error': str(answer.error)}
     return {'address': answer.address, **answer.body}
--- a/tests/cli/test_account.py
+++ b/tests/cli/test_account.py
@@ -130,6 +130,7 @@
             ['--nodes=here'],
             ['--nodes=a:1', '--token-file=/nowhere'],
             ['--nodes=a:1', '--unheard_of'],
+            ['--nodes-file=/nowhere'],
             ['--nodes=a:1', 'left over'],
             ['--nodes=127.0.0.1:1', '--callers=/nowhere'],
         ],
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -21,6 +21,27 @@
         assert header.split()[:2] == ['node', 'service']
         assert row.split()[:3] == ['n1', 'balances', '-']
 
+    def test_threshold_and_leavers_are_shown(self, capsys):
+        """The threshold is in importances; a leaving VM has its witnesses."""
+        members = {'records': [{'name': 'vm-7', 'is_leaving': True}]}
+        body = {**BODY, 'threshold': 98304, 'members': members}
+        with admin_server({'/v1/status': body}) as address:
+            main(['status', f'--nodes={address}'])
+
+        shown = capsys.readouterr().out
+        assert ' 1.50 ' in shown
+        assert 'leaving: vm-7, as n1 has it' in shown
+
+    def test_nodes_may_come_from_a_file(self, capsys, tmp_path):
+        """Addresses in a file are asked like those in the flag."""
+        path = tmp_path / 'nodes'
+        with admin_server({'/v1/status': BODY}) as address:
+            path.write_text(f'{address}\n')
+            code = main(['status', f'--nodes-file={path}'])
+
+        assert code == 0
+        assert 'balances' in capsys.readouterr().out
+
     def test_json_names_the_node_without_answer(self, capsys):
         """A node without an answer is in the JSON, and the exit code 1."""
         with admin_server({'/v1/status': BODY}) as address:
