Name an imbalance once, and ask twice only when callers are compared

Each kept copy of an unbalanced account was reported beside the node's own: the test saw it three times before where it is one.

--- a/src/lovageshunt/account/__init__.py
+++ b/src/lovageshunt/account/__init__.py
@@ -24,6 +24,7 @@
 from lovageshunt.account._reconcile import Difference, Reading, reconcile
 from lovageshunt.account._snapshot import (
     AccountSnapshot,
+    Owner,
     Role,
     decode_snapshot,
     encode_snapshot,
@@ -47,6 +48,7 @@
     'KeepingTick',
     'KeptSnapshots',
     'MergedAccount',
+    'Owner',
     'Peer',
     'Reading',
     'Role',
--- a/src/lovageshunt/cli/_account.py
+++ b/src/lovageshunt/cli/_account.py
@@ -58,11 +58,19 @@
 
 
 def _collect(values: FlagValues) -> Result[AccountReport, str]:
-    earlier = _collect_once(values)
-    collection = _collect_once(values)
-    return earlier.map2(
-        collection,
-        lambda first, second: AccountReport(second, earlier=first),
+    return _collect_once(values).bind(
+        lambda earlier: _collect_again(earlier, values),
+    )
+
+
+def _collect_again(
+    earlier: Collection,
+    values: FlagValues,
+) -> Result[AccountReport, str]:
+    if not earlier.has_callers:
+        return Ok(AccountReport(earlier, earlier=earlier))
+    return _collect_once(values).map(
+        lambda collection: AccountReport(collection, earlier=earlier),
     )
 
 
@@ -82,7 +90,7 @@
     for path in paths:
         try:
             fields = orjson.loads(Path(path).read_bytes())
-            collection.add(snapshot_from_dict(fields))
+            collection.account.add(snapshot_from_dict(fields))
         except (LovageshuntError, OSError, ValueError) as error:
             return Error(f'--callers has {path!r} ({error}); name snapshots')
     return Ok(collection)
--- a/src/lovageshunt/cli/_account_report.py
+++ b/src/lovageshunt/cli/_account_report.py
@@ -12,6 +12,7 @@
     Hole,
     Imbalance,
     MergedAccount,
+    Owner,
     Reading,
     Role,
     balance,
@@ -25,13 +26,13 @@
 class Collection:
     """The snapshots in the answers of the nodes, and what went wrong."""
 
-    __slots__ = ('account', 'errors', 'holes', 'imbalances')
+    __slots__ = ('account', 'errors', 'holes', '_held_by_owner')
 
     def __init__(self, answers: list[NodeAnswer], now: float) -> None:
         """Merge the nodes' answers as of ``now``, in seconds since 1970."""
         self.account = MergedAccount()
         self.errors: list[LovageshuntError] = []
-        self.imbalances: list[Imbalance] = []
+        self._held_by_owner: dict[Owner, dict[str, int]] = {}
         live = [
             (own.node, own.incarnation)
             for own in map(self._take, answers)
@@ -39,10 +40,21 @@
         ]
         self.holes: list[Hole] = self.account.holes(now, live)
 
-    def add(self, snapshot: AccountSnapshot) -> None:
-        """Take in a snapshot that a caller wrote."""
-        self.account.add(snapshot)
-        self.imbalances.extend(balance(snapshot))
+    @property
+    def has_callers(self) -> bool:
+        """Return whether there is any caller's account to compare."""
+        return bool(self.account.lines(Role.CALLER))
+
+    def imbalances(self) -> list[Imbalance]:
+        """Return what does not balance, in the newest account of each."""
+        return [
+            imbalance
+            for snapshot in self.account.snapshots()
+            for imbalance in balance(
+                snapshot,
+                self._held_by_owner.get(snapshot.owner),
+            )
+        ]
 
     def reading(self) -> Reading:
         """Return the figures to compare callers with nodes."""
@@ -68,10 +80,11 @@
         own = snapshot_from_dict(body.get('account'))
         for name in ('callers', 'kept'):
             for fields in body.get(name, ()):
-                self.add(snapshot_from_dict(fields))
-        held = body.get('held_by_service')
+                self.account.add(snapshot_from_dict(fields))
         self.account.add(own)
-        self.imbalances.extend(balance(own, held))
+        held = body.get('held_by_service')
+        if isinstance(held, dict):
+            self._held_by_owner[own.owner] = held
         return own
 
 
@@ -88,7 +101,7 @@
         """Compare the two collections."""
         self._collection = collection
         self.differences: list[Difference] = []
-        if self.lines(Role.CALLER):
+        if collection.has_callers:
             self.differences = reconcile(
                 earlier.reading(),
                 collection.reading(),
@@ -104,7 +117,7 @@
             if not difference.is_explained
         ]
         missing = found.errors or found.holes
-        return not (missing or found.imbalances or unexplained)
+        return not (missing or found.imbalances() or unexplained)
 
     def lines(self, role: Role = Role.NODE) -> list[AccountLine]:
         """Return the counts of all nodes, or of all callers."""
@@ -118,7 +131,7 @@
             'nodes': _dicts(self.lines()),
             'callers': _dicts(self.lines(Role.CALLER)),
             'holes': _dicts(found.holes),
-            'imbalances': _dicts(found.imbalances),
+            'imbalances': _dicts(found.imbalances()),
             'differences': _dicts(self.differences),
             'errors': [str(error) for error in found.errors],
         }
@@ -129,7 +142,7 @@
         return [
             *map(str, found.errors),
             *map(_hole_line, found.holes),
-            *map(_imbalance_line, found.imbalances),
+            *map(_imbalance_line, found.imbalances()),
             *map(_difference_line, self.differences),
         ]
 
--- a/tests/cli/test_account.py
+++ b/tests/cli/test_account.py
@@ -53,6 +53,19 @@
         assert code == 1
         assert 'hole: n2 old from 1970-01-01T00:01:00Z' in shown
 
+    def test_imbalance_is_named_once(self, capsys):
+        """A call that admission has lost is named, not for each copy."""
+        body = body_of('n1')
+        body['account']['lines'][0]['running'] = -1
+        body |= {'kept': [body['account']], 'held_by_service': {'balances': 3}}
+        with admin_server({'/v1/account': body}) as address:
+            code = main(['account', f'--nodes={address}'])
+
+        shown = capsys.readouterr().out
+        assert code == 1
+        assert shown.count('running >= 0 is off by 1') == 1
+        assert shown.count('running = held by admission is off by -4') == 1
+
     def test_callers_are_compared(self, capsys, tmp_path):
         """A caller's snapshot that contradicts the nodes' is named."""
         path = tmp_path / 'phone.json'
