Tell a new keeper at once, and keep accounts in other services too

Seen on real processes: of two payments nodes one left and one was killed, and no hole was named. Ruled out: the merge and the hole's rule, which had nothing to work on. Now a keeper that is new to a node is sent its account at once, and the peers are those of any service.

--- a/src/lovageshunt/account/_keeping.py
+++ b/src/lovageshunt/account/_keeping.py
@@ -31,14 +31,23 @@
 class KeepingTick(Record):
     """Time has passed; come back at least once a second.
 
-    ``peers`` are the other nodes that are here and not leaving.
+    ``now`` is in seconds on a clock that never goes back, ``wall_time`` in
+    seconds since 1970. ``peers`` are the other nodes that are here and not
+    leaving, of any service: a service that is lost whole keeps nothing.
     """
 
-    __slots__ = ('now', 'peers')
+    __slots__ = ('now', 'wall_time', 'peers')
 
-    def __init__(self, *, now: float, peers: Sequence[Peer]) -> None:
-        """Take the time in seconds and the peers."""
+    def __init__(
+        self,
+        *,
+        now: float,
+        wall_time: float,
+        peers: Sequence[Peer],
+    ) -> None:
+        """Take both times and the peers."""
         self.now = now
+        self.wall_time = wall_time
         self.peers = peers
 
 
@@ -48,7 +57,7 @@
     __slots__ = ('now', 'snapshot')
 
     def __init__(self, *, now: float, snapshot: AccountSnapshot) -> None:
-        """Take the time in seconds and the snapshot."""
+        """Take the time, on the clock of ``KeepingTick``, and the snapshot."""
         self.now = now
         self.snapshot = snapshot
 
@@ -56,11 +65,18 @@
 class AccountClosed(Record):
     """The node leaves, and its last call has ended."""
 
-    __slots__ = ('now', 'peers')
+    __slots__ = ('now', 'wall_time', 'peers')
 
-    def __init__(self, *, now: float, peers: Sequence[Peer]) -> None:
-        """Take the time in seconds and the peers that stay."""
+    def __init__(
+        self,
+        *,
+        now: float,
+        wall_time: float,
+        peers: Sequence[Peer],
+    ) -> None:
+        """Take both times, as in ``KeepingTick``, and the peers that stay."""
         self.now = now
+        self.wall_time = wall_time
         self.peers = peers
 
 
@@ -81,16 +97,18 @@
 class AccountKeeping:
     """Send a node's account to its keepers, and keep the accounts of others.
 
-    The first snapshot goes out at once, so that an incarnation that dies
-    young is known by name. A leaver sends its final one and hands on what
-    it keeps of nodes that are gone; so does a keeper whose fellow keeper
-    was replaced. What is sent stays within ``BYTES_PER_SECOND``.
+    The first snapshot goes out at once, and so does one to each new keeper,
+    so that an incarnation that dies young is known by name. A leaver sends
+    its final one and hands on what it keeps of nodes that are gone; so does
+    a keeper whose fellow keeper was replaced. What is sent stays within
+    ``BYTES_PER_SECOND``.
     """
 
     __slots__ = (
         'kept',
         '_account',
         '_handed_at',
+        '_keepers',
         '_next_at',
         '_own',
         '_queue',
@@ -104,6 +122,7 @@
         self._own = own
         self._next_at = float('-inf')
         self._resume_at = float('-inf')
+        self._keepers: list[Peer] = []
         self._queue: deque[SendSnapshot] = deque()
         self._handed_at: dict[_Handing, float] = {}
 
@@ -114,8 +133,8 @@
 
     @handle.register
     def _on_tick(self, event: KeepingTick) -> list[SendSnapshot]:
-        if event.peers and event.now >= self._next_at:
-            self._next_at = event.now + INTERVAL_SECONDS
+        # An account too long for the rate is not begun again before it went.
+        if not self._queue:
             self._fill_queue(event)
         if not self._queue or event.now < self._resume_at:
             return []
@@ -130,35 +149,47 @@
 
     @handle.register
     def _on_closed(self, event: AccountClosed) -> list[SendSnapshot]:
-        final = self._account.snapshot(event.now, is_final=True)
+        keepers = keepers_of(self._own.node, event.peers)
         return [
-            *self._own_sends(final, event.peers),
+            *self._own_sends(event, keepers),
             *self._handings(event.now, event.peers),
         ]
 
     def _fill_queue(self, event: KeepingTick) -> None:
-        self.kept.drop_old(event.now)
+        keepers = keepers_of(self._own.node, event.peers)
+        if keepers and event.now >= self._next_at:
+            self._next_at = event.now + INTERVAL_SECONDS
+            self._forget_old(event.now)
+            self._queue.extend(self._own_sends(event, keepers))
+            peers = (*event.peers, self._own)
+            self._queue.extend(self._handings(event.now, peers))
+        else:
+            new = [peer for peer in keepers if peer not in self._keepers]
+            self._queue.extend(self._own_sends(event, new))
+        self._keepers = keepers
+
+    def _forget_old(self, now: float) -> None:
+        self.kept.drop_old(now)
         self._handed_at = {
             handing: at
             for handing, at in self._handed_at.items()
-            if handing[0] in self.kept and event.now - at < _REPEAT_SECONDS
+            if handing[0] in self.kept and now - at < _REPEAT_SECONDS
         }
-        # An account too long for the rate is not begun again before it went.
-        if not self._queue:
-            snapshot = self._account.snapshot(event.now)
-            self._queue.extend(self._own_sends(snapshot, event.peers))
-            peers = (*event.peers, self._own)
-            self._queue.extend(self._handings(event.now, peers))
 
     def _own_sends(
         self,
-        snapshot: AccountSnapshot,
-        peers: Sequence[Peer],
+        event: KeepingTick | AccountClosed,
+        keepers: Sequence[Peer],
     ) -> list[SendSnapshot]:
+        if not keepers:
+            return []
+        snapshot = self._account.snapshot(
+            event.wall_time,
+            is_final=isinstance(event, AccountClosed),
+        )
         raw = encode_snapshot(snapshot)
         return [
-            SendSnapshot(to_node=keeper.node, raw=raw)
-            for keeper in keepers_of(self._own.node, peers)
+            SendSnapshot(to_node=keeper.node, raw=raw) for keeper in keepers
         ]
 
     def _handings(
--- a/tests/account/test_keeping.py
+++ b/tests/account/test_keeping.py
@@ -74,7 +74,11 @@
         keeping = self.keeping_by_node[node]
         peers = self.others(node)
         self.lose(node)
-        closed = AccountClosed(now=self.now, peers=peers)
+        closed = AccountClosed(
+            now=self.now,
+            wall_time=self.now,
+            peers=peers,
+        )
         self.deliver(node, keeping.handle(closed))
 
     def others(self, node):
@@ -87,7 +91,11 @@
         for _ in range(seconds):
             self.now += 1
             for node, keeping in list(self.keeping_by_node.items()):
-                tick = KeepingTick(now=self.now, peers=self.others(node))
+                tick = KeepingTick(
+                    now=self.now,
+                    wall_time=self.now,
+                    peers=self.others(node),
+                )
                 self.deliver(node, keeping.handle(tick))
 
     def deliver(self, sender, actions):
@@ -236,6 +244,19 @@
 
         assert 'n0' in [snapshot.node for snapshot in kept]
 
+    def test_new_keeper_is_told_at_once(self):
+        """A node that knew one peer at its start is kept by later ones, too."""
+        fleet = fleet_of(2)
+        fleet.run(5)
+        fleet.start(2)
+        fleet.run(5)
+
+        fleet.lose('n1')
+        fleet.lose('n0')
+
+        holes = fleet.collect().holes(fleet.now, fleet.live())
+        assert [hole.node for hole in holes] == ['n0', 'n1']
+
     def test_bytes_stay_within_the_rate(self):
         """Over any time a node sends its rate and one message at most."""
         fleet = fleet_of(3)
