--- a/src/lovageshunt/calls/_answer.py
+++ b/src/lovageshunt/calls/_answer.py
@@ -36,7 +36,8 @@
     the share. ``threshold_by_service`` tells callers which levels the
     services below refuse. ``retry_after_ms`` says when to come back and is
     always above 0 unless the outcome is ``ANSWERED``. ``home`` is the stamp
-    that the node put on a call that must run at most once.
+    that the node put on a call that must run at most once, ``calls_below`` is
+    false for a service that calls no other.
     """
 
     __slots__ = (
@@ -50,6 +51,7 @@
         'home',
         'body_length',
         'suspicion',
+        'calls_below',
     )
 
     def __init__(
@@ -65,6 +67,7 @@
         home: HomeStamp | None = None,
         body_length: int = 0,
         suspicion: int = 0,
+        calls_below: bool = True,
     ) -> None:
         """Take every field by name; the defaults suit a plain answer."""
         self.call_id = call_id
@@ -77,3 +80,4 @@
         self.home = home
         self.body_length = body_length
         self.suspicion = suspicion
+        self.calls_below = calls_below
--- a/src/lovageshunt/client/__init__.py
+++ b/src/lovageshunt/client/__init__.py
@@ -22,9 +22,15 @@
     Transport,
     WholeAnswer,
 )
-from lovageshunt.client._view import VIEW_PATH, View, encode_view
+from lovageshunt.client._view import (
+    ACCOUNT_PATH,
+    VIEW_PATH,
+    View,
+    encode_view,
+)
 
 __all__ = [
+    'ACCOUNT_PATH',
     'VIEW_PATH',
     'Answer',
     'AsgiApp',
--- a/src/lovageshunt/client/_attempts.py
+++ b/src/lovageshunt/client/_attempts.py
@@ -11,6 +11,7 @@
 from lovageshunt.client._messages import Answer, Call, call_error
 from lovageshunt.clock import now
 from lovageshunt.errors import CallError
+from lovageshunt.idempotency import attempt_to_send
 from lovageshunt.retries import (
     AllowancePool,
     CallTally,
@@ -59,11 +60,15 @@
         self._tally = CallTally()
         self._tried: set[str] = set()
         self._tries = 0
+        self._has_home_word = False
 
     async def run(self) -> Result[Answer, CallError]:
         """Return the whole answer, or the typed failure."""
         refusal = self._refusal()
         if refusal is not None:
+            self._count_begin()
+            reason = RefusalReason(refusal.reason)
+            self._count_end(Outcome.NOT_RUN, reason, ran=False)
             return Error(refusal)
         while True:
             member = self._choose()
@@ -75,12 +80,24 @@
             if not await self._goes_on(member, end):
                 return Error(self._error(end))
 
+    def _claim(self, outcome: Outcome) -> Outcome:
+        """Return what may be said of the whole request.
+
+        When the caller repeats a request, an earlier attempt of it may have
+        run; only the home's own word covers that one.
+        """
+        if outcome is not Outcome.NOT_RUN or self._first_attempt == 1:
+            return outcome
+        if self._rule.is_repeatable:
+            return Outcome.FAILED
+        return outcome if self._has_home_word else Outcome.UNKNOWN
+
     def _refusal(self) -> CallError | None:
         context = self._context
         if self._deadline <= self._started_at:
             return call_error(
                 context.request_id,
-                Outcome.NOT_RUN,
+                self._claim(Outcome.NOT_RUN),
                 RefusalReason.DEADLINE,
                 _LATE_RETRY_MS,
             )
@@ -94,7 +111,7 @@
             return None
         return call_error(
             context.request_id,
-            Outcome.NOT_RUN,
+            self._claim(Outcome.NOT_RUN),
             RefusalReason.OVERLOAD,
             wait_ms,
         )
@@ -118,8 +135,9 @@
 
     async def _attempt(self, member: RouteMember) -> AttemptEnd:
         self._tries += 1
-        self._tally.begin()
         self._prepare(member)
+        self._tally.begin()
+        self._count_begin()
         share = self._context.retries_left
         started_at = now()
         self._link.router.started(member.node, started_at)
@@ -132,6 +150,7 @@
             )
         except BaseException:
             self._link.router.lost(member.node, now())
+            self._count_end(Outcome.UNKNOWN, RefusalReason.CANCELLED, ran=True)
             raise
         self._learn(member, end, now() - started_at)
         self._pool.give_back(share=share, unspent=end.said.unspent)
@@ -145,16 +164,26 @@
         elapsed = at - self._started_at
         context.timeout_ms = max(1, int(left * _MS_PER_SECOND))
         context.age_ms = self._first_age_ms + int(elapsed * _MS_PER_SECOND)
-        context.attempt = 0
-        if self._first_attempt:
-            context.attempt = self._first_attempt + self._tries - 1
-        context.retries_left = self._pool.share()
+        context.attempt = self._number()
+        context.retries_left = self._pool.share(
+            calls_below=self._link.calls_below,
+        )
         if self._may_stamp(member):
             context.home = HomeStamp(
                 node=member.node,
                 incarnation=member.incarnation,
             )
 
+    def _number(self) -> int:
+        """Return the attempt number to send next."""
+        if self._rule.is_repeatable:
+            sent = self._tries - 1
+            return self._first_attempt + sent if self._first_attempt else 0
+        return attempt_to_send(
+            self._first_attempt,
+            is_proved_not_run=self._is_proved_not_run,
+        )
+
     def _may_stamp(self, member: RouteMember) -> bool:
         if self._rule.is_repeatable or self._context.home is not None:
             return False
@@ -180,6 +209,7 @@
             reason=said.reason,
             load=said.load,
         )
+        self._link.calls_below = said.calls_below
         self._engine.learn(self._call.service, self._rule.kind, said, at)
         if said.outcome is Outcome.ANSWERED:
             self._link.succeeded(seconds, at)
@@ -187,7 +217,10 @@
             self._context.home = said.home
 
     def _count(self, end: AttemptEnd) -> None:
-        self._tally.end(end.said.outcome)
+        said = end.said
+        was_unsent = end.is_lost and said.outcome is Outcome.NOT_RUN
+        self._count_end(said.outcome, said.reason, ran=not was_unsent)
+        self._tally.end(said.outcome)
         is_home_word = (
             not self._rule.is_repeatable
             and not end.is_lost
@@ -195,6 +228,35 @@
         )
         if is_home_word:
             self._tally.prove_not_run()
+            self._has_home_word = True
+
+    @property
+    def _is_proved_not_run(self) -> bool:
+        return not self._tries or self._tally.outcome is Outcome.NOT_RUN
+
+    def _count_begin(self) -> None:
+        self._engine.account.arrived(
+            self._call.service,
+            self._rule.kind,
+            self._context.importance,
+            is_retry=self._tries > 1,
+        )
+
+    def _count_end(
+        self,
+        outcome: Outcome,
+        reason: RefusalReason | None,
+        *,
+        ran: bool,
+    ) -> None:
+        self._engine.account.ended(
+            self._call.service,
+            self._rule.kind,
+            self._context.importance,
+            outcome,
+            reason,
+            ran=ran,
+        )
 
     async def _goes_on(self, member: RouteMember, end: AttemptEnd) -> bool:
         said = end.said
@@ -251,7 +313,7 @@
         wait_ms = end.said.retry_after_ms or _LATE_RETRY_MS
         return call_error(
             self._context.request_id,
-            self._tally.outcome,
+            self._claim(self._tally.outcome),
             end.said.reason,
             wait_ms,
         )
@@ -262,7 +324,7 @@
             outcome = self._tally.outcome
         return call_error(
             self._context.request_id,
-            outcome,
+            self._claim(outcome),
             RefusalReason.NO_TARGET,
             _NO_TARGET_RETRY_MS,
         )
--- a/src/lovageshunt/client/_client.py
+++ b/src/lovageshunt/client/_client.py
@@ -4,24 +4,32 @@
 from contextlib import suppress
 from itertools import cycle
 from random import Random
+from time import time
 from typing import Final
 from uuid import uuid4
 
 from expression import Result
 
+from lovageshunt.account import encode_snapshot
 from lovageshunt.calls import CallContext
 from lovageshunt.client._engine import Engine
 from lovageshunt.client._messages import Answer
 from lovageshunt.client._options import ClientOptions
 from lovageshunt.client._scope import CallScope, root_context
 from lovageshunt.client._transport import Transport
-from lovageshunt.client._view import VIEW_PATH, View, decode_view
+from lovageshunt.client._view import (
+    ACCOUNT_PATH,
+    VIEW_PATH,
+    View,
+    decode_view,
+)
 from lovageshunt.clock import now
 from lovageshunt.errors import CallError, MalformedViewError
 
 _VIEW_TIMEOUT_SECONDS: Final = 1.0
 #: A root request without a time of its own has the time of its rule.
 _LONGEST_TIMEOUT_MS: Final = 3_600_000
+_ACCOUNT_SECONDS: Final = 30.0
 _HTTP_OK: Final = 200
 
 
@@ -53,6 +61,7 @@
             self._watcher.cancel()
             with suppress(CancelledError):
                 await self._watcher
+            await self.send_account()
         await self._transport.close()
 
     async def refresh(self) -> bool:
@@ -118,6 +127,19 @@
             headers=headers,
         )
 
+    async def send_account(self) -> bool:
+        """Give the own account to a node to keep; say whether it took it."""
+        snapshot = self.engine.account.snapshot(time())
+        exchange = await self._transport.send(
+            address=next(self._seeds),
+            method='POST',
+            target=ACCOUNT_PATH,
+            headers={},
+            body=encode_snapshot(snapshot),
+            timeout_seconds=_VIEW_TIMEOUT_SECONDS,
+        )
+        return exchange.is_ok() and exchange.ok.status == _HTTP_OK
+
     def _adopt(self, view: View) -> None:
         known = self.engine.view
         # Seeds know different services, and not all are up to date: what is
@@ -137,7 +159,11 @@
         self.engine.adopt(merged, now())
 
     async def _follow_view(self) -> None:
+        account_at = now() + _ACCOUNT_SECONDS
         while True:
+            if now() >= account_at:
+                account_at = now() + _ACCOUNT_SECONDS
+                await self.send_account()
             jitter = self.engine.rng.uniform(0.8, 1.2)
             await sleep(self._options.view_seconds * jitter)
             await self.refresh()
--- a/src/lovageshunt/client/_engine.py
+++ b/src/lovageshunt/client/_engine.py
@@ -1,8 +1,11 @@
 """What all calls of one client share: the view, routers and budgets."""
 
 from random import Random
+from time import time
 from typing import Final
+from uuid import uuid4
 
+from lovageshunt.account import Account, Role
 from lovageshunt.admission import CallerThresholds
 from lovageshunt.calls import AnswerInfo
 from lovageshunt.client._options import ClientOptions
@@ -19,13 +22,15 @@
 class ServiceLink:
     """What a client remembers of one service that it calls."""
 
-    __slots__ = ('router', 'budget', 'typical_seconds')
+    __slots__ = ('router', 'budget', 'typical_seconds', 'calls_below')
 
     def __init__(self, router: Router, budget: RetryBudget) -> None:
         """Start with a guess of the time of answer."""
         self.router = router
         self.budget = budget
         self.typical_seconds = _FIRST_TYPICAL_SECONDS
+        #: Whether the service calls others; its answers tell.
+        self.calls_below = True
 
     def succeeded(self, seconds: float, now: float) -> None:
         """Take the time of a whole answer."""
@@ -49,6 +54,12 @@
         self.rng = rng
         self.view: View = EMPTY_VIEW
         self.thresholds = CallerThresholds()
+        self.account = Account(
+            options.name,
+            uuid4().hex,
+            time(),
+            role=Role.CALLER,
+        )
         self._link_by_service: dict[str, ServiceLink] = {}
 
     def adopt(self, view: View, now: float) -> None:
--- a/src/lovageshunt/client/_view.py
+++ b/src/lovageshunt/client/_view.py
@@ -18,6 +18,9 @@
 #: Where a node's ingress serves its view to clients.
 VIEW_PATH: Final = '/lovageshunt/v1/view'
 
+#: Where a node's ingress takes the accounts of clients.
+ACCOUNT_PATH: Final = '/lovageshunt/v1/account'
+
 
 class View(Record):
     """Members and rules by service, and the generation of the rules."""
--- a/src/lovageshunt/node/_admin.py
+++ b/src/lovageshunt/node/_admin.py
@@ -10,7 +10,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from lovageshunt.errors import MalformedEnvelopeError
+from lovageshunt.errors import MalformedEnvelopeError, MalformedSnapshotError
 from lovageshunt.idempotency import InquiryAnswer
 from lovageshunt.node._envelope import MAX_ENVELOPE_BYTES, decode_envelope
 from lovageshunt.node._inquiry_codec import (
@@ -78,7 +78,7 @@
                 )
             try:
                 return await handler(request)
-            except MalformedEnvelopeError as error:
+            except (MalformedEnvelopeError, MalformedSnapshotError) as error:
                 return _problem(_BAD_REQUEST, str(error))
 
         return guarded
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -6,7 +6,7 @@
 from time import time
 from typing import Final
 
-from lovageshunt.account import Account
+from lovageshunt.account import Account, AccountKeeping, Peer
 from lovageshunt.admission import Admission, AdmissionSettings
 from lovageshunt.client import Transport
 from lovageshunt.clock import now
@@ -23,7 +23,6 @@
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._ingress import Ingress
 from lovageshunt.node._inquiries import Inquiries
-from lovageshunt.node._kept_accounts import KeptAccounts
 from lovageshunt.node._life import NodeLife
 from lovageshunt.node._outbox import Outbox
 from lovageshunt.node._peer_link import PeerLink
@@ -78,6 +77,8 @@
             traces=self._traces,
             max_body_bytes=self._settings.limits.body_bytes,
             observe=self.runtime.observe,
+            keep_account=self.runtime.keep_account,
+            calls_below=bool(self._settings.calls.services),
         )
         token = _token_of(self._settings.security)
         admin = Admin(self.runtime, self._reports, token)
@@ -142,7 +143,14 @@
     def _build_reports(self) -> None:
         identity = self._identity
         self._account = Account(identity.name, identity.incarnation, time())
-        self._kept = KeptAccounts()
+        self._keeping = AccountKeeping(
+            self._account,
+            Peer(
+                node=identity.name,
+                incarnation=identity.incarnation,
+                failure_domain=identity.failure_domain,
+            ),
+        )
         self._life = NodeLife()
         self._traces = Traces(
             node=identity.name,
@@ -153,7 +161,7 @@
             control=self._control,
             gate=self._gate,
             account=self._account,
-            kept=self._kept,
+            kept=self._keeping.kept,
             traces=self._traces,
             metrics=Metrics(identity.name),
             life=self._life,
@@ -168,8 +176,7 @@
             calls=self._calls,
             inquiries=self._inquiries,
             target=self._target,
-            account=self._account,
-            kept=self._kept,
+            keeping=self._keeping,
             settling=Settling(self._control, self._outbox, self._link),
             life=self._life,
             settle_seconds=self._settings.limits.settle_seconds,
--- a/src/lovageshunt/node/_control.py
+++ b/src/lovageshunt/node/_control.py
@@ -1,13 +1,13 @@
 """The node's part in the fleet: members, rules, exchange with peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 from logging import getLogger
 from random import Random
 from typing import Any, Final
 
 from lovageshunt._record import Record
-from lovageshunt.account import AccountSnapshot
+from lovageshunt.account import Peer, SendSnapshot
 from lovageshunt.client import View
 from lovageshunt.clock import now
 from lovageshunt.membership import (
@@ -152,12 +152,24 @@
             self._outbox.to(member.name).suspects.extend(reports)
         self._outbox.flush()
 
-    def send_snapshot(self, snapshot: AccountSnapshot, count: int) -> None:
-        """Give the own account to a few peers of the service to keep."""
-        for member in self.members(self.identity.service)[:count]:
-            self._outbox.to(member.name).snapshot = snapshot
+    def send_snapshots(self, sends: Iterable[SendSnapshot]) -> None:
+        """Give accounts to the peers that keep them."""
+        for send in sends:
+            self._outbox.to(send.to_node).snapshots.append(send.raw)
         self._outbox.flush()
 
+    def keeping_peers(self) -> list[Peer]:
+        """Return the nodes that may keep accounts."""
+        return [
+            Peer(
+                node=member.name,
+                incarnation=member.incarnation,
+                failure_domain=member.failure_domain,
+            )
+            for service in self.services
+            for member in self.members(service)
+        ]
+
     def members(self, service: str) -> list[Member]:
         """Return the other members of a service, and note where they are."""
         members = list(self.view.members_of(service))
--- a/src/lovageshunt/node/_envelope.py
+++ b/src/lovageshunt/node/_envelope.py
@@ -5,7 +5,6 @@
 import orjson
 
 from lovageshunt._record import Record
-from lovageshunt.account import AccountSnapshot, snapshot_from_dict
 from lovageshunt.errors import (
     LovageshuntError,
     MalformedEnvelopeError,
@@ -33,7 +32,7 @@
         'bulletins',
         'digest',
         'suspects',
-        'snapshot',
+        'snapshots',
     )
 
     def __init__(
@@ -51,7 +50,8 @@
         self.bulletins: list[Bulletin] = []
         self.digest: MembershipDigest | None = None
         self.suspects: list[SuspectReport] = []
-        self.snapshot: AccountSnapshot | None = None
+        #: Accounts to keep, in their wire form.
+        self.snapshots: list[bytes] = []
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
@@ -66,11 +66,10 @@
         ],
         'bulletins': [one.as_dict() for one in envelope.bulletins],
         'suspects': [one.as_dict() for one in envelope.suspects],
+        'snapshots': [orjson.Fragment(raw) for raw in envelope.snapshots],
     }
     if envelope.digest is not None:
         fields['digest'] = envelope.digest.as_dict()
-    if envelope.snapshot is not None:
-        fields['snapshot'] = envelope.snapshot.as_dict()
     kept = {name: part for name, part in fields.items() if part}
     return orjson.dumps(kept)
 
@@ -105,9 +104,9 @@
     digest = fields.get('digest')
     if digest is not None:
         envelope.digest = MembershipDigest.from_fields(digest)
-    snapshot = fields.get('snapshot')
-    if snapshot is not None:
-        envelope.snapshot = snapshot_from_dict(snapshot)
+    envelope.snapshots = [
+        orjson.dumps(one) for one in fields.get('snapshots', ())
+    ]
     return envelope
 
 
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -17,6 +17,7 @@
     encode_answer,
 )
 from lovageshunt.client import (
+    ACCOUNT_PATH,
     VIEW_PATH,
     AsgiScope,
     Inbound,
@@ -28,6 +29,7 @@
     until_disconnect,
 )
 from lovageshunt.clock import now
+from lovageshunt.errors import MalformedSnapshotError
 from lovageshunt.idempotency import Ending
 from lovageshunt.node._border import (
     Admissible,
@@ -67,12 +69,18 @@
         traces: Traces,
         max_body_bytes: int,
         observe: Callable[[], None],
+        keep_account: Callable[[bytes], None],
+        calls_below: bool,
     ) -> None:
         """Take the parts that a call passes.
 
-        ``observe`` notices a pause of the process before a decision.
+        ``observe`` notices a pause of the process before a decision;
+        ``keep_account`` keeps a client's account. ``calls_below`` says
+        whether the target calls other services.
         """
         self._observe = observe
+        self._keep_account = keep_account
+        self._calls_below = calls_below
         self._control = control
         self._gate = gate
         self._calls = calls
@@ -94,7 +102,9 @@
             await self._send_view(scope, send)
             return
         reading = await read_inbound(scope, receive, self._max_body_bytes)
-        if reading.is_ok():
+        if reading.is_ok() and reading.ok.path == ACCOUNT_PATH:
+            await self._take_account(reading.ok, send)
+        elif reading.is_ok():
             await self._serve(reading.ok, receive, send)
         elif not reading.error.is_gone:
             await _refuse(send, _TOO_LARGE_STATUS, RefusalReason.MALFORMED)
@@ -214,6 +224,7 @@
             home=context.home,
             body_length=body_length,
             suspicion=_suspicion(call),
+            calls_below=self._calls_below,
         )
 
     def _end(self, call: CallInProgress, reply: Reply) -> None:
@@ -240,6 +251,19 @@
                 },
             )
 
+    async def _take_account(self, inbound: Inbound, send: Send) -> None:
+        try:
+            self._keep_account(inbound.body)
+        except MalformedSnapshotError as error:
+            await respond(
+                send,
+                status=_BAD_REQUEST_STATUS,
+                headers=[],
+                body=str(error).encode(),
+            )
+            return
+        await respond(send, status=_OK_STATUS, headers=[], body=b'')
+
     async def _send_view(self, scope: AsgiScope, send: Send) -> None:
         query = scope.get('query_string', b'').decode('latin-1')
         named = query.removeprefix('services=')
--- a/src/lovageshunt/node/_reports.py
+++ b/src/lovageshunt/node/_reports.py
@@ -4,12 +4,11 @@
 from time import time
 from typing import Any
 
-from lovageshunt.account import Account, AccountSnapshot
+from lovageshunt.account import Account, AccountSnapshot, KeptSnapshots, Role
 from lovageshunt.calls import LOWEST_IMPORTANCE, RANK_COUNT
 from lovageshunt.clock import now
 from lovageshunt.node._control import Control
 from lovageshunt.node._gate import Gate
-from lovageshunt.node._kept_accounts import KeptAccounts
 from lovageshunt.node._life import NodeLife
 from lovageshunt.observability import Metrics, Traces
 from lovageshunt.rules import Conflict
@@ -24,7 +23,7 @@
         control: Control,
         gate: Gate,
         account: Account,
-        kept: KeptAccounts,
+        kept: KeptSnapshots,
         traces: Traces,
         metrics: Metrics,
         life: NodeLife,
@@ -85,8 +84,8 @@
         return {
             **self._names(),
             'account': self._account.snapshot(time()).as_dict(),
-            'callers': _dicts(self._kept.callers()),
-            'kept': _dicts(self._kept.nodes()),
+            'callers': _dicts(self._kept.snapshots(Role.CALLER)),
+            'kept': _dicts(self._kept.snapshots(Role.NODE)),
         }
 
     def traces(self, some_id: str) -> dict[str, Any]:
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -6,7 +6,13 @@
 from typing import Final
 
 from lovageshunt._record import Record
-from lovageshunt.account import Account
+from lovageshunt.account import (
+    AccountClosed,
+    AccountKeeping,
+    KeepingTick,
+    SnapshotHeard,
+    decode_snapshot,
+)
 from lovageshunt.admission import LoadReported
 from lovageshunt.clock import now
 from lovageshunt.idempotency import (
@@ -24,7 +30,6 @@
 from lovageshunt.node._gate_messages import LeaveBegun, TimePassed
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._inquiries import Inquiries, wait_for_answer
-from lovageshunt.node._kept_accounts import KeptAccounts
 from lovageshunt.node._life import NodeLife
 from lovageshunt.node._settling import Settling
 from lovageshunt.node._target import TargetLink
@@ -35,8 +40,6 @@
 #: A turn that is later than this was a pause.
 PAUSE_SLACK_SECONDS: Final = 1.0
 _LOAD_SECONDS: Final = 1.0
-_SNAPSHOT_SECONDS: Final = 30.0
-_SNAPSHOT_PEERS: Final = 2
 _log = getLogger(__name__)
 
 
@@ -52,8 +55,7 @@
         calls: Calls,
         inquiries: Inquiries,
         target: TargetLink,
-        account: Account,
-        kept: KeptAccounts,
+        keeping: AccountKeeping,
         settling: Settling,
         life: NodeLife,
         settle_seconds: float,
@@ -68,8 +70,7 @@
         self._calls = calls
         self._inquiries = inquiries
         self._target = target
-        self._account = account
-        self._kept = kept
+        self._keeping = keeping
         self._settling = settling
         self._life = life
         self._leave_seconds = leave_seconds
@@ -81,7 +82,6 @@
         )
         self._seen_at = now()
         self._load_at = now()
-        self._snapshot_at = now() + _SNAPSHOT_SECONDS
         self._leaving = Event()
         self._is_settled = False
         self._transit_seconds = transit_seconds
@@ -122,12 +122,17 @@
         """Take what a peer sent."""
         self.observe()
         self._control.take(envelope)
-        if envelope.snapshot is not None:
-            self._kept.keep(envelope.snapshot)
+        for raw in envelope.snapshots:
+            self.keep_account(raw)
         if envelope.suspects:
             reported = PeerReported(reports=tuple(envelope.suspects))
             self._calls.handle(reported)
 
+    def keep_account(self, raw: bytes) -> None:
+        """Keep an account; raises ``MalformedSnapshotError``."""
+        snapshot = decode_snapshot(raw)
+        self._keeping.handle(SnapshotHeard(now=now(), snapshot=snapshot))
+
     async def inquired(self, question: Inquired) -> InquiryAnswer:
         """Return the answer to a peer's question about a call."""
         peers = self._control.peers
@@ -164,7 +169,7 @@
         self._control.tick()
         await self._settle()
         await self._read_load()
-        self._send_snapshot()
+        self._send_accounts()
         await sleep(TICK_SECONDS)
 
     async def _settle(self) -> None:
@@ -192,12 +197,13 @@
             )
             self._calls.handle(reported)
 
-    def _send_snapshot(self) -> None:
-        if now() < self._snapshot_at:
-            return
-        self._snapshot_at = now() + _SNAPSHOT_SECONDS
-        snapshot = self._account.snapshot(time())
-        self._control.send_snapshot(snapshot, _SNAPSHOT_PEERS)
+    def _send_accounts(self) -> None:
+        tick = KeepingTick(
+            now=now(),
+            wall_time=time(),
+            peers=self._control.keeping_peers(),
+        )
+        self._control.send_snapshots(self._keeping.handle(tick))
 
     @property
     def _in_progress(self) -> int:
@@ -208,8 +214,12 @@
         while self._must_stay(now() - left_at):
             await self._leaving_turn()
         self._calls.handle(Drained())
-        snapshot = self._account.snapshot(time(), is_final=True)
-        self._control.send_snapshot(snapshot, _SNAPSHOT_PEERS)
+        closed = AccountClosed(
+            now=now(),
+            wall_time=time(),
+            peers=self._control.keeping_peers(),
+        )
+        self._control.send_snapshots(self._keeping.handle(closed))
         await self._inquiries.flush()
 
     async def _leaving_turn(self) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -246,8 +246,17 @@
     async def _until_up(self, url: str) -> None:
         async with asyncio.timeout(_START_SECONDS):
             while not await self._answers(url):
+                self._raise_if_ended()
                 await asyncio.sleep(_POLL_SECONDS)
 
+    def _raise_if_ended(self) -> None:
+        for vm in filter(_has_failed, self.vms):
+            logs = ''.join(
+                log.read_text(encoding='utf-8')
+                for log in self.folder.glob(f'{vm.name}.*.log')
+            )
+            raise RuntimeError(f'{vm.name} ended: {logs[-2000:]}')
+
     async def _answers(self, url: str) -> bool:
         try:
             async with self._client().get(url) as response:
@@ -303,5 +312,10 @@
         return f'127.0.0.1:{probe.getsockname()[1]}'
 
 
+def _has_failed(vm: Vm) -> bool:
+    processes = (vm.node_process, vm.target_process)
+    return any(one and (one.returncode or 0) > 0 for one in processes)
+
+
 def _domain(index: int) -> str:
     return _FAILURE_DOMAINS[index % len(_FAILURE_DOMAINS)]
