Test that a slot is given back when a purchase is refused at dispatch

The state machine alone did not find the loss of that slot (tried by taking the release out), so a test of its own does; it fails without the release.

--- a/tests/node/test_gate.py
+++ b/tests/node/test_gate.py
@@ -110,7 +110,7 @@
     @rule(target=tickets, key=_KEYS, is_stamped=st.booleans())
     def purchase(self, key, is_stamped):
         """An attempt of a call that must not repeat arrives."""
-        attempt = 1 if key not in self.key_by_ticket.values() else 0
+        attempt = int(key not in self.key_by_ticket.values())
         return self.arrive(key, 0, 0, attempt, is_stamped=is_stamped)
 
     def arrive(self, key, importance, rank, attempt, is_stamped=False):
@@ -209,6 +209,11 @@
         """Never more calls run than the limit allows."""
         assert len(self.running) <= _SLOTS * 1.5
 
+    @invariant()
+    def slots_are_given_back(self):
+        """Admission holds slots for the calls that run, and no others."""
+        assert self.gate.load().running == len(self.running)
+
     @invariant()
     def run_at_most_once(self):
         """No call that must not repeat was forwarded twice."""
@@ -275,3 +280,15 @@
         refused = machine.arrive('', 5, 60_000, 1)
 
         assert machine.replies[refused].ending.reason is RefusalReason.OVERLOAD
+
+    def test_purchase_that_waited_through_a_pause_is_not_forwarded(self):
+        """Its inputs are old; it is refused and its slot given back."""
+        machine = GateMachine()
+        running = [machine.arrive('', 5, 0, 1) for _ in range(_SLOTS)]
+        waiting = machine.arrive('k', 0, 0, 1)
+        machine.tell(Woke(gap_seconds=0.1))
+        for ticket in running:
+            machine.end(ticket, is_good=True)
+
+        assert machine.replies[waiting].ending.outcome is Outcome.NOT_RUN
+        assert machine.gate.load().running == 0
