Ask for parts twice a second however often the timer turns

The daemon's timer turns ten times a second, and each turn asked two more peers for every missing part and, after a start, three for their manifest. A test counts the questions.

--- a/src/lovageshunt/rules/_events.py
+++ b/src/lovageshunt/rules/_events.py
@@ -31,7 +31,7 @@
 
 
 class SpreadTicked(Record):
-    """The timer turned; about twice a second.
+    """The timer turned; twice a second is enough.
 
     ``peers`` are candidates for the exchange and ``peers_by_service`` the
     members of the services that this node serves and calls. ``readers`` are
--- a/src/lovageshunt/rules/_spread.py
+++ b/src/lovageshunt/rules/_spread.py
@@ -35,6 +35,7 @@
         '_settling',
         '_dialogue',
         '_exchange_at',
+        '_ask_at',
     )
 
     def __init__(
@@ -56,6 +57,7 @@
         )
         self._dialogue = Dialogue(rng, settings, rules, self._outbox)
         self._exchange_at: float = 0
+        self._ask_at: float = 0
 
     @property
     def sent_bytes(self) -> int:
@@ -98,11 +100,16 @@
         if now >= self._exchange_at:
             self._exchange_at = now + self._settings.exchange_seconds
             self._dialogue.tell_version()
-        self._dialogue.ask_parts()
+        if now >= self._ask_at:
+            self._ask_at = now + self._settings.ask_seconds
+            self._ask()
 
     def _settle(self, now: float) -> None:
         held = self._settling.end(now)
-        if not self._settling.is_over:
-            self._dialogue.ask_manifest(self._settings.settle_answers)
         if held is not None:
             self._dialogue.take_document(held, now)
+
+    def _ask(self) -> None:
+        if not self._settling.is_over:
+            self._dialogue.ask_manifest(self._settings.settle_answers)
+        self._dialogue.ask_parts()
--- a/src/lovageshunt/rules/_spread_settings.py
+++ b/src/lovageshunt/rules/_spread_settings.py
@@ -7,8 +7,9 @@
     """How one node takes part.
 
     ``fanout`` peers are told a new version at once; every
-    ``exchange_seconds`` one peer is told the version known. A node that
-    started waits for ``settle_answers`` peers, ``settle_seconds`` at most.
+    ``exchange_seconds`` one peer is told the version known, and every
+    ``ask_seconds`` others are asked for what is missing. A node that started
+    waits for ``settle_answers`` peers, ``settle_seconds`` at most.
     It sends ``bytes_per_second`` in the mean and ``burst_bytes`` at once.
     """
 
@@ -16,6 +17,7 @@
         'name',
         'fanout',
         'exchange_seconds',
+        'ask_seconds',
         'settle_answers',
         'settle_seconds',
         'bytes_per_second',
@@ -28,6 +30,7 @@
         name: str,
         fanout: int = 3,
         exchange_seconds: float = 1,
+        ask_seconds: float = 0.5,
         settle_answers: int = 3,
         settle_seconds: float = 2,
         bytes_per_second: float = 1024,
@@ -37,6 +40,7 @@
         self.name = name
         self.fanout = fanout
         self.exchange_seconds = exchange_seconds
+        self.ask_seconds = ask_seconds
         self.settle_answers = settle_answers
         self.settle_seconds = settle_seconds
         self.bytes_per_second = bytes_per_second
--- a/tests/rules/test_spread.py
+++ b/tests/rules/test_spread.py
@@ -240,6 +240,20 @@
         assert early < 300 + 600
         assert early < node.sent_bytes < early + 1800 + 600
 
+    def test_quick_timer_asks_no_more(self):
+        """A timer that turns often does not make a node ask more often."""
+        fleet = Fleet()
+        for tick in range(20):
+            fleet.now = tick / 10
+            fleet.tick('a')
+        asked = [
+            received
+            for _, received in fleet.waiting
+            if isinstance(received.message, ManifestAsked)
+        ]
+
+        assert len(asked) == 4 * 3
+
 
 class TestMessages:
     """The wire form."""
