Keep a fleet that starts at once from asking away its budget

A trial with 800 nodes that had no rules at all left 763 of them without any after 60 s: the questions used up what the nodes may send, and nodes that only call a service took the readers' budget from its members. Now a round ends at about four peers, questions without progress slow down after eight, and only members ask readers at first.

Ruled out: a budget too small for the parts, as the nodes together may send several times what they need.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -27,6 +27,8 @@
 )
 
 _SIZES: Final = (50, 200, 800, 2600)
+#: A cold start of more nodes takes long to work out.
+_MOST_COLD: Final = 800
 _LOSSES: Final = (0, 0.1, 0.3)
 _MOST_SERVICES: Final = 84
 #: Instances of a service, in the mean.
@@ -38,6 +40,10 @@
 #: One way between two nodes, in seconds: the least, and the mean above it.
 _LEAST_DELAY: Final = 0.001
 _MEAN_DELAY: Final = 0.01
+_HEADER: Final = (
+    ' nodes  loss  readers  cold   have   median      all  mean B/s  most B/s'
+)
+_SEED: Final = 1
 _TICK_SECONDS: Final = 0.5
 _WARM_SECONDS: Final = 6
 _PERIOD_SECONDS: Final = 48
@@ -78,12 +84,16 @@
 class Fleet:
     """Nodes, and a queue of what happens to them in order of time."""
 
-    def __init__(self, size: int, loss: float, seed: int) -> None:
-        """Start every node, its timer at a random phase."""
+    def __init__(self, size: int, loss: float, *, is_cold: bool) -> None:
+        """Start every node, its timer at a random phase.
+
+        Unless it is cold, every node has the first generation already.
+        """
         self.now: float = 0
         self.services = min(_MOST_SERVICES, size // _INSTANCES)
         self.in_force_at: dict[str, float] = {}
-        self._rng = Random(seed)
+        self._rng = Random(_SEED)
+        self._is_cold = is_cold
         self._first = document_of(1, self.services)
         self._loss = loss
         self._order = count()
@@ -133,7 +143,8 @@
             SpreadSettings(name=name),
             RulesInForce(frozenset(services)),
         )
-        self._load(self.node_by_name[name].rules, services)
+        if not self._is_cold:
+            self._load(self.node_by_name[name].rules, services)
         self._later(self._rng.random(), name, None)
 
     def _load(self, rules: RulesInForce, services: list[str]) -> None:
@@ -179,9 +190,15 @@
         heappush(self._queue, entry)
 
 
-def measure(size: int, loss: float, readers: int) -> str:
-    """Return a table's row for one change in a fleet."""
-    fleet = Fleet(size, loss, seed=1)
+def measure(
+    size: int,
+    loss: float,
+    readers: int,
+    *,
+    is_cold: bool = False,
+) -> str:
+    """Return a table's row for one change, or for the first document."""
+    fleet = Fleet(size, loss, is_cold=is_cold)
     fleet.run(_WARM_SECONDS)
     fleet.in_force_at.clear()
     before = fleet.sent_bytes()
@@ -193,7 +210,7 @@
         for after, earlier in zip(fleet.sent_bytes(), before, strict=True)
     ]
     cells = (
-        f'{size:6} {loss:5.0%} {readers:8} {len(times):6}',
+        f'{size:6} {loss:5.0%} {readers:8} {is_cold!s:>5} {len(times):6}',
         f'{times[len(times) // 2]:8.2f} {times[-1]:8.2f}',
         f'{sum(rates) / size:9.0f} {max(rates):9.0f}',
     )
@@ -203,12 +220,12 @@
 def main() -> None:
     """Print the table."""
     sizes = [int(word) for word in sys.argv[1:]] or _SIZES
-    lines = [
-        ' nodes  loss  readers   have   median      all  mean B/s  most B/s'
-    ]
+    lines = [_HEADER]
     for size in sizes:
         lines.extend(measure(size, loss, _READERS) for loss in _LOSSES)
         lines.append(measure(size, 0, readers=1))
+        if size <= _MOST_COLD:
+            lines.append(measure(size, 0, _READERS, is_cold=True))
     for line in lines:
         sys.stdout.write(f'{line}\n')
 
--- a/src/lovageshunt/rules/_sources.py
+++ b/src/lovageshunt/rules/_sources.py
@@ -8,6 +8,8 @@
 
 #: How many of those who told a version are remembered.
 _MAX_TELLERS: Final = 4
+#: At about this many peers a round of questions ends.
+_MAX_ASKED: Final = 4
 #: How many peers are asked for the same part at once.
 _PEERS: Final = 2
 
@@ -64,7 +66,9 @@
         """
         readers = {self._reader, *ticked.readers}
         services_by_peer: dict[str, list[str]] = {}
-        for service in services:
+        for service in self._rng.sample(services, len(services)):
+            if len(services_by_peer) >= _MAX_ASKED:
+                break
             members = set(ticked.peers_by_service.get(service, ()))
             for peer in self._choose_some(members, readers):
                 services_by_peer.setdefault(peer, []).append(service)
@@ -72,13 +76,19 @@
         return services_by_peer
 
     def _choose_some(self, members: set[str], readers: set[str]) -> list[str]:
-        known = members | readers
-        if self._own_name in members and not readers & self._asked:
-            known = readers
-        known = known - {'', self._own_name} or set(self._tellers)
+        nobody = {'', self._own_name}
+        known = self._holders(members, readers) - nobody
+        known = known or set(self._tellers)
         # Each is asked once before any is asked again.
         fresh = known - self._asked
         if not fresh:
             self._asked -= known
         candidates = sorted(fresh or known)
         return self._rng.sample(candidates, min(_PEERS, len(candidates)))
+
+    def _holders(self, members: set[str], readers: set[str]) -> set[str]:
+        if self._own_name in members and not readers & self._asked:
+            return readers
+        if self._own_name in members or members <= self._asked:
+            return members | readers
+        return members
--- a/src/lovageshunt/rules/_spread.py
+++ b/src/lovageshunt/rules/_spread.py
@@ -21,6 +21,7 @@
 from lovageshunt.rules._in_force import RulesInForce
 from lovageshunt.rules._messages import ManifestTold, VersionTold
 from lovageshunt.rules._outbox import Outbox
+from lovageshunt.rules._pace import Pace
 from lovageshunt.rules._settling import Settling
 from lovageshunt.rules._spread_settings import SpreadSettings
 
@@ -36,6 +37,7 @@
         '_dialogue',
         '_exchange_at',
         '_ask_at',
+        '_pace',
     )
 
     def __init__(
@@ -58,6 +60,7 @@
         self._dialogue = Dialogue(rng, settings, rules, self._outbox)
         self._exchange_at: float = 0
         self._ask_at: float = 0
+        self._pace = Pace(settings.ask_seconds)
 
     @property
     def sent_bytes(self) -> int:
@@ -101,7 +104,7 @@
             self._exchange_at = now + self._settings.exchange_seconds
             self._dialogue.tell_version()
         if now >= self._ask_at:
-            self._ask_at = now + self._settings.ask_seconds
+            self._ask_at = now + self._pace.next(self.rules.missing_now())
             self._ask()
 
     def _settle(self, now: float) -> None:
