--- a/tests/rules/test_sources.py
+++ b/tests/rules/test_sources.py
@@ -56,7 +56,10 @@
         """Questions that nothing comes of are asked less often."""
         pace = Pace(1)
 
-        assert [pace.next(('stock',)) for _ in range(9)] == [1] * 8 + [4]
+        *quick, slow = [pace.next(('stock',)) for _ in range(9)]
+
+        assert set(quick) == {1}
+        assert slow == 4
 
     def test_progress_is_quick_again(self):
         """A part that arrived brings the quick pace back."""
