--- a/tests/idempotency/test_fleet.py
+++ b/tests/idempotency/test_fleet.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from bench.run_once import Caller, CallerKind, Fleet
+from bench.run_once import Caller, CallerKind, Fleet, make_node
 from lovageshunt.calls import Outcome
 from lovageshunt.idempotency import Ticked
 
@@ -25,7 +25,7 @@
     def __init__(self):
         """Start four nodes that know one another."""
         super().__init__()
-        self.fleet = Fleet()
+        self.fleet = self.make_fleet()
         self.callers = []
         self.fleet.on_answer = self._hear
         for name in _NAMES:
@@ -37,6 +37,10 @@
             self.fleet.settle(machine)
         self.fleet.now += 10
 
+    def make_fleet(self):
+        """Return the fleet under test."""
+        return Fleet(make_node)
+
     @rule(kind=st.sampled_from(CallerKind), which=_INDEX, index=_INDEX)
     def send(self, kind, which, index):
         """A person begins a purchase, or tries again through any node."""
