Find a target's true slots by trials, and its capacity from busy slots

Published slots may be wrong. A target that sheds calls itself lowers the limit.

The capacity was taken from the calls finished in a window in which any call waited. Busy slots and what they finished tell it in every window. The test of refusals by importance gave its target endless room behind two slots; its target now has two true slots and the same bounds hold.

The state machine found a division by zero when an importance has no demand and the queue is long.

--- a/bench/_network.py
+++ b/bench/_network.py
@@ -18,6 +18,7 @@
         self.deployment = deployment
         self.book = Book()
         self.cut = ''
+        self.published_share = float(1)
 
     def delay(self, here: str, there: str) -> float:
         """Return the seconds that a message takes one way."""
--- a/bench/_protected.py
+++ b/bench/_protected.py
@@ -77,7 +77,7 @@
         self.sender = sender
         self.target = Target(network.loop, rng, service, sender)
         settings = AdmissionSettings(
-            slots=service.slots,
+            slots=int(service.slots * network.published_share),
             **variant.settings,  # type: ignore[arg-type]
         )
         self.admission = Admission(settings, 0)
--- a/bench/_workloads.py
+++ b/bench/_workloads.py
@@ -23,6 +23,7 @@
     ``starts_seconds`` to ``ends_seconds``. The run ends at ``run_seconds``.
     Goodput is taken of requests born between ``from_seconds`` and
     ``to_seconds``, when the deep service has ``deep_share`` of its speed.
+    ``published_share`` is what the platform publishes of the true slots.
     """
 
     __slots__ = (
@@ -35,6 +36,7 @@
         'from_seconds',
         'to_seconds',
         'deep_share',
+        'published_share',
         'begin',
         'end',
     )
@@ -53,9 +55,11 @@
         begin: Trigger,
         end: Trigger,
         deep_share: float = 1,
+        published_share: float = 1,
     ) -> None:
         """Take every field by name."""
         self.deep_share = deep_share
+        self.published_share = published_share
         self.name = name
         self.load = load
         self.manner = manner
@@ -73,18 +77,25 @@
         return self.ends_seconds < self.run_seconds
 
 
-def _steady(name: str, load: float, manner: Manner) -> Workload:
+def _steady(
+    name: str,
+    load: float,
+    manner: Manner,
+    *,
+    published_share: float = 1,
+) -> Workload:
     return Workload(
         name,
         load=load,
         manner=manner,
         starts_seconds=0,
-        ends_seconds=15,
-        run_seconds=15,
-        from_seconds=3,
-        to_seconds=8,
+        ends_seconds=17,
+        run_seconds=17,
+        from_seconds=5,
+        to_seconds=10,
         begin=_nothing,
         end=_nothing,
+        published_share=published_share,
     )
 
 
@@ -150,6 +161,8 @@
     _steady('2x, hard retries', 2, HARD),
     _steady('4x', 4, PATIENT),
     _steady('4x, hard retries', 4, HARD),
+    _steady('2x, half the slots published', 2, PATIENT, published_share=0.5),
+    _steady('2x, twice the slots published', 2, PATIENT, published_share=2),
     _passing(
         'deep service x10 slow, 20 s',
         20,
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -38,6 +38,7 @@
     loop = Loop()
     rng = Random(seed)
     network = Network(loop, deployment)
+    network.published_share = workload.published_share
     system = build(network, rng, _VARIANT_BY_NAME[names[2]])
     crowd = Crowd(
         network,
--- a/src/lovageshunt/admission/_admission.py
+++ b/src/lovageshunt/admission/_admission.py
@@ -84,7 +84,11 @@
         """Take an event and return what is to be done, in order."""
         self._now = max(self._now, now)
         actions: list[Action] = []
-        self._control.advance(self._now, waiting=len(self._queue))
+        self._control.advance(
+            self._now,
+            running=len(self._running),
+            waiting=len(self._queue),
+        )
         # The event goes first: what it ends must not be ended twice.
         self._take(event, actions)
         self._expire(actions)
@@ -128,6 +132,7 @@
             return
         self._control.record_finish(
             self._now - call.started_at,
+            self._now,
             was_good=event.was_good and not call.is_aborted,
             was_shed=event.was_shed,
         )
--- a/src/lovageshunt/admission/_control.py
+++ b/src/lovageshunt/admission/_control.py
@@ -10,6 +10,8 @@
 _MS_PER_SECOND: Final = 1000
 #: The least share of the advised wait; the rank adds up to 1.
 _LEAST_SPREAD: Final = 0.5
+#: The share of busy slots below which the finished calls say too little.
+_LEAST_BUSY_SHARE: Final = 0.3
 
 
 class TargetControl:
@@ -20,6 +22,8 @@
         '_limit',
         '_levels',
         '_window_start',
+        '_seen_until',
+        '_busy_seconds',
         '_completed',
         '_was_saturated',
     )
@@ -27,9 +31,11 @@
     def __init__(self, settings: AdmissionSettings, now: float) -> None:
         """Start calm."""
         self._settings = settings
-        self._limit = ConcurrencyLimit(settings)
+        self._limit = ConcurrencyLimit(settings, now)
         self._levels = ThresholdController(settings)
         self._window_start = now
+        self._seen_until = now
+        self._busy_seconds = float(0)
         self._completed = 0
         self._was_saturated = False
 
@@ -64,6 +70,7 @@
     def record_finish(
         self,
         seconds: float,
+        now: float,
         *,
         was_good: bool,
         was_shed: bool,
@@ -75,7 +82,7 @@
         """
         self._completed += 1
         if was_good or seconds > self.service_seconds:
-            self._limit.record(seconds)
+            self._limit.record(seconds, now)
         if was_shed:
             self._limit.record_shed()
 
@@ -95,12 +102,14 @@
         )
         return max(1, int(seconds * spread * _MS_PER_SECOND))
 
-    def advance(self, now: float, *, waiting: int) -> None:
-        """Close the window if it is over."""
+    def advance(self, now: float, *, running: int, waiting: int) -> None:
+        """Take what ran until now and close the window if it is over."""
+        self._busy_seconds += running * (now - self._seen_until)
+        self._seen_until = now
         seconds = now - self._window_start
         if seconds < self._settings.window_seconds:
             return
-        self._limit.close_window()
+        self._limit.close_window(now, was_saturated=self._was_saturated)
         self._levels.close_window(
             capacity=self._capacity(seconds),
             queue_seconds=self._queue_target(),
@@ -108,13 +117,19 @@
             seconds=seconds,
         )
         self._window_start = now
+        self._busy_seconds = 0
         self._completed = 0
         self._was_saturated = False
 
     def _capacity(self, seconds: float) -> float:
-        if self._was_saturated:
-            return self._completed / seconds
-        return self.slots / self.service_seconds
+        """Return the calls a second that all slots together would finish.
+
+        What the busy slots finished tells it, whether or not all were busy.
+        """
+        busy_share = self._busy_seconds / (seconds * self.slots)
+        if busy_share < _LEAST_BUSY_SHARE:
+            return self.slots / self.service_seconds
+        return self._completed / seconds / busy_share
 
     def _queue_target(self) -> float:
         most = self._settings.most_queue_target_seconds
--- a/src/lovageshunt/admission/_settings.py
+++ b/src/lovageshunt/admission/_settings.py
@@ -41,7 +41,7 @@
         most_waiting: int = 1000,
         floor_ranks: int = 328,
         least_share: float = 0.1,
-        most_share: float = 1.5,
+        most_share: float = 2,
         retry_after_seconds: float = 0.25,
         most_retry_after_seconds: float = 10,
         drain_seconds: float = 30,
--- a/src/lovageshunt/admission/_threshold.py
+++ b/src/lovageshunt/admission/_threshold.py
@@ -127,7 +127,7 @@
     def _threshold_for(self, room: float) -> int:
         for importance in _IMPORTANCES:
             rate = self._demand.by_importance[importance]
-            if rate > room:
+            if rate > max(0, room):
                 share = max(0, room) / rate
                 return int((importance + share) * RANK_COUNT)
             room -= rate
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -1,5 +1,7 @@
 """Admission beside one target."""
 
+from heapq import heappop, heappush
+
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -22,6 +24,7 @@
     Finished,
     Refuse,
     Ticked,
+    is_refused,
 )
 from lovageshunt.calls import RANK_COUNT, RefusalReason
 from lovageshunt.errors import DuplicateCallError
@@ -254,35 +257,117 @@
 
     def test_low_importance_is_refused_first(self):
         """Important calls that alone fit are served under twice that load."""
-        admission = Admission(AdmissionSettings(slots=2), 0)
+        target = FakeTarget(slots=2, published=2)
         refused = {1: 0, 4: 0}
-        running = {}
         for step in range(4000):
-            now = step * 0.005
-            for call_id, ends_at in list(running.items()):
-                if ends_at <= now:
-                    running.pop(call_id)
-                    actions = admission.handle(
-                        Finished(call_id, was_good=True),
-                        now,
-                    )
-                    running.update(ends_of(actions, now))
             importance = 4 if step % 3 else 1
-            rank = step * 7919 % RANK_COUNT
-            level = level_of(importance, rank)
-            actions = arrive(admission, str(step), now, level=level, seconds=1)
-            running.update(ends_of(actions, now))
-            refused[importance] += any(
-                isinstance(action, Refuse) for action in actions
-            )
+            level = level_of(importance, step * 7919 % RANK_COUNT)
+            refused[importance] += target.refuses(level, step * 0.005)
 
         assert refused[1] <= 13
         assert refused[4] > 1900
 
+    def test_callers_that_heed_the_threshold_keep_the_target_busy(self):
+        """Little is refused at the target, and its slots are not left idle."""
+        target = FakeTarget(slots=2, published=2)
+        sent = 0
+        refused = 0
+        for step in range(8000):
+            level = step * 7919 % (8 * RANK_COUNT)
+            if is_refused(level, target.admission.threshold, FLOOR):
+                continue
+            sent += 1
+            refused += target.refuses(level, step * 0.0025)
+
+        assert sent - refused >= 1600
+        assert refused <= 40
+
+
+class TestLimit:
+    """The limit on running calls."""
+
+    def test_grows_when_too_few_slots_are_published(self):
+        """A target with more slots than published is found out."""
+        target = FakeTarget(slots=12, published=8)
+
+        target.overload(seconds=20)
+
+        assert target.admission.load().limit >= 11
 
-def ends_of(actions, now):
-    return {
-        action.call_id: now + 0.02
-        for action in actions
-        if isinstance(action, Dispatch)
-    }
+    def test_stays_when_the_published_slots_are_right(self):
+        """Calls beyond the true slots take longer, so the limit stays."""
+        target = FakeTarget(slots=8, published=8)
+
+        target.overload(seconds=20)
+
+        assert target.admission.load().limit <= 10
+
+    def test_slow_start_lowers_nothing(self):
+        """A target that is slow at first keeps its published slots."""
+        target = FakeTarget(slots=8, published=8)
+        target.work_seconds = 0.2
+        target.overload(seconds=5)
+        target.work_seconds = 0.02
+
+        target.overload(seconds=5)
+
+        assert target.admission.load().limit >= 8
+
+    def test_falls_when_the_target_sheds(self):
+        """Calls that the target itself refuses lower the limit."""
+        admission = Admission(AdmissionSettings(slots=8), 0)
+        for step in range(100):
+            arrive(admission, str(step), step * 0.01)
+            admission.handle(
+                Finished(str(step), was_good=False, was_shed=True),
+                step * 0.01,
+            )
+
+        assert admission.load().limit < 8
+
+
+class FakeTarget:
+    """Runs calls in its true slots; more than these wait inside it."""
+
+    def __init__(self, *, slots, published):
+        limits = AdmissionSettings(slots=published)
+        self.admission = Admission(limits, 0)
+        self.work_seconds = 0.02
+        self.now = 0
+        self.calls = 0
+        self.free_at = [0 for _ in range(slots)]
+        self.ends = []
+
+    def refuses(self, level, now):
+        """Send a call and tell whether it was refused at once."""
+        self.run(now)
+        self.calls += 1
+        actions = arrive(
+            self.admission,
+            str(self.calls),
+            now,
+            level=level,
+            seconds=1,
+        )
+        self.start(actions, now)
+        return any(isinstance(action, Refuse) for action in actions)
+
+    def overload(self, *, seconds):
+        """Send twice the calls that eight slots can serve."""
+        for _ in range(int(seconds * 800)):
+            self.now += 1 / 800
+            self.refuses(self.calls * 7919 % (8 * RANK_COUNT), self.now)
+
+    def run(self, now):
+        while self.ends and self.ends[0][0] <= now:
+            ends_at, call_id = heappop(self.ends)
+            finished = Finished(call_id, was_good=True)
+            self.start(self.admission.handle(finished, ends_at), ends_at)
+
+    def start(self, actions, now):
+        for action in actions:
+            if isinstance(action, Dispatch):
+                starts_at = max(now, heappop(self.free_at))
+                heappush(self.free_at, starts_at + self.work_seconds)
+                end = (starts_at + self.work_seconds, action.call_id)
+                heappush(self.ends, end)
