--- a/src/lovageshunt/account/__init__.py
+++ b/src/lovageshunt/account/__init__.py
@@ -2,6 +2,17 @@
 
 from lovageshunt.account._account import Account
 from lovageshunt.account._balance import Imbalance, balance
+from lovageshunt.account._keepers import KEEPER_COUNT, Peer, keepers_of
+from lovageshunt.account._keeping import (
+    BYTES_PER_SECOND,
+    INTERVAL_SECONDS,
+    AccountClosed,
+    AccountKeeping,
+    KeepingTick,
+    SendSnapshot,
+    SnapshotHeard,
+)
+from lovageshunt.account._kept import KeptSnapshots
 from lovageshunt.account._line import (
     REQUEST_FAILED,
     AccountLine,
@@ -10,29 +21,45 @@
     total_of,
 )
 from lovageshunt.account._merge import Hole, MergedAccount
-from lovageshunt.account._reconcile import Difference, reconcile
+from lovageshunt.account._reconcile import Difference, Reading, reconcile
 from lovageshunt.account._snapshot import (
     AccountSnapshot,
+    Owner,
     Role,
     decode_snapshot,
     encode_snapshot,
+    snapshot_from_dict,
 )
 
 __all__ = [
+    'BYTES_PER_SECOND',
+    'INTERVAL_SECONDS',
+    'KEEPER_COUNT',
     'REQUEST_FAILED',
     'Account',
+    'AccountClosed',
+    'AccountKeeping',
     'AccountLine',
     'AccountSnapshot',
     'Cause',
     'Difference',
     'Hole',
     'Imbalance',
+    'KeepingTick',
+    'KeptSnapshots',
     'MergedAccount',
+    'Owner',
+    'Peer',
+    'Reading',
     'Role',
+    'SendSnapshot',
+    'SnapshotHeard',
     'balance',
     'causes_of',
     'decode_snapshot',
     'encode_snapshot',
+    'keepers_of',
     'reconcile',
+    'snapshot_from_dict',
     'total_of',
 ]
--- a/src/lovageshunt/idempotency/_inquiring.py
+++ b/src/lovageshunt/idempotency/_inquiring.py
@@ -23,6 +23,7 @@
     Claim,
     Identity,
     InquiryAnswer,
+    digest_of,
     identity_of,
     stamp_of,
 )
@@ -34,9 +35,8 @@
     settle_refused,
     yield_to,
 )
-from lovageshunt.idempotency._state import NodeState
+from lovageshunt.idempotency._state import MS_PER_SECOND, NodeState
 
-_MS_PER_SECOND = 1000
 _HELD_STATES = frozenset(('queued', 'running', 'ended'))
 _ASKING_STATES = frozenset(('inquiring', 'doubtful'))
 
@@ -59,7 +59,8 @@
     inquiry = Inquiry(
         number=state.next_number(),
         due_at=now + state.settings.inquiry_seconds,
-        is_too_young=entry.born_at < state.started_at,
+        is_too_young=state.is_younger_than(entry.born_at),
+        digest=digest_of(asked | {state.me}),
     )
     inquiry.cover(state.expiry_by_leaver)
     inquiry.cover(excused)
@@ -82,7 +83,9 @@
     state: NodeState,
     now: float,
 ) -> list[Action]:
-    born_at = state.born_at(event.age_ms, now)
+    # An answer that took longer than the inquiry may is not used.
+    asked_at = now - state.settings.inquiry_seconds
+    born_at = asked_at - event.age_ms / MS_PER_SECOND
     entry = state.find(event.key, now)
     if entry is None:
         entry = state.create(event.key, born_at=born_at, now=now)
@@ -95,13 +98,13 @@
     moved = []
     if entry.state != 'elsewhere':
         moved = yield_to(state, entry, asker)
-    is_too_young = min(born_at, entry.born_at) < state.started_at
+    is_too_young = state.is_younger_than(min(born_at, entry.born_at))
     suspects = state.suspects(event.gone, born_at=born_at, now=now)
     answer = InquiryAnswer(
         claim=Claim.CANNOT_SAY if is_too_young else Claim.WILL_NOT_RUN,
         home=before,
         refused_through=entry.refused_through,
-        known=(*event.peers, *map(stamp_of, sorted(suspects))),
+        known=_unknown_to(event, state, suspects),
         covered=tuple(map(stamp_of, state.expiry_by_leaver)),
     )
     return [_reply(event, answer), *moved]
@@ -198,14 +201,15 @@
     # This incarnation answers at the address of the earlier ones.
     earlier = [each for each in fresh if each[0] == state.me[0]]
     inquiry.fail(earlier)
-    if state.started_at <= entry.born_at:
+    if not state.is_younger_than(entry.born_at):
         inquiry.replace(state.me)
     return [
         Inquire(
             key=entry.key,
             peer=stamp_of(peer),
-            age_ms=round((now - entry.born_at) * _MS_PER_SECOND),
+            age_ms=round((now - entry.born_at) * MS_PER_SECOND),
             number=inquiry.number,
+            digest=inquiry.digest,
         )
         for peer in fresh
         if peer not in earlier
@@ -267,6 +271,18 @@
     return entry.state in _HELD_STATES
 
 
+def _unknown_to(
+    event: Inquired,
+    state: NodeState,
+    suspects: set[Identity],
+) -> tuple[HomeStamp, ...]:
+    """Return the nodes known here, unless the asker knows the same."""
+    known = suspects.union(map(identity_of, event.peers), (state.me,))
+    if digest_of(known) == event.digest:
+        return ()
+    return tuple(map(stamp_of, sorted(known)))
+
+
 def _promised_before(entry: Entry, asker: Identity) -> HomeStamp | None:
     if entry.home is None or entry.home == asker:
         return None
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -2,29 +2,50 @@
 
 import orjson
 
-from lovageshunt.cli._status import run_status, run_top
+from lovageshunt.cli import main
 from tests.cli.admin_server import admin_server
 
 BODY = {'node': 'n1', 'incarnation': 'a', 'service': 'balances', 'limit': 12}
 
 
-class TestRunStatus:
+class TestStatus:
     """``lovageshunt status``."""
 
     def test_table_has_a_row_for_each_node(self, capsys):
         """A node's fields stand in its row, unknown ones as a dash."""
         with admin_server({'/v1/status': BODY}) as address:
-            code = run_status([f'--nodes={address}'])
+            code = main(['status', f'--nodes={address}'])
 
         header, row = capsys.readouterr().out.splitlines()
         assert code == 0
         assert header.split()[:2] == ['node', 'service']
         assert row.split()[:3] == ['n1', 'balances', '-']
 
+    def test_threshold_and_leavers_are_shown(self, capsys):
+        """The threshold is in importances; a leaving VM has its witnesses."""
+        members = {'records': [{'name': 'vm-7', 'is_leaving': True}]}
+        body = {**BODY, 'threshold': 98304, 'members': members}
+        with admin_server({'/v1/status': body}) as address:
+            main(['status', f'--nodes={address}'])
+
+        shown = capsys.readouterr().out
+        assert ' 1.50 ' in shown
+        assert 'leaving: vm-7, as n1 has it' in shown
+
+    def test_nodes_may_come_from_a_file(self, capsys, tmp_path):
+        """Addresses in a file are asked like those in the flag."""
+        path = tmp_path / 'nodes'
+        with admin_server({'/v1/status': BODY}) as address:
+            path.write_text(f'{address}\n')
+            code = main(['status', f'--nodes-file={path}'])
+
+        assert code == 0
+        assert 'balances' in capsys.readouterr().out
+
     def test_json_names_the_node_without_answer(self, capsys):
         """A node without an answer is in the JSON, and the exit code 1."""
         with admin_server({'/v1/status': BODY}) as address:
-            code = run_status([f'--nodes={address},127.0.1:1', '--json'])
+            code = main(['status', f'--nodes={address},127.0.1:1', '--json'])
 
         first, second = orjson.loads(capsys.readouterr().out)
         assert code == 1
@@ -32,14 +53,19 @@
         assert 'gave no usable answer' in second['error']
 
 
-class TestRunTop:
+class TestTop:
     """``lovageshunt top``."""
 
     def test_status_is_shown_count_times(self, capsys):
         """The table is printed as often as asked."""
         with admin_server({'/v1/status': BODY}) as address:
-            code = run_top(
-                [f'--nodes={address}', '--interval=0.1', '--count=2'],
+            code = main(
+                [
+                    'top',
+                    f'--nodes={address}',
+                    '--interval-seconds=0.1',
+                    '--count=2',
+                ],
             )
 
         assert code == 0
