--- a/bench/run_once/_callers.py
+++ b/bench/run_once/_callers.py
@@ -49,6 +49,11 @@
     ) -> None:
         """Send the next attempt, as this kind of caller would."""
         was_not_run = self.told.get(self.last_attempt) is Outcome.NOT_RUN
+        is_hop = self.kind is CallerKind.HOP
+        if was_not_run and self.last_attempt == 1 and not is_hop:
+            # What is proved not run leaves the next send a first one.
+            self.told.pop(1)
+            self.last_attempt = 0
         is_first = self.last_attempt == 0
         self.last_attempt += 1
         home = pick(homes)
@@ -103,6 +108,13 @@
             return
         self.told[int(attempt)] = outcome
 
+    def unsent(self, call_id: str) -> None:
+        """Take back the last attempt, for which no connection was made."""
+        attempt = int(call_id.split('/')[2])
+        is_last = attempt == self.last_attempt and attempt not in self.told
+        if is_last and self.kind is not CallerKind.HOP:
+            self.last_attempt -= 1
+
     def is_wronged(self, executions: int) -> bool:
         """Return whether the call ran twice, or ran though *not run*."""
         if self.kind is CallerKind.UNNUMBERED:
--- a/bench/run_once/_fleet.py
+++ b/bench/run_once/_fleet.py
@@ -31,10 +31,12 @@
         super().__init__()
         self.published: list[HomeStamp] = []
         self._factory = factory
+        self._started = 0
 
     def start(self, name: str, *, is_old: bool = False) -> Machine:
         """Put a fresh node at a name, in place of any earlier one."""
-        home = HomeStamp(node=name, incarnation=f'{name}-{self.now}')
+        self._started += 1
+        home = HomeStamp(node=name, incarnation=f'{name}{self._started}')
         born_at = self.now - _OLD_SECONDS if is_old else self.now
         machine = Machine(home, self._factory(home, born_at))
         self.by_name[name] = machine
--- a/bench/run_once/_messages.py
+++ b/bench/run_once/_messages.py
@@ -16,6 +16,7 @@
         'age_ms',
         'to',
         'sent_at',
+        'is_redirected',
     )
 
     def __init__(
@@ -28,6 +29,7 @@
         age_ms: int,
         to: str,
         sent_at: float,
+        is_redirected: bool = False,
     ) -> None:
         """Take the attempt, where it goes and when it left."""
         self.call_id = call_id
@@ -37,6 +39,7 @@
         self.age_ms = age_ms
         self.to = to
         self.sent_at = sent_at
+        self.is_redirected = is_redirected
 
 
 class InquiryMessage(Record):
--- a/src/lovageshunt/idempotency/_entry.py
+++ b/src/lovageshunt/idempotency/_entry.py
@@ -40,14 +40,16 @@
     """The nodes asked about one call, and what is still missing.
 
     It is proof that the call ran nowhere and will not run elsewhere when
-    every node asked gave its promise, or handed its calls to one that did.
+    every node asked gave its promise, or handed its calls to one that did,
+    and one of them, or the asker, was settled before the call began: only
+    such a witness knows all the nodes to ask.
     """
 
     __slots__ = (
         'number',
         'due_at',
-        'is_too_young',
         'digest',
+        'is_witnessed',
         'pending',
         '_by_claim',
     )
@@ -57,19 +59,19 @@
         *,
         number: int,
         due_at: float,
-        is_too_young: bool,
+        is_witnessed: bool,
         digest: int,
     ) -> None:
         """Begin with nobody asked."""
         self.number = number
         self.due_at = due_at
-        self.is_too_young = is_too_young
+        self.is_witnessed = is_witnessed
         self.digest = digest
         self.pending: set[Identity] = set()
         self._by_claim: dict[str, set[Identity]] = {
             'asked': set(),
             'failed': set(),
-            'promised': set(),
+            'witness': set(),
             'covered': set(),
             'named': set(),
         }
@@ -88,8 +90,11 @@
     def take(self, peer: Identity, answer: InquiryAnswer) -> None:
         """Take the promise of a node, or its lack of one."""
         self.pending.discard(peer)
-        kind = 'failed' if answer.claim is Claim.CANNOT_SAY else 'promised'
-        self._by_claim[kind].add(peer)
+        if answer.claim is Claim.CANNOT_SAY:
+            self._by_claim['failed'].add(peer)
+        if answer.is_witness:
+            self.is_witnessed = True
+            self._by_claim['witness'].add(peer)
         self._by_claim['covered'].update(map(identity_of, answer.covered))
 
     def cover(self, identities: Iterable[Identity]) -> None:
@@ -98,7 +103,7 @@
 
     def replace(self, identity: Identity) -> None:
         """Count a node whose presence shows that earlier ones had ended."""
-        self._by_claim['promised'].add(identity)
+        self._by_claim['witness'].add(identity)
 
     def fail(self, identities: Iterable[Identity]) -> None:
         """Count nodes that could not be asked."""
@@ -109,17 +114,17 @@
     def is_proof(self) -> bool:
         """Return whether no node is left that might run the call."""
         missing = self._by_claim['failed'] - self._by_claim['covered']
-        return not self.is_too_young and all(map(self._is_replaced, missing))
+        return self.is_witnessed and all(map(self._is_replaced, missing))
 
     def _is_replaced(self, missing: Identity) -> bool:
-        # A later incarnation that is older than the call gave its promise,
-        # so the missing one had ended before the call began.
+        # A later incarnation was there before the call began, so the
+        # missing one had ended by then.
         if missing in self._by_claim['named']:
             return False
-        promised = self._by_claim['promised']
+        witnesses = self._by_claim['witness']
         return any(
             node == missing[0] and incarnation != missing[1]
-            for node, incarnation in promised
+            for node, incarnation in witnesses
         )
 
 
--- a/src/lovageshunt/idempotency/_inquiring.py
+++ b/src/lovageshunt/idempotency/_inquiring.py
@@ -59,7 +59,7 @@
     inquiry = Inquiry(
         number=state.next_number(),
         due_at=now + state.settings.inquiry_seconds,
-        is_too_young=state.is_younger_than(entry.born_at),
+        is_witnessed=state.is_settled_for(entry.born_at),
         digest=digest_of(asked | {state.me}),
     )
     inquiry.cover(state.expiry_by_leaver)
@@ -98,14 +98,14 @@
     moved = []
     if entry.state != 'elsewhere':
         moved = yield_to(state, entry, asker)
-    is_too_young = state.is_younger_than(min(born_at, entry.born_at))
     suspects = state.suspects(event.gone, born_at=born_at, now=now)
     answer = InquiryAnswer(
-        claim=Claim.CANNOT_SAY if is_too_young else Claim.WILL_NOT_RUN,
+        claim=Claim.WILL_NOT_RUN,
         home=before,
         refused_through=entry.refused_through,
         known=_unknown_to(event, state, suspects),
         covered=tuple(map(stamp_of, state.expiry_by_leaver)),
+        is_witness=state.is_settled_for(min(born_at, entry.born_at)),
     )
     return [_reply(event, answer), *moved]
 
@@ -201,7 +201,7 @@
     # This incarnation answers at the address of the earlier ones.
     earlier = [each for each in fresh if each[0] == state.me[0]]
     inquiry.fail(earlier)
-    if not state.is_younger_than(entry.born_at):
+    if state.started_at < entry.born_at:
         inquiry.replace(state.me)
     return [
         Inquire(
--- a/src/lovageshunt/idempotency/_records.py
+++ b/src/lovageshunt/idempotency/_records.py
@@ -95,7 +95,7 @@
 
     ``WILL_NOT_RUN``: it did not run the call and promises not to.
     ``MINE``: the call is, was or may be run there. ``CANNOT_SAY``: it is too
-    young or too full to promise.
+    full to promise.
     """
 
     WILL_NOT_RUN = 'will_not_run'
@@ -110,10 +110,19 @@
     before. Attempts up to ``refused_through`` were told *not run*.
     ``known`` lists the nodes of the service that the answering one knows,
     unless the asker's digest of them is the same, and ``covered`` the
-    departed ones whose keys were handed to it.
+    departed ones whose keys were handed to it. ``is_witness`` is true when
+    it was settled before the call began, and so knows of every node that may
+    have taken its first attempt.
     """
 
-    __slots__ = ('claim', 'home', 'refused_through', 'known', 'covered')
+    __slots__ = (
+        'claim',
+        'home',
+        'refused_through',
+        'known',
+        'covered',
+        'is_witness',
+    )
 
     def __init__(
         self,
@@ -123,6 +132,7 @@
         refused_through: int = 0,
         known: tuple[HomeStamp, ...] = (),
         covered: tuple[HomeStamp, ...] = (),
+        is_witness: bool = False,
     ) -> None:
         """Take the claim and what the answering node knows beside."""
         self.claim = claim
@@ -130,6 +140,7 @@
         self.refused_through = refused_through
         self.known = known
         self.covered = covered
+        self.is_witness = is_witness
 
 
 class HandedEntry(Record):
--- a/src/lovageshunt/idempotency/_settings.py
+++ b/src/lovageshunt/idempotency/_settings.py
@@ -31,7 +31,7 @@
         self,
         *,
         retention_seconds: float = 900,
-        transit_seconds: float = 10,
+        transit_seconds: float = 5,
         settle_seconds: float = 5,
         inquiry_seconds: float = 0.25,
         caution_seconds: float = 2,
--- a/src/lovageshunt/idempotency/_state.py
+++ b/src/lovageshunt/idempotency/_state.py
@@ -124,10 +124,6 @@
             age_ms = self.settings.unstated_age_ms
         return now - age_ms / MS_PER_SECOND - self.settings.transit_seconds
 
-    def is_younger_than(self, born_at: float) -> bool:
-        """Return whether this process may have begun after a call did."""
-        return born_at <= self.started_at
-
     def is_settled_for(self, born_at: float) -> bool:
         """Return whether all peers knew this node before the call began."""
         return self.settled_at is not None and self.settled_at <= born_at
--- a/tests/idempotency/test_fleet.py
+++ b/tests/idempotency/test_fleet.py
@@ -28,6 +28,7 @@
         self.fleet = self.make_fleet()
         self.callers = []
         self.fleet.on_answer = self._hear
+        self.fleet.on_unsent = self._miss
         for name in _NAMES:
             self.fleet.start(name, is_old=True)
         self.fleet.publish()
@@ -149,6 +150,9 @@
         key = int(call_id.split('/')[0])
         self.callers[key].hear(call_id, outcome)
 
+    def _miss(self, call_id):
+        self.callers[int(call_id.split('/')[0])].unsent(call_id)
+
     def _machine(self, index):
         return _pick(list(self.fleet.by_name.values()), index)
 
