--- a/bench/run_once/_machine.py
+++ b/bench/run_once/_machine.py
@@ -19,7 +19,7 @@
         incarnation=home.incarnation,
         service='payments',
         started_at=started_at,
-        settings=RunOnceSettings(max_entries=1000),
+        settings=RunOnceSettings(max_entries=2),
     )
 
 
