--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,234 @@
+"""What membership costs, and how fast a departure is known.
+
+Run ``python -m bench.membership``, with fleet sizes to measure only those.
+"""
+
+import gc
+import sys
+import tracemalloc
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+from statistics import mean, median
+from time import perf_counter
+from typing import Final
+
+from bench.membership_fleet import FAILURE_DOMAINS, TICK_SECONDS, Fleet
+from lovageshunt._record import Record
+from lovageshunt.membership import (
+    Announcement,
+    LeaveStarted,
+    ListedVm,
+    ListRead,
+    PeerAnnounced,
+    PeerAnswered,
+    PeerSilent,
+    Ticked,
+    VmList,
+    VmState,
+)
+
+_SIZES: Final = (50, 200, 800, 2600)
+_SETTLE_SECONDS: Final = 60
+_IDLE_SECONDS: Final = 60
+_DEPARTURES: Final = 8
+_PROMISED_SECONDS: Final = 3
+_OUTAGE_SECONDS: Final = 180
+_ROUNDS: Final = 200
+_US_PER_SECOND: Final = 1_000_000
+_BYTES_PER_KB: Final = 1024
+_SPREAD_HEADINGS: Final = (
+    'nodes',
+    'B/s a node when quiet, mean / max',
+    'B/s a node after a failure domain restarts, mean / max',
+    'announced leave: s to all, median / max / unaware after 3 s',
+    'listed leave: s to all, median / max / unaware after 3 s',
+    'reads/s when quiet',
+    'reads/s at a common start, worst',
+    'reads/s after a failure domain restarts, worst',
+    'reads/s in an outage, worst',
+)
+
+
+class Spread:
+    """What was measured of one fleet's size."""
+
+    def __init__(self, size: int) -> None:
+        """Run the fleet through quiet, departures, an outage and restarts."""
+        self.size = size
+        self.fleet = Fleet(size)
+        self.fleet.run(_SETTLE_SECONDS)
+        self.first_reads = max(self.fleet.reads_by_second.values())
+        self.quiet = self._bytes_each_second(_IDLE_SECONDS)
+        self.quiet_reads = self._reads(_IDLE_SECONDS)
+        self.announced = self._departures(announces=True)
+        self.listed = self._departures(announces=False)
+        self._restart_failure_domain()
+        self.restarting = self._bytes_each_second(_IDLE_SECONDS)
+        self.restart_reads = self._reads(_IDLE_SECONDS, worst=True)
+        self.fleet.platform_is_up = False
+        self.fleet.run(_OUTAGE_SECONDS)
+        self.outage_reads = self._reads(_OUTAGE_SECONDS, worst=True)
+
+    def row(self) -> str:
+        """Return the size's row of the table."""
+        cells = (
+            f'{self.size}',
+            f'{mean(self.quiet):.0f} / {max(self.quiet):.0f}',
+            f'{mean(self.restarting):.0f} / {max(self.restarting):.0f}',
+            _shown_departures(self.announced),
+            _shown_departures(self.listed),
+            f'{self.quiet_reads:.2f}',
+            f'{self.first_reads:.0f}',
+            f'{self.restart_reads:.0f}',
+            f'{self.outage_reads:.0f}',
+        )
+        return _table_row(*cells)
+
+    def _bytes_each_second(self, seconds: float) -> list[float]:
+        before = {
+            name: node.sent_bytes for name, node in self.fleet.by_name.items()
+        }
+        self.fleet.run(seconds)
+        return [
+            (node.sent_bytes - before[name]) / seconds
+            for name, node in self.fleet.by_name.items()
+        ]
+
+    def _reads(self, seconds: int, *, worst: bool = False) -> float:
+        last = int(self.fleet.now)
+        reads = [
+            self.fleet.reads_by_second[second]
+            for second in range(last - seconds, last)
+        ]
+        return max(reads) if worst else mean(reads)
+
+    def _departures(self, *, announces: bool) -> list[tuple[float, float]]:
+        return [
+            self._departure(announces=announces) for _ in range(_DEPARTURES)
+        ]
+
+    def _departure(self, *, announces: bool) -> tuple[float, float]:
+        """Let a VM leave that is called by others.
+
+        Return the seconds until no caller offers it any more, and the share
+        of the callers that still did when the promised time was over.
+        """
+        fleet = self.fleet
+        name = fleet.rng.choice(list(fleet.by_name))
+        while not fleet.unaware_of(name):
+            name = fleet.rng.choice(list(fleet.by_name))
+        callers = fleet.unaware_of(name)
+        began = fleet.now
+        if announces:
+            fleet.tell(fleet.by_name[name], LeaveStarted())
+        else:
+            fleet.list_as(name, VmState.LEAVING)
+        fleet.run(_PROMISED_SECONDS)
+        late = fleet.unaware_of(name) / callers
+        while fleet.unaware_of(name):
+            fleet.run(TICK_SECONDS)
+        return fleet.now - began, late
+
+    def _restart_failure_domain(self) -> None:
+        for name, node in list(self.fleet.by_name.items()):
+            if node.own.failure_domain == FAILURE_DOMAINS[0]:
+                self.fleet.restart(name)
+
+
+class CostTable:
+    """The cost of each event in one view of the largest fleet."""
+
+    def __init__(self) -> None:
+        """Let a node read the whole list."""
+        fleet = Fleet(_SIZES[-1])
+        self.vms = list(fleet.listed.values())
+        self.node = next(iter(fleet.by_name.values()))
+        self.reading = ListRead(VmList(revision=1, vms=self.vms))
+        self.kept_bytes = _memory_of(self._read)
+
+    def rows(self) -> list[str]:
+        """Return the rows of the table."""
+        called = self.node.view.members_of(self.node.needed[0])
+        rows = [
+            self._row('tick', [Ticked() for _ in range(_ROUNDS)]),
+            self._row('announcement', self._words()),
+            self._row('answer', [PeerAnswered(one.name) for one in called]),
+            self._row('silence', [PeerSilent(one.name) for one in called]),
+            self._row('list of 2,600 VMs', [self.reading]),
+        ]
+        kept = f'{self.kept_bytes / _BYTES_PER_KB:.0f}'
+        return [*rows, '', f'One view keeps {kept} KB of a list of 2,600 VMs.']
+
+    def _read(self) -> None:
+        self.node.handle(self.reading, 0)
+
+    def _words(self) -> Sequence[Record]:
+        rng = Random(1)
+        return [
+            PeerAnnounced(_restarted(rng.choice(self.vms), index))
+            for index in range(_ROUNDS)
+        ]
+
+    def _row(self, label: str, events: Sequence[Record]) -> str:
+        began = perf_counter()
+        for number, event in enumerate(events, start=1):
+            self.node.handle(event, number * TICK_SECONDS)
+        taken = (perf_counter() - began) / len(events)
+        return _table_row(label, f'{taken * _US_PER_SECOND:.1f}')
+
+
+def _memory_of(work: Callable[[], object]) -> int:
+    gc.collect()
+    tracemalloc.start()
+    work()
+    gc.collect()
+    taken, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return taken
+
+
+def _restarted(vm: ListedVm, number: int) -> Announcement:
+    return Announcement(
+        name=vm.name,
+        service=vm.service,
+        failure_domain=vm.failure_domain,
+        region=vm.region,
+        address=vm.address,
+        admin_address=vm.admin_address,
+        incarnation=f'{number + 1:012.3f}',
+    )
+
+
+def _shown_departures(departures: list[tuple[float, float]]) -> str:
+    times = [seconds for seconds, _ in departures]
+    late = max(share for _, share in departures)
+    return f'{median(times):.1f} / {max(times):.1f} / {late:.1%}'
+
+
+def _table_row(*cells: str) -> str:
+    joined = ' | '.join(cells)
+    return f'| {joined} |'
+
+
+def _print(lines: Iterable[str]) -> None:
+    sys.stdout.write('\n'.join((*lines, '')))
+    sys.stdout.flush()
+
+
+def main() -> None:
+    """Print the tables; sizes may be given on the command line."""
+    sizes = [int(size) for size in sys.argv[1:]] or _SIZES
+    _print(('| event | µs |', '| --- | ---: |', *CostTable().rows()))
+    _print(
+        (
+            '',
+            _table_row(*_SPREAD_HEADINGS),
+            _table_row(*('---:' for _ in _SPREAD_HEADINGS)),
+        ),
+    )
+    for size in sizes:
+        _print((Spread(size).row(),))
+
+
+if __name__ == '__main__':
+    main()
--- a/src/lovageshunt/membership/_gossip.py
+++ b/src/lovageshunt/membership/_gossip.py
@@ -1,8 +1,10 @@
 """What a node tells its peers, within its budget of bytes."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from random import Random
+from typing import Final
 
+from lovageshunt._record import Record
 from lovageshunt.membership._actions import (
     Announce,
     Peer,
@@ -28,6 +30,9 @@
 from lovageshunt.membership._services import ServiceIndex
 from lovageshunt.membership._settings import MembershipSettings
 
+#: How many services are compared in answer to one digest.
+_MOST_COMPARED: Final = 2
+
 
 class Gossip:
     """Rumours told at once to a few peers, and digests now and then."""
@@ -35,6 +40,7 @@
     __slots__ = (
         'facts',
         'contacts',
+        '_services',
         '_settings',
         '_rng',
         '_outbox',
@@ -45,18 +51,20 @@
 
     def __init__(
         self,
+        services: frozenset[str],
         contacts: Contacts,
         settings: MembershipSettings,
         rng: Random,
         now: float,
     ) -> None:
         """Have nothing to tell."""
-        self.facts = Facts()
+        self.facts = Facts(settings.departed_horizon)
         self.news = PlatformNews()
         self.contacts = contacts
+        self._services = services
         self._settings = settings
         self._rng = rng
-        self._outbox = Outbox()
+        self._outbox = Outbox(settings.rumour_lifetime)
         self._budget = ByteBudget(
             settings.bytes_per_second,
             settings.burst_bytes,
@@ -68,20 +76,23 @@
         """Take in an announcement; pass it on if it is news."""
         if not self.facts.learn(announcement, now):
             return False
-        self._outbox.put(announcement)
+        self._outbox.put(announcement, now)
         return True
 
-    def pass_on(self, news: ListNews) -> None:
+    def pass_on(self, news: ListNews, now: float) -> None:
         """Tell peers what changed in the platform's list."""
-        self._outbox.put(news)
+        self._outbox.put(news, now)
 
     def tell(self, fanout: int, now: float) -> list[Announce]:
         """Return the waiting news for a few peers, as far as it fits."""
         peers = self.contacts.draw(fanout) if self._outbox else []
         if not peers:
             return []
-        most_bytes = self._budget.left(now) / len(peers)
-        news, size = self._outbox.take(most_bytes)
+        news, size = self._outbox.take(
+            self._budget.left(now) / len(peers),
+            self._budget.unreserved(now) / len(peers),
+            now,
+        )
         if not news:
             return []
         self._budget.spend(size * len(peers))
@@ -115,49 +126,95 @@
             sender=own.name,
             address=own.admin_address or own.address,
             digest_by_service={
-                service: self.facts.digest_of(service, now, self._told_for)
-                for service in sorted(index.services)
+                service: self.facts.digest_of(service, now)
+                for service in sorted(self._services)
             },
             news_age_ms=self.news.age_ms(now),
         )
-        size = wire_bytes(digest) + ENVELOPE_BYTES
-        if not peers or self._budget.left(now) < size:
-            return []
-        self._budget.spend(size)
-        return [SendDigest(peers[0], digest)]
+        return self._sent(peers[0], digest, now) if peers else []
 
     def answer(
         self,
         digest: MembershipDigest,
-        services: Collection[str],
+        own: Announcement,
         now: float,
-    ) -> list[Announce]:
-        """Return what the sender of a digest lacks, as far as it fits."""
-        lacking: list[Announcement] = []
-        for service, theirs in digest.digest_by_service.items():
-            if service not in services:
-                continue
-            if self.facts.digest_of(service, now, self._told_for) != theirs:
-                lacking.extend(
-                    self.facts.of_service(service, now, self._told_for),
-                )
-        self._rng.shuffle(lacking)
-        fitting = self._fitting(lacking, now)
+    ) -> list[Record]:
+        """Return what the sender of a digest lacks, and what is held here.
+
+        Where a digest differs, the sender is told what is held here, answers
+        with exactly what is missing and tells in turn what it holds.
+        """
         peer = Peer(
             name=digest.sender,
             address=digest.address,
             failure_domain='',
         )
-        return [Announce(peer, self._bulletin(fitting, now))]
+        is_later = self.news.is_later_than(digest.news_age_ms, now)
+        self.news.hear_age(digest.news_age_ms, now)
+        held_by_service = self._differing(digest, now)
+        actions: list[Record] = list(self._missing(peer, digest, now))
+        if held_by_service or is_later:
+            reply = MembershipDigest(
+                sender=own.name,
+                address=own.admin_address or own.address,
+                digest_by_service={
+                    service: self.facts.digest_of(service, now)
+                    for service in held_by_service
+                    if not digest.held_by_service
+                },
+                held_by_service=held_by_service,
+                news_age_ms=self.news.age_ms(now),
+            )
+            actions.extend(self._sent(peer, reply, now))
+        return actions
 
     def expire(self, now: float, kept: set[str]) -> None:
         """Forget old leaves, and nodes that are not to be kept."""
-        self.facts.expire(now, self._settings.departed_horizon, kept)
+        self.facts.expire(now, kept)
+
+    def _differing(
+        self,
+        digest: MembershipDigest,
+        now: float,
+    ) -> dict[str, list[int]]:
+        differing = [
+            service
+            for service, theirs in digest.digest_by_service.items()
+            if service in self._services
+            and self.facts.digest_of(service, now) != theirs
+        ]
+        count = min(len(differing), _MOST_COMPARED)
+        return {
+            service: self.facts.held_of(service, now)
+            for service in self._rng.sample(differing, count)
+        }
 
-    @property
-    def _told_for(self) -> float:
-        """Return how old a leave may be to be worth telling, in seconds."""
-        return self._settings.departed_horizon / 2
+    def _missing(
+        self,
+        peer: Peer,
+        digest: MembershipDigest,
+        now: float,
+    ) -> list[Announce]:
+        missing: list[Announcement] = []
+        for service, held in digest.held_by_service.items():
+            missing.extend(self.facts.missing(service, frozenset(held), now))
+        missing.sort(key=_age_of)
+        fitting = self._fitting(missing, now)
+        if not fitting:
+            return []
+        return [Announce(peer, self._bulletin(fitting, now))]
+
+    def _sent(
+        self,
+        peer: Peer,
+        digest: MembershipDigest,
+        now: float,
+    ) -> list[SendDigest]:
+        size = wire_bytes(digest) + ENVELOPE_BYTES
+        if self._budget.unreserved(now) < size:
+            return []
+        self._budget.spend(size)
+        return [SendDigest(peer, digest)]
 
     def _bulletin(
         self,
@@ -181,7 +238,7 @@
         announcements: list[Announcement],
         now: float,
     ) -> list[Announcement]:
-        left = self._budget.left(now)
+        left = self._budget.unreserved(now)
         size = ENVELOPE_BYTES
         fitting = []
         for announcement in announcements:
@@ -189,5 +246,10 @@
             if size > left:
                 break
             fitting.append(announcement)
-        self._budget.spend(min(size, left))
+        if fitting:
+            self._budget.spend(min(size, left))
         return fitting
+
+
+def _age_of(announcement: Announcement) -> int:
+    return announcement.age_ms
--- a/src/lovageshunt/membership/_listing.py
+++ b/src/lovageshunt/membership/_listing.py
@@ -7,6 +7,8 @@
 
 #: A change is news to others only if the reading before was this recent.
 _SPREAD_WITHIN_SECONDS: Final = 120
+#: News of no more VMs than this is remembered.
+_MOST_HEARD: Final = 4096
 #: How long a list may still show the leave of this VM's earlier incarnation.
 _OWN_LEAVE_GRACE_SECONDS: Final = 30
 
@@ -43,7 +45,8 @@
         '_highest_at',
         '_read_at',
         '_vm_by_name',
-        '_heard_by_name',
+        '_heard',
+        '_revision_by_name',
         '_own_leave_since',
         '_was_own_live',
     )
@@ -56,7 +59,8 @@
         self._highest_at: float = 0
         self._read_at: float | None = None
         self._vm_by_name: dict[str, ListedVm] = {}
-        self._heard_by_name: dict[str, tuple[VmState, int]] = {}
+        self._heard: dict[tuple[str, VmState, int], None] = {}
+        self._revision_by_name: dict[str, int] = {}
         self._own_leave_since: float | None = None
         self._was_own_live = False
 
@@ -77,16 +81,32 @@
         )
 
     def hear(self, news: ListNews) -> bool:
-        """Return whether what a reader saw is news."""
-        listed = self._vm_by_name.get(news.name)
-        if listed is not None and listed.state is news.state:
+        """Return whether what a reader saw is heard for the first time."""
+        key = (news.name, news.state, news.revision)
+        if key in self._heard:
             return False
-        heard = self._heard_by_name.get(news.name)
-        if heard is not None and heard[1] >= news.revision:
-            return False
-        self._heard_by_name[news.name] = (news.state, news.revision)
+        self._heard[key] = None
+        if len(self._heard) > _MOST_HEARD:
+            # Dictionaries keep their order, so this is the oldest.
+            self._heard.pop(next(iter(self._heard)))
         return True
 
+    def is_latest(self, news: ListNews) -> bool:
+        """Return whether no later revision told of the VM."""
+        latest = max(self._revision_by_name.get(news.name, -1), news.revision)
+        self._revision_by_name[news.name] = latest
+        if len(self._revision_by_name) > _MOST_HEARD:
+            self._revision_by_name.pop(next(iter(self._revision_by_name)))
+        return latest == news.revision
+
+    def expire(self, now: float) -> None:
+        """Drop a list that is too old to tell what changed since."""
+        if self._read_at is None:
+            return
+        if now - self._read_at > _SPREAD_WITHIN_SECONDS:
+            self._vm_by_name = {}
+            self._read_at = None
+
     def is_own_leave(self, state: VmState, now: float) -> bool:
         """Return whether this VM is to leave.
 
--- a/src/lovageshunt/membership/_messages.py
+++ b/src/lovageshunt/membership/_messages.py
@@ -13,6 +13,8 @@
 _MAX_MS: Final = 2**31
 #: No revision of the platform may be larger.
 _MAX_REVISION: Final = 2**63
+#: A fingerprint has this many values at most.
+_MAX_FINGERPRINT: Final = 2**32
 _LONGEST_TEXT: Final = 256
 
 _MessageT = TypeVar('_MessageT')
@@ -193,39 +195,71 @@
         )
 
 
+class ServiceDigest(Record):
+    """How many announcements of a service a node holds, and a hash of them."""
+
+    __slots__ = ('count', 'fingerprint')
+
+    def __init__(self, count: int, fingerprint: int) -> None:
+        """Take both numbers."""
+        self.count = count
+        self.fingerprint = fingerprint
+
+
 class MembershipDigest(Record):
-    """What a node knows, short enough to send to a peer every few seconds.
+    """What a node holds, short enough to send to a peer every few seconds.
 
     ``digest_by_service`` covers the announcements that it holds of each
-    service; ``news_age_ms`` is that of a bulletin.
+    service. ``held_by_service`` lists their fingerprints for services whose
+    digests were found to differ. ``news_age_ms`` is that of a bulletin.
     """
 
-    __slots__ = ('sender', 'address', 'digest_by_service', 'news_age_ms')
+    __slots__ = (
+        'sender',
+        'address',
+        'digest_by_service',
+        'held_by_service',
+        'news_age_ms',
+    )
 
     def __init__(
         self,
         *,
         sender: str,
         address: str,
-        digest_by_service: dict[str, str],
+        digest_by_service: dict[str, ServiceDigest] | None = None,
+        held_by_service: dict[str, list[int]] | None = None,
         news_age_ms: int = NO_NEWS,
     ) -> None:
         """Take every field by name."""
         self.sender = sender
         self.address = address
-        self.digest_by_service = digest_by_service
+        self.digest_by_service = digest_by_service or {}
+        self.held_by_service = held_by_service or {}
         self.news_age_ms = news_age_ms
 
+    def as_dict(self) -> dict[str, Any]:
+        """Return the fields by name, for a codec at the border."""
+        pair_by_service = {
+            service: (digest.count, digest.fingerprint)
+            for service, digest in self.digest_by_service.items()
+        }
+        return super().as_dict() | {'digest_by_service': pair_by_service}
+
     @classmethod
     def from_fields(cls, fields: object) -> Self:
         """Decode a digest; raises ``MalformedMembershipError``."""
         known = _checked_fields(cls, fields)
         _check_texts(known, 'sender', 'address')
-        digests = known.get('digest_by_service')
-        if not isinstance(digests, dict):
-            raise MalformedMembershipError('digest_by_service is no object')
-        _check_texts(digests, *digests)
         _check_news_age(known)
+        known['digest_by_service'] = {
+            service: ServiceDigest(*_fingerprints(pair, exactly=2))
+            for service, pair in _mapped(known, 'digest_by_service').items()
+        }
+        known['held_by_service'] = {
+            service: _fingerprints(held)
+            for service, held in _mapped(known, 'held_by_service').items()
+        }
         return _made(cls, known)
 
 
@@ -259,6 +293,23 @@
         raise MalformedMembershipError(f'{name} is out of range')
 
 
+def _mapped(fields: dict[str, Any], name: str) -> dict[str, object]:
+    mapped = fields.get(name, {})
+    if not isinstance(mapped, dict):
+        raise MalformedMembershipError(f'{name} is no object')
+    return mapped
+
+
+def _fingerprints(listed: object, *, exactly: int | None = None) -> list[int]:
+    if not isinstance(listed, list):
+        raise MalformedMembershipError('a service has no list of numbers')
+    if exactly not in {None, len(listed)}:
+        raise MalformedMembershipError(f'a service has not {exactly} numbers')
+    for fingerprint in listed:
+        _check_count({'number': fingerprint}, 'number', _MAX_FINGERPRINT)
+    return listed
+
+
 def _check_news_age(fields: dict[str, Any]) -> None:
     if fields.get('news_age_ms', NO_NEWS) != NO_NEWS:
         _check_count(fields, 'news_age_ms', _MAX_MS)
--- a/src/lovageshunt/membership/_news.py
+++ b/src/lovageshunt/membership/_news.py
@@ -3,6 +3,8 @@
 from typing import Final
 
 _MS_PER_SECOND: Final = 1000
+#: News that is later by less is not sent in answer.
+_WORTH_TELLING_MS: Final = 1000
 #: Stands for an age that is not known.
 NO_NEWS: Final = -1
 
@@ -29,6 +31,13 @@
             return False
         return self.hear(now - age_ms / _MS_PER_SECOND)
 
+    def is_later_than(self, age_ms: int, now: float) -> bool:
+        """Return whether a peer would learn something from this node."""
+        if self._answered_at is None:
+            return False
+        own_age_ms = self.age_ms(now)
+        return age_ms == NO_NEWS or own_age_ms + _WORTH_TELLING_MS < age_ms
+
     def age_ms(self, now: float) -> int:
         """Return the age of the news, or ``NO_NEWS``."""
         if self._answered_at is None:
--- a/src/lovageshunt/membership/_roster.py
+++ b/src/lovageshunt/membership/_roster.py
@@ -114,7 +114,9 @@
             if not tracked.accepts(incarnation):
                 return [Probe(name, tracked.member.address)]
             self._restart(tracked, incarnation, now)
-        if tracked.life.step('answer'):
+        was_silent = tracked.seems_silent
+        tracked.life.step('answer')
+        if was_silent:
             self.index.touch(tracked.member.service)
         return []
 
--- a/src/lovageshunt/membership/_settings.py
+++ b/src/lovageshunt/membership/_settings.py
@@ -12,7 +12,8 @@
     ``longest_probe_delay``. ``rollback_patience``: how long only lower
     revisions must be read before the platform is taken to have restarted.
     ``bytes_per_second`` and ``burst_bytes`` bound what is sent to peers.
-    ``rumour_fanout``: to how many peers news is told. ``exchange_period``:
+    ``rumour_fanout``: to how many peers news is told, until it is
+    ``rumour_lifetime`` old. ``exchange_period``:
     how often a digest goes to one peer.
     """
 
@@ -25,6 +26,7 @@
         'bytes_per_second',
         'burst_bytes',
         'rumour_fanout',
+        'rumour_lifetime',
         'exchange_period',
         'contacts_per_failure_domain',
     )
@@ -39,8 +41,9 @@
         rollback_patience: float = 60,
         bytes_per_second: float = 1000,
         burst_bytes: float = 8000,
-        rumour_fanout: int = 3,
-        exchange_period: float = 5,
+        rumour_fanout: int = 5,
+        rumour_lifetime: float = 30,
+        exchange_period: float = 2.5,
         contacts_per_failure_domain: int = 16,
     ) -> None:
         """Take every setting by name."""
@@ -52,5 +55,6 @@
         self.bytes_per_second = bytes_per_second
         self.burst_bytes = burst_bytes
         self.rumour_fanout = rumour_fanout
+        self.rumour_lifetime = rumour_lifetime
         self.exchange_period = exchange_period
         self.contacts_per_failure_domain = contacts_per_failure_domain
--- a/src/lovageshunt/membership/_view.py
+++ b/src/lovageshunt/membership/_view.py
@@ -34,7 +34,10 @@
 from lovageshunt.membership._vms import ListedVm, VmState
 
 #: A departure is told by its own node to this many times the usual peers.
-_OWN_LEAVE_FANOUT: Final = 3
+_OWN_LEAVE_FANOUT: Final = 2
+
+#: How often what is too old is looked for.
+_EXPIRE_SECONDS: Final = 10
 
 
 class MembershipView:
@@ -53,6 +56,7 @@
         '_roster',
         '_listing',
         '_now',
+        '_expire_at',
     )
 
     def __init__(
@@ -74,14 +78,16 @@
         self.own = own
         self._settings = settings
         self._rng = rng
-        self._gossip = Gossip(contacts, settings, rng, now)
+        services = frozenset((own.service, *needed_services))
+        self._gossip = Gossip(services, contacts, settings, rng, now)
         self._roster = Roster(
-            frozenset((own.service, *needed_services)),
+            services,
             settings,
             self._gossip.facts,
         )
         self._listing = Listing(own.name, settings.rollback_patience)
         self._now = now
+        self._expire_at = now + _EXPIRE_SECONDS
         self._gossip.learn(own, now)
 
     def members_of(self, service: str) -> Sequence[Member]:
@@ -126,7 +132,7 @@
                 self._roster.list_gone(name, now)
         self._gossip.news.hear(now)
         for news in reading.changes:
-            self._gossip.pass_on(news)
+            self._gossip.pass_on(news, now)
         self._gossip.contacts.sample(
             peer_of(one) for one in vms if one.state is VmState.LIVE
         )
@@ -141,16 +147,17 @@
         news = event.news
         if not self._listing.hear(news):
             return ()
-        self._gossip.pass_on(news)
+        self._gossip.pass_on(news, now)
         if news.name == self.own.name:
             is_own_leave = self._listing.is_own_leave(news.state, now)
             return (OwnLeaveListed(),) if is_own_leave else ()
         if not _concerns(self._roster, news):
             return ()
-        if news.state is VmState.GONE:
+        is_latest = self._listing.is_latest(news)
+        if news.state is not VmState.GONE:
+            self._roster.list_vm(_listed_vm(news), now, is_current=is_latest)
+        elif is_latest:
             self._roster.list_gone(news.name, now)
-        else:
-            self._roster.list_vm(_listed_vm(news), now, is_current=True)
         return ()
 
     @_handle.register
@@ -203,14 +210,15 @@
 
     @_handle.register
     def _on_digest(self, event: DigestReceived, now: float) -> Sequence[Record]:
-        services = self._roster.index.services
-        self._gossip.news.hear_age(event.digest.news_age_ms, now)
-        return self._gossip.answer(event.digest, services, now)
+        return self._gossip.answer(event.digest, self.own, now)
 
     @_handle.register
     def _on_ticked(self, event: Ticked, now: float) -> Sequence[Record]:
-        self._roster.expire(now)
-        self._gossip.expire(now, {self.own.name, *self._roster.by_name})
+        if now >= self._expire_at:
+            self._expire_at = now + _EXPIRE_SECONDS
+            self._roster.expire(now)
+            self._listing.expire(now)
+            self._gossip.expire(now, {self.own.name, *self._roster.by_name})
         actions: list[Record] = list(self._roster.due_probes(now))
         actions.extend(self._gossip.tell(self._settings.rumour_fanout, now))
         if self._gossip.is_digest_due(now):
