--- a/src/lovageshunt/membership/__init__.py
+++ b/src/lovageshunt/membership/__init__.py
@@ -34,6 +34,7 @@
     Bulletin,
     ListNews,
     MembershipDigest,
+    ServiceDigest,
     wire_bytes,
 )
 from lovageshunt.membership._news import NO_NEWS
@@ -72,6 +73,7 @@
     'ReadList',
     'ReaderElection',
     'SendDigest',
+    'ServiceDigest',
     'Ticked',
     'VmList',
     'VmState',
--- /dev/null
+++ b/tests/membership/test_messages.py
@@ -0,0 +1,85 @@
+"""Messages about members survive the wire, and faulty ones are refused."""
+
+from typing import Any
+
+import orjson
+import pytest
+
+from lovageshunt.errors import MalformedMembershipError
+from lovageshunt.membership import (
+    Bulletin,
+    ListNews,
+    MembershipDigest,
+    ServiceDigest,
+    VmState,
+    wire_bytes,
+)
+from tests.membership.builders import listed, said
+
+BULLETIN = Bulletin(
+    announcements=[said('a', is_leaving=True, age_ms=5)],
+    list_news=[ListNews(revision=7, **listed('b', VmState.LEAVING).as_dict())],
+    news_age_ms=3,
+)
+DIGEST = MembershipDigest(
+    sender='a',
+    address='a:2',
+    digest_by_service={'records': ServiceDigest(2, 2**32 - 1)},
+    held_by_service={'records': [1, 2]},
+)
+
+
+def changed(name: str, value: Any) -> dict[str, Any]:
+    """Return a digest's fields with one changed."""
+    return DIGEST.as_dict() | {name: value}
+
+
+class TestWire:
+    """Encoding and decoding."""
+
+    @pytest.mark.parametrize('message', [BULLETIN, DIGEST])
+    def test_round_trip(self, message: Bulletin | MembershipDigest) -> None:
+        """A message is the same after the wire."""
+        text = orjson.dumps(message.as_dict())
+        assert type(message).from_fields(orjson.loads(text)) == message
+        assert wire_bytes(message) == len(text)
+
+    def test_later_fields(self) -> None:
+        """Fields of a later version are passed over."""
+        fields = orjson.loads(orjson.dumps(changed('colour', 'red')))
+        assert MembershipDigest.from_fields(fields) == DIGEST
+
+    @pytest.mark.parametrize(
+        ('name', 'value'),
+        [
+            ('sender', 5),
+            ('sender', 'x' * 300),
+            ('digest_by_service', []),
+            ('digest_by_service', {'records': [1]}),
+            ('digest_by_service', {'records': [1, -1]}),
+            ('held_by_service', {'records': ['1']}),
+            ('held_by_service', {'records': 1}),
+            ('news_age_ms', -2),
+            ('news_age_ms', True),
+        ],
+    )
+    def test_faulty_digest(self, name: str, value: Any) -> None:
+        """A digest with a field out of its range is refused."""
+        with pytest.raises(MalformedMembershipError):
+            MembershipDigest.from_fields(changed(name, value))
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            None,
+            {'announcements': 'a'},
+            {'announcements': [{}]},
+            {'announcements': [said('a').as_dict() | {'is_leaving': 1}]},
+            {'list_news': [listed('a').as_dict()]},
+            {'list_news': [{'state': 'asleep'}]},
+        ],
+    )
+    def test_faulty_bulletin(self, fields: object) -> None:
+        """A bulletin with a faulty part is refused."""
+        with pytest.raises(MalformedMembershipError):
+            Bulletin.from_fields(fields)
