Prove that news of members heals after loss and cuts between regions

Nodes leave and restart while messages are lost and regions cut; after the trouble each node offers exactly those that are there. Without the exchange of digests the machine fails: a rumour told during a cut never arrives.

--- a/bench/membership_fleet.py
+++ b/bench/membership_fleet.py
@@ -121,6 +121,8 @@
         self.rng = Random(seed)
         self.now: float = 0
         self.platform_is_up = True
+        self.regions_are_cut = False
+        self.loss: float = 0
         self.revision = 1
         self.reads_by_second: Counter[int] = Counter()
         self._steps = Steps()
@@ -253,7 +255,7 @@
     ) -> None:
         sender.sent_bytes += wire_bytes(message) + _ENVELOPE_BYTES
         receiver = self.by_name[name]
-        if not receiver.is_up:
+        if not self._arrives(sender, receiver):
             silent = PeerSilent(name)
             self._after(_TIMEOUT_SECONDS, lambda: self.tell(sender, silent))
             return
@@ -263,6 +265,13 @@
         answered = PeerAnswered(name, receiver.own.incarnation)
         self._after(2 * delay, lambda: self.tell(sender, answered))
 
+    def _arrives(self, sender: Node, receiver: Node) -> bool:
+        is_cut = (
+            self.regions_are_cut and sender.own.region != receiver.own.region
+        )
+        is_lost = self.rng.random() < self.loss
+        return receiver.is_up and not is_cut and not is_lost
+
     def _after(self, delay: float, step: Step) -> None:
         self._steps.put(self.now + delay, step)
 
