--- a/src/lovageshunt/observability/_tree.py
+++ b/src/lovageshunt/observability/_tree.py
@@ -43,7 +43,7 @@
     ending = f'{span.outcome}: {span.reason}' if span.reason else span.outcome
     missing = ' (parent not kept)' if is_cut and span.parent_id else ''
     return (
-        f'{span.name} {span.service} at {span.node} '
+        f'{span.name} at {span.node} '
         f'{span.duration_ms:.1f} ms {ending}{missing}'
     )
 
