--- a/tests/docs/test_promises.py
+++ b/tests/docs/test_promises.py
@@ -7,6 +7,7 @@
 
 PAGE = Path('docs/PROMISES.md').read_text(encoding='utf-8')
 NAMED = re.compile(r'`([\w/]+\.py)::(\w+)`')
+FEATURES = re.compile(r'`([\w/]+\.feature)`')
 
 
 class TestPromises:
@@ -21,3 +22,8 @@
         code = Path('tests', path).read_text(encoding='utf-8')
 
         assert re.search(rf'^(class )?{name}\b', code, re.MULTILINE)
+
+    @pytest.mark.parametrize('path', sorted(set(FEATURES.findall(PAGE))))
+    def test_scenario_exists(self, path):
+        """Each file of scenarios that is named is there."""
+        assert Path('tests', path).exists()
