Refuse an authority file that is none before asking, and test TLS

A file without a certificate ended in a traceback; it is a fault of the flags now, exit code 2. Tests ask over TLS with a certificate made for them, and see one of another authority refused.

--- a/src/lovageshunt/cli/_ask.py
+++ b/src/lovageshunt/cli/_ask.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 from pathlib import Path
+from ssl import SSLContext, create_default_context
 
 from absl.flags import DEFINE_float, DEFINE_list, DEFINE_string, FlagValues
 from expression import Error, Ok, Result
@@ -75,20 +76,29 @@
 
 
 def _read_access(values: FlagValues) -> Result[AdminAccess, str]:
-    token = ''
-    token_file = values['token-file'].value
-    authority_file = values['authority-file'].value
+    token_file = values.get_flag_value('token-file', None)
+    authority_file = values.get_flag_value('authority-file', None)
     try:
-        if token_file is not None:
-            token = Path(token_file).read_text(encoding='utf-8').strip()
-        if authority_file is not None:
-            Path(authority_file).read_bytes()
-    except OSError as error:
-        return Error(f'{error}; name files that can be read')
-    return Ok(
-        AdminAccess(
-            token=token,
-            authority_file=authority_file,
+        access = AdminAccess(
+            token=_token_in(token_file),
+            tls=_tls_with(authority_file),
             timeout_seconds=values.get_flag_value('timeout-seconds', None),
-        ),
-    )
+        )
+    except (OSError, ValueError) as error:
+        return Error(
+            f'{error}; name a readable --token-file with the token alone, and '
+            'an --authority-file in PEM',
+        )
+    return Ok(access)
+
+
+def _token_in(path: str | None) -> str:
+    if path is None:
+        return ''
+    return Path(path).read_text(encoding='utf-8').strip()
+
+
+def _tls_with(path: str | None) -> SSLContext | None:
+    if path is None:
+        return None
+    return create_default_context(cafile=path)
--- a/src/lovageshunt/cli/_nodes.py
+++ b/src/lovageshunt/cli/_nodes.py
@@ -2,7 +2,7 @@
 
 from asyncio import Semaphore, gather
 from collections.abc import Sequence
-from ssl import create_default_context
+from ssl import SSLContext
 from typing import Any, Final
 
 import orjson
@@ -37,26 +37,26 @@
 
 
 class AdminAccess(Record):
-    """How to reach admin sides: token, certificate authority, timeout."""
+    """How to reach admin sides: token, TLS, timeout."""
 
-    __slots__ = ('token', 'authority_file', 'timeout_seconds')
+    __slots__ = ('token', 'tls', 'timeout_seconds')
 
     def __init__(
         self,
         *,
         token: str,
-        authority_file: str | None,
+        tls: SSLContext | None,
         timeout_seconds: float,
     ) -> None:
-        """Use TLS when there is a file of certificate authorities."""
+        """Use plain HTTP when there is no TLS."""
         self.token = token
-        self.authority_file = authority_file
+        self.tls = tls
         self.timeout_seconds = timeout_seconds
 
     @property
     def scheme(self) -> str:
         """Return the scheme of the nodes' URLs."""
-        return 'http' if self.authority_file is None else 'https'
+        return 'http' if self.tls is None else 'https'
 
     @property
     def headers(self) -> dict[str, str]:
@@ -67,10 +67,7 @@
 
     def connector(self) -> TCPConnector:
         """Return what makes the connections, inside a running loop."""
-        if self.authority_file is None:
-            return TCPConnector(limit=_MAX_CONCURRENT)
-        tls = create_default_context(cafile=self.authority_file)
-        return TCPConnector(limit=_MAX_CONCURRENT, ssl=tls)
+        return TCPConnector(limit=_MAX_CONCURRENT, ssl=self.tls or True)
 
 
 async def fetch_all(
--- a/tests/cli/admin_server.py
+++ b/tests/cli/admin_server.py
@@ -2,6 +2,7 @@
 
 from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from ssl import PROTOCOL_TLS_SERVER, SSLContext
 from threading import Thread
 
 import orjson
@@ -37,9 +38,13 @@
 
 
 @contextmanager
-def admin_server(body_by_path, token=''):
-    """Serve the bodies and yield the address."""
+def admin_server(body_by_path, token='', certificate=None):
+    """Serve the bodies and yield the address; by TLS with a certificate."""
     with AdminServer(body_by_path, token) as server:
+        if certificate is not None:
+            tls = SSLContext(PROTOCOL_TLS_SERVER)
+            tls.load_cert_chain(*certificate)
+            server.socket = tls.wrap_socket(server.socket, server_side=True)
         thread = Thread(target=server.serve_forever, args=(0.01,))
         thread.start()
         try:
--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -4,6 +4,7 @@
 
 from lovageshunt.cli import main
 from tests.cli.admin_server import admin_server
+from tests.cli.certificate import write_certificate
 
 BODY = {'node': 'n1', 'incarnation': 'a', 'service': 'balances', 'limit': 12}
 
@@ -42,6 +43,43 @@
         assert code == 0
         assert 'balances' in capsys.readouterr().out
 
+    def test_nodes_are_asked_by_tls(self, tmp_path):
+        """A node whose certificate the authority vouches for is asked."""
+        certificate = write_certificate(tmp_path)
+        with admin_server({'/v1/status': BODY}, '', certificate) as address:
+            code = main(
+                [
+                    'status',
+                    f'--nodes={address}',
+                    f'--authority-file={certificate[0]}',
+                ],
+            )
+
+        assert code == 0
+
+    def test_unknown_authority_is_refused(self, capsys, tmp_path):
+        """A node whose certificate another authority made gives no answer."""
+        certificate = write_certificate(tmp_path)
+        (tmp_path / 'other').mkdir()
+        other, _ = write_certificate(tmp_path / 'other')
+        with admin_server({'/v1/status': BODY}, '', certificate) as address:
+            code = main(
+                ['status', f'--nodes={address}', f'--authority-file={other}'],
+            )
+
+        assert code == 1
+        assert 'CERTIFICATE_VERIFY_FAILED' in capsys.readouterr().out
+
+    def test_authority_that_is_none_is_a_fault(self, capsys, tmp_path):
+        """A file without a certificate is named with its remedy."""
+        path = tmp_path / 'authority'
+        path.write_text('none')
+
+        code = main(['status', '--nodes=a:1', f'--authority-file={path}'])
+
+        assert code == 2
+        assert '--authority-file in PEM' in capsys.readouterr().err
+
     def test_json_names_the_node_without_answer(self, capsys):
         """A node without an answer is in the JSON, and the exit code 1."""
         with admin_server({'/v1/status': BODY}) as address:
