Let rules status ask nodes as the other commands do

The asking over HTTP stood twice. Arbitrary bytes are refused where answers are fetched, which has its own test; the test here now gives answers that are JSON of the wrong shape.

--- a/src/lovageshunt/cli/_rules.py
+++ b/src/lovageshunt/cli/_rules.py
@@ -8,7 +8,6 @@
 from typing import Final
 
 from absl.flags import (
-    DEFINE_float,
     DEFINE_list,
     DEFINE_string,
     FlagValues,
@@ -78,9 +77,8 @@
 
 def status(arguments: Sequence[str], values: FlagValues) -> ExitCode:
     """Ask nodes which rules they serve under, and name those that lag."""
-    if arguments or not values['nodes'].value:
-        return _refuse_arguments('--nodes=IP:PORT,IP:PORT only')
-    # The HTTP library is loaded only for the command that needs it.
+    if arguments:
+        return _refuse_arguments('flags only')
     module = import_module('lovageshunt.cli._rules_status')
     code: ExitCode = module.show_status(values)
     return code
@@ -171,31 +169,8 @@
 
 
 def _define_status(values: FlagValues) -> None:
-    DEFINE_list(
-        'nodes',
-        None,
-        'Admin addresses of the nodes to ask.',
-        flag_values=values,
-    )
-    DEFINE_string(
-        'token-file',
-        None,
-        'The file with the admin token.',
-        flag_values=values,
-    )
-    DEFINE_string(
-        'authority-file',
-        None,
-        'Ask by HTTPS, and check nodes against this authority.',
-        flag_values=values,
-    )
-    DEFINE_float(
-        'timeout-seconds',
-        2,
-        'How long a node may take to answer.',
-        lower_bound=0,
-        flag_values=values,
-    )
+    # The HTTP library is loaded only for the command that needs it.
+    import_module('lovageshunt.cli._ask').define_nodes(values)
 
 
 COMMANDS: Final = (
--- a/src/lovageshunt/cli/_rules_status.py
+++ b/src/lovageshunt/cli/_rules_status.py
@@ -1,27 +1,23 @@
 """Asks nodes over HTTP which rules they serve under."""
 
-import asyncio
 from collections.abc import Sequence
-from pathlib import Path
-from ssl import create_default_context
 from typing import Any, Final
 
-import orjson
 from absl.flags import FlagValues
-from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+from expression import Result
 
 from lovageshunt._record import Record
+from lovageshunt.cli._ask import ask_nodes
 from lovageshunt.cli._command import (
     ExitCode,
     write_error,
     write_json,
     write_table,
 )
+from lovageshunt.cli._nodes import NodeAnswer
 from lovageshunt.rules import Version
 
 _PATH: Final = '/v1/rules'
-#: An answer larger than this is not read to its end.
-_MAX_ANSWER_BYTES: Final = 65536
 _NONE: Final = '-'
 
 
@@ -58,11 +54,15 @@
 
 def show_status(values: FlagValues) -> ExitCode:
     """Ask the nodes and show their rules; fail when any lags."""
-    try:
-        answers = asyncio.run(_ask_all(values))
-    except OSError as error:
-        write_error(f'{error}; name files that can be read')
-        return ExitCode.FAULTS
+    match ask_nodes(_PATH, values):
+        case Result(tag='ok', ok=answers):
+            return _show([read_answer(answer) for answer in answers], values)
+        case Result(error=complaint):
+            write_error(complaint)
+    return ExitCode.FAULTS
+
+
+def _show(answers: list[NodeRules], values: FlagValues) -> ExitCode:
     mark_laggards(answers)
     if values.json:
         write_json([_content_of(answer) for answer in answers])
@@ -95,50 +95,15 @@
         answer.problem = 'lags'
 
 
-async def _ask_all(values: FlagValues) -> list[NodeRules]:
-    timeout = ClientTimeout(total=values['timeout-seconds'].value)
-    authority = values['authority-file'].value
-    addresses = values['nodes'].value or ()
-    scheme = 'http' if authority is None else 'https'
-    async with ClientSession(
-        connector=_connector(authority),
-        headers=_headers(values['token-file'].value),
-        timeout=timeout,
-    ) as session:
-        asked = [_ask(session, scheme, address) for address in addresses]
-        return await asyncio.gather(*asked)
-
-
-def _connector(authority: str | None) -> TCPConnector:
-    if authority is None:
-        return TCPConnector()
-    return TCPConnector(ssl=create_default_context(cafile=authority))
-
-
-def _headers(token_file: str | None) -> dict[str, str]:
-    if token_file is None:
-        return {}
-    token = Path(token_file).read_text(encoding='utf-8').strip()
-    return {'Authorization': f'Bearer {token}'}
-
-
-async def _ask(session: ClientSession, scheme: str, address: str) -> NodeRules:
-    try:
-        async with session.get(f'{scheme}://{address}{_PATH}') as response:
-            response.raise_for_status()
-            raw = await response.content.read(_MAX_ANSWER_BYTES)
-    except (ClientError, TimeoutError, ValueError) as error:
-        reason = str(error) or type(error).__name__
-        return NodeRules(address=address, problem=f'no answer: {reason}')
-    return decode_status(address, raw)
-
-
-def decode_status(address: str, raw: bytes) -> NodeRules:
-    """Return what a node answered, or the problem with it."""
+def read_answer(answer: NodeAnswer) -> NodeRules:
+    """Return the rules that a node answered, or the problem with it."""
+    if answer.error is not None:
+        return NodeRules(address=answer.address, problem=str(answer.error))
     try:
-        return _answer_of(address, orjson.loads(raw))
+        return _answer_of(answer.address, answer.body)
     except (KeyError, TypeError, ValueError) as error:
-        return NodeRules(address=address, problem=f'unreadable: {error}')
+        problem = f'unreadable: {error!r}'
+        return NodeRules(address=answer.address, problem=problem)
 
 
 def _answer_of(address: str, content: dict[str, Any]) -> NodeRules:
--- a/tests/cli/test_rules_status.py
+++ b/tests/cli/test_rules_status.py
@@ -8,7 +8,8 @@
 from aiohttp import web
 
 from lovageshunt.cli import main
-from lovageshunt.cli._rules_status import decode_status, mark_laggards
+from lovageshunt.cli._nodes import NodeAnswer
+from lovageshunt.cli._rules_status import mark_laggards, read_answer
 
 ANSWER = {
     'node': 'payments-1',
@@ -18,11 +19,15 @@
 }
 
 
+def read(body):
+    """Return what is made of a body."""
+    return read_answer(NodeAnswer(address='127.0.0.1:1', body=body))
+
+
 def answer_of(generation):
     """Return a node's answer with a generation in force."""
     version = {'generation': generation, 'revision': 1, 'digest': 'd'}
-    raw = orjson.dumps({**ANSWER, 'version': version})
-    return decode_status('127.0.0.1:1', raw)
+    return read({**ANSWER, 'version': version})
 
 
 class TestAnswers:
@@ -30,19 +35,26 @@
 
     def test_is_read(self):
         """An answer gives the version and how long it is in force."""
-        answer = decode_status('127.0.0.1:1', orjson.dumps(ANSWER))
+        answer = read(ANSWER)
 
         assert answer.node == 'payments-1'
         assert answer.version.generation == 2
         assert answer.in_force_for_seconds == 61
 
     @pytest.mark.parametrize(
-        'raw',
-        [b'', b'[]', b'null', b'{}', b'{"node": 1, "version": 2}', b'"x"'],
+        'body',
+        [
+            {},
+            {'node': 1, 'version': 2},
+            {**ANSWER, 'version': {'generation': 1}},
+            {**ANSWER, 'version': []},
+            {**ANSWER, 'conflicts': 3},
+            {**ANSWER, 'in_force_for_seconds': 'long'},
+        ],
     )
-    def test_noise_is_a_problem(self, raw):
+    def test_noise_is_a_problem(self, body):
         """An answer that cannot be read is the node's problem."""
-        assert decode_status('127.0.0.1:1', raw).problem
+        assert read(body).problem
 
     def test_laggards_are_named(self):
         """A node under an older version, or under none, lags."""
