--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -19,6 +19,7 @@
 from lovageshunt.node._admin import Admin
 from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
+from lovageshunt.node._fleet_view import FleetView
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._ingress import Ingress
@@ -103,13 +104,20 @@
         )
         self._link = PeerLink(self._transport, _token_of(settings.security))
         self._outbox = Outbox(self._identity, self._link)
-        self._control = Control(
+        fleet = FleetView(
             identity=self._identity,
             called_services=settings.calls.services,
             election=_election_of(settings, rng),
             outbox=self._outbox,
             rng=rng,
         )
+        self._control = Control(
+            identity=self._identity,
+            called_services=settings.calls.services,
+            fleet=fleet,
+            outbox=self._outbox,
+            rng=rng,
+        )
         self._platform = PlatformLoop(
             PlatformReader(
                 addresses=tuple(map(str, settings.platform.addresses)),
@@ -117,7 +125,7 @@
             ),
             self._control.tell,
         )
-        self._control.read_platform = self._platform.start
+        fleet.read_platform = self._platform.start
 
     def _build_calls(self) -> None:
         settings = self._settings
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -166,7 +166,7 @@
         return call
 
     def _arrival(self, call: CallInProgress) -> CallArrived:
-        peers = self._control.peers
+        peers = self._control.fleet.peers
         return CallArrived(
             ticket=call.ticket,
             context=call.admissible.context,
--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/_inquiries.py
@@ -149,7 +149,7 @@
         seconds_left: float,
     ) -> Ending:
         """Send a call to its home and return how it ended there."""
-        address = self._control.ingress_address(action.home.node)
+        address = self._control.fleet.ingress_address(action.home.node)
         if address is None:
             return _in_doubt()
         context = forwarded_context(
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -86,7 +86,7 @@
         self._is_settled = False
         self._transit_seconds = transit_seconds
         self._serves_from = now() + settle_seconds
-        control.leave = self.begin_leave
+        control.fleet.leave = self.begin_leave
 
     @property
     def state(self) -> str:
@@ -135,7 +135,7 @@
 
     async def inquired(self, question: Inquired) -> InquiryAnswer:
         """Return the answer to a peer's question about a call."""
-        peers = self._control.peers
+        peers = self._control.fleet.peers
         question.peers = peers.peers or ()
         question.gone = peers.gone(now())
         answer = self._inquiries.expect(
@@ -173,7 +173,7 @@
         await sleep(TICK_SECONDS)
 
     async def _settle(self) -> None:
-        if self._life.state != 'settling' or not self._control.has_list:
+        if self._life.state != 'settling' or not self._has_list:
             return
         if not self._is_settled:
             self._is_settled = await self._settling.is_known_to_all(now())
@@ -185,6 +185,10 @@
             self._life.step('serve')
             _log.info('serving')
 
+    @property
+    def _has_list(self) -> bool:
+        return self._control.fleet.peers.peers is not None
+
     async def _read_load(self) -> None:
         if now() < self._load_at:
             return
--- a/src/lovageshunt/node/_settling.py
+++ b/src/lovageshunt/node/_settling.py
@@ -50,7 +50,7 @@
             return False
         envelope = self._outbox.blank()
         envelope.bulletins.append(
-            Bulletin(announcements=[self._control.view.own], list_news=[]),
+            Bulletin(announcements=[self._control.fleet.own], list_news=[]),
         )
         sent = await self._link.exchange(address, envelope)
         if sent.is_error():
