--- a/src/lovageshunt/calls/_codec.py
+++ b/src/lovageshunt/calls/_codec.py
@@ -1,5 +1,6 @@
 """The wire form of contexts and answers: one compact JSON header each."""
 
+import json
 from typing import Any, Final
 
 import orjson
@@ -128,7 +129,11 @@
 
 
 def _dump(fields: dict[str, Any]) -> str:
-    return orjson.dumps(fields).decode('utf-8')
+    dumped = orjson.dumps(fields).decode('utf-8')
+    if dumped.isascii():
+        return dumped
+    # Names in rules may be in any script, and headers are ASCII.
+    return json.dumps(fields)
 
 
 def _load(header: str | bytes) -> dict[str, Any]:
--- a/src/lovageshunt/membership/_election.py
+++ b/src/lovageshunt/membership/_election.py
@@ -118,11 +118,16 @@
         self._volunteer_at: float | None = None
 
     @property
-    def is_elected(self) -> bool:
-        """Return whether this node is one of the readers by its own picture."""
+    def readers(self) -> list[str]:
+        """Return the readers of the failure domain by the own picture."""
         count = self._settings.readers_per_failure_domain
         present = (one for one in self._candidates if one not in self._silent)
-        return self._own_name in islice(present, count)
+        return list(islice(present, count))
+
+    @property
+    def is_elected(self) -> bool:
+        """Return whether this node is one of the readers by its own picture."""
+        return self._own_name in self.readers
 
     def handle(self, event: Record, now: float) -> list[Record]:
         """Take in an event; return a read when one is due."""
--- a/src/lovageshunt/node/_admin.py
+++ b/src/lovageshunt/node/_admin.py
@@ -127,7 +127,8 @@
             answer: InquiryAnswer = await self._runtime.inquired(inquired)
         except TimeoutError:
             return _problem(_UNAVAILABLE, 'no answer in time; ask again')
-        return Response(encode_inquiry_answer(answer), media_type=_JSON)
+        by = self._runtime.identity.home
+        return Response(encode_inquiry_answer(answer, by), media_type=_JSON)
 
     async def _hand_over(self, request: Request) -> Response:
         self._runtime.handle(decode_hand_over(await _body(request)))
--- a/src/lovageshunt/node/_control.py
+++ b/src/lovageshunt/node/_control.py
@@ -76,6 +76,7 @@
                 service: [member.name for member in self.members(service)]
                 for service in self.services
             },
+            readers=self.fleet.readers,
         )
         self._spread_event(ticked)
         self._outbox.flush()
--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/_inquiries.py
@@ -94,7 +94,7 @@
         if posted.is_error() or posted.ok.status != _HTTP_OK:
             return failed
         try:
-            answer = decode_inquiry_answer(posted.ok.body)
+            answer = decode_inquiry_answer(posted.ok.body, inquiry.peer)
         except MalformedEnvelopeError:
             return failed
         return InquiryAnswered(
--- a/src/lovageshunt/node/_inquiry_codec.py
+++ b/src/lovageshunt/node/_inquiry_codec.py
@@ -21,58 +21,58 @@
 
 def encode_inquiry(asker: HomeStamp, inquiry: Inquire) -> bytes:
     """Return the question of one node as JSON."""
-    return orjson.dumps(
-        {
-            'key': inquiry.key,
-            'asker': asker.as_dict(),
-            'age_ms': inquiry.age_ms,
-            'number': inquiry.number,
-        },
-    )
+    fields = inquiry.as_dict()
+    fields.pop('peer')
+    fields['asker'] = asker.as_dict()
+    return orjson.dumps(fields)
 
 
 def decode_inquiry(body: bytes) -> Inquired:
     """Return the question; raises ``MalformedEnvelopeError``."""
     try:
         fields = orjson.loads(body)
-        return Inquired(
-            key=str(fields['key']),
-            asker=HomeStamp(**fields['asker']),
-            age_ms=int(fields['age_ms']),
-            number=int(fields['number']),
-        )
+        asker = HomeStamp(**fields.pop('asker'))
+        return Inquired(asker=asker, **fields)
     except (LookupError, TypeError, ValueError) as error:
         raise MalformedEnvelopeError(repr(error)) from error
 
 
-def encode_inquiry_answer(answer: InquiryAnswer) -> bytes:
-    """Return the answer to an inquiry as JSON."""
-    home = answer.home
-    return orjson.dumps(
-        {
-            'claim': answer.claim,
-            'home': None if home is None else home.as_dict(),
-            'refused_through': answer.refused_through,
-            'known': [one.as_dict() for one in answer.known],
-            'covered': [one.as_dict() for one in answer.covered],
-        },
-    )
+def encode_inquiry_answer(answer: InquiryAnswer, by: HomeStamp) -> bytes:
+    """Return the answer to an inquiry as JSON; ``by`` is who answers."""
+    fields = answer.as_dict()
+    fields['by'] = by.as_dict()
+    fields['home'] = answer.home.as_dict() if answer.home else None
+    fields['known'] = [one.as_dict() for one in answer.known]
+    fields['covered'] = [one.as_dict() for one in answer.covered]
+    return orjson.dumps(fields)
 
 
-def decode_inquiry_answer(body: bytes) -> InquiryAnswer:
-    """Return the answer; raises ``MalformedEnvelopeError``."""
+def decode_inquiry_answer(body: bytes, asked: HomeStamp) -> InquiryAnswer:
+    """Return the answer of the node and incarnation that was asked.
+
+    Raises ``MalformedEnvelopeError`` when it is none, or when another
+    incarnation answers at the address: it cannot speak for the earlier one.
+    """
     try:
         fields = orjson.loads(body)
-        home = fields['home']
-        return InquiryAnswer(
-            claim=Claim(fields['claim']),
-            home=None if home is None else HomeStamp(**home),
-            refused_through=int(fields['refused_through']),
-            known=tuple(HomeStamp(**one) for one in fields['known']),
-            covered=tuple(HomeStamp(**one) for one in fields['covered']),
-        )
+        by = HomeStamp(**fields.pop('by'))
+        answer = _inquiry_answer_of(fields)
     except (LookupError, TypeError, ValueError) as error:
         raise MalformedEnvelopeError(repr(error)) from error
+    if by != asked:
+        raise MalformedEnvelopeError(f'{by!r} answered for {asked!r}')
+    return answer
+
+
+def _inquiry_answer_of(fields: dict[str, Any]) -> InquiryAnswer:
+    home = fields.pop('home')
+    return InquiryAnswer(
+        claim=Claim(fields.pop('claim')),
+        home=HomeStamp(**home) if home else None,
+        known=tuple(HomeStamp(**one) for one in fields.pop('known')),
+        covered=tuple(HomeStamp(**one) for one in fields.pop('covered')),
+        **fields,
+    )
 
 
 def encode_hand_over(
--- a/tests/calls/test_codec.py
+++ b/tests/calls/test_codec.py
@@ -43,6 +43,22 @@
 
         assert decode_context(encode_context(context)) == context
 
+    def test_any_script_stays_ascii(self):
+        """Names in rules may be in any script; headers are ASCII."""
+        context = CallContext(
+            request_id='r',
+            call_id='c',
+            caller='teléfono',
+            kind='نرخ',
+            importance=0,
+            rank=0,
+            timeout_ms=1,
+        )
+        header = encode_context(context)
+
+        assert header.isascii()
+        assert decode_context(header) == context
+
     @given(header=st.binary(max_size=60))
     def test_noise_is_a_typed_error(self, header):
         """Arbitrary bytes are refused with the typed error."""
--- /dev/null
+++ b/tests/node/test_inquiry_codec.py
@@ -0,0 +1,92 @@
+"""The wire form of inquiries and hand-overs loses nothing."""
+
+import pytest
+
+from lovageshunt.calls import HomeStamp, Outcome, RefusalReason
+from lovageshunt.errors import MalformedEnvelopeError
+from lovageshunt.idempotency import (
+    Claim,
+    Ending,
+    HandedEntry,
+    Inquire,
+    InquiryAnswer,
+    StoredAnswer,
+)
+from lovageshunt.node._inquiry_codec import (
+    decode_hand_over,
+    decode_inquiry,
+    decode_inquiry_answer,
+    encode_hand_over,
+    encode_inquiry,
+    encode_inquiry_answer,
+)
+
+_N1 = HomeStamp(node='n1', incarnation='a')
+_N2 = HomeStamp(node='n2', incarnation='b')
+
+
+class TestInquiry:
+    """Questions between nodes."""
+
+    def test_round_trip(self):
+        """Every field of a question arrives."""
+        inquiry = Inquire(key='k', peer=_N2, age_ms=5, number=6, digest=7)
+        inquired = decode_inquiry(encode_inquiry(_N1, inquiry))
+
+        assert inquired.asker == _N1
+        assert (inquired.key, inquired.age_ms) == ('k', 5)
+        assert (inquired.number, inquired.digest) == (6, 7)
+
+    def test_answer_round_trip(self):
+        """Every field of an answer arrives."""
+        answer = InquiryAnswer(
+            claim=Claim.MINE,
+            home=_N1,
+            refused_through=3,
+            known=(_N1, _N2),
+            covered=(_N2,),
+            is_witness=True,
+        )
+
+        wire = encode_inquiry_answer(answer, _N2)
+
+        assert decode_inquiry_answer(wire, _N2) == answer
+
+    def test_another_incarnation_does_not_answer_for_an_earlier_one(self):
+        """A new node at the address promises nothing for the old one."""
+        answer = InquiryAnswer(claim=Claim.WILL_NOT_RUN)
+        by = HomeStamp(node=_N2.node, incarnation='later')
+        wire = encode_inquiry_answer(answer, by)
+
+        with pytest.raises(MalformedEnvelopeError, match='answered for'):
+            decode_inquiry_answer(wire, _N2)
+
+    @pytest.mark.parametrize('decode', [decode_inquiry, decode_hand_over])
+    @pytest.mark.parametrize('body', [b'', b'[]', b'{}', b'{"asker": 1}'])
+    def test_noise_is_a_typed_error(self, decode, body):
+        """What is no message is refused with the typed error."""
+        with pytest.raises(MalformedEnvelopeError):
+            decode(body)
+
+
+class TestHandOver:
+    """What a leaver tells its heirs."""
+
+    def test_round_trip(self):
+        """Endings arrive with their answers, and refusals without one."""
+        ending = Ending(
+            outcome=Outcome.FAILED,
+            reason=RefusalReason.TARGET_FAILED,
+            answer=StoredAnswer(
+                status=500,
+                headers=(('x-a', '1'),),
+                body=b'\x00\xff',
+            ),
+        )
+        entries = (
+            HandedEntry(key='k', ending=ending, refused_through=0),
+            HandedEntry(key='m', ending=None, refused_through=2),
+        )
+        handed = decode_hand_over(encode_hand_over(_N1, entries))
+
+        assert (handed.leaver, handed.entries) == (_N1, entries)
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -1,6 +1,7 @@
 """One small deployment that all scenarios share, and its callers."""
 
 import asyncio
+import time
 from pathlib import Path
 from typing import Any
 
@@ -48,6 +49,7 @@
             [ServicePlan('payments', instances=3, slots=20, service_ms=5)],
         )
         self.generation = 1
+        self.began_by_id: dict[str, float] = {}
         self.told_by_id: dict[str, list[Told]] = {}
         self.session: aiohttp.ClientSession | None = None
         self.client: Client | None = None
@@ -118,7 +120,7 @@
         headers = {'idempotency-key': request_id}
         if attempt is not None:
             headers['lovageshunt-attempt'] = str(attempt)
-            headers['lovageshunt-age-ms'] = str(1000 * (attempt - 1))
+            headers['lovageshunt-age-ms'] = str(self.age_ms(request_id))
         if poison:
             headers['x-poison'] = '1'
         url = f'http://{self.fleet.by_name[node].ingress}{path}'
@@ -140,6 +142,11 @@
         self.told_by_id.setdefault(request_id, []).append(told)
         return told
 
+    def age_ms(self, request_id: str) -> int:
+        """Return the time since a request was first sent."""
+        began_at = self.began_by_id.setdefault(request_id, time.monotonic())
+        return int(1000 * (time.monotonic() - began_at))
+
     def runs(self, request_id: str) -> int:
         """Return how often a request ran on any target."""
         ran = self.fleet.executions('payments')
