--- a/bench/_protected.py
+++ b/bench/_protected.py
@@ -35,12 +35,13 @@
 
 #: After so long without a connection a target counts as lost.
 _CONNECT_SECONDS = 0.2
+NOBODY: frozenset[str] = frozenset()
 
 
 class Variant(Record):
     """One version of the policy."""
 
-    __slots__ = ('name', 'settings', 'tells_callers')
+    __slots__ = ('name', 'settings', 'tells_callers', 'weighs_targets')
 
     def __init__(
         self,
@@ -48,11 +49,17 @@
         *,
         settings: dict[str, float],
         tells_callers: bool = True,
+        weighs_targets: bool = True,
     ) -> None:
-        """Take the settings of admission that differ from the defaults."""
+        """Take the settings of admission that differ from the defaults.
+
+        ``tells_callers`` puts thresholds on answers; without
+        ``weighs_targets`` any target is as good as another.
+        """
         self.name = name
         self.settings = settings
         self.tells_callers = tells_callers
+        self.weighs_targets = weighs_targets
 
 
 class ProtectedNode:
@@ -71,7 +78,7 @@
         """Stand in a failure domain."""
         self.place = place
         self.network = network
-        self._variant = variant
+        self.variant = variant
         self._thresholds = CallerThresholds()
         sender = ProtectedSender(network, rng, self, routes)
         self.sender = sender
@@ -175,7 +182,7 @@
 
     def _answer(self, call: Call, reply: Reply, info: AnswerInfo) -> None:
         info.unspent = call.unspent
-        if self._variant.tells_callers:
+        if self.variant.tells_callers:
             told = self._thresholds.merged(self.network.loop.now, call.asked)
             own = {call.step.service: self.admission.threshold}
             info.threshold_by_service = told | own
@@ -183,6 +190,30 @@
         reply(info)
 
 
+class AnyTarget(Router):
+    """Chooses any target that was not tried."""
+
+    __slots__ = ('_members', '_random')
+
+    def set_members(self, members: list[RouteMember], now: float) -> None:
+        """Take the targets of the service."""
+        self._random = Random(len(members))
+        self._members = [
+            member for member in members if member.service == self._service
+        ]
+
+    def choose(
+        self,
+        now: float,
+        excluded: frozenset[str] = NOBODY,
+    ) -> RouteMember | None:
+        """Return any target."""
+        left = [
+            member for member in self._members if member.node not in excluded
+        ]
+        return self._random.choice(left) if left else None
+
+
 class Routes:
     """The published targets of each service and the nodes by name."""
 
@@ -240,7 +271,8 @@
     def router(self, service: str) -> Router:
         """Return the router of a service, made at its first use."""
         if service not in self._router_by_service:
-            router = Router(
+            kind = Router if self.node.variant.weighs_targets else AnyTarget
+            router = kind(
                 service=service,
                 own_failure_domain=self.node.place,
                 own_region='region',
--- a/bench/_systems.py
+++ b/bench/_systems.py
@@ -34,6 +34,7 @@
 VARIANTS = (
     BASELINE,
     Variant('not told', settings={}, tells_callers=False),
+    Variant('any target', settings={}, weighs_targets=False),
     Variant('current', settings={}),
 )
 
--- a/bench/_target.py
+++ b/bench/_target.py
@@ -33,6 +33,7 @@
     ) -> None:
         """Start idle."""
         self.slow_factor = float(1)
+        self.is_broken = False
         self.waiting: deque[tuple[Call, Reply]] = deque()
         self._loop = loop
         self._rng = rng
@@ -42,6 +43,9 @@
 
     def run(self, call: Call, reply: Reply) -> None:
         """Run a call now or as soon as a slot is free."""
+        if self.is_broken:
+            self._end(call, reply, failed(call, RefusalReason.TARGET_FAILED))
+            return
         self.waiting.append((call, reply))
         call.stop = partial(self._end, call, reply, _cancelled(call))
         self._fill()
--- a/bench/_workloads.py
+++ b/bench/_workloads.py
@@ -137,6 +137,24 @@
         target.slow_factor = factor
 
 
+def _set_one_speed(
+    factor: float,
+    network: Network,
+    system: System,
+    crowd: Crowd,
+) -> None:
+    system.targets[network.deployment.bottleneck][0].slow_factor = factor
+
+
+def _set_one_broken(
+    is_broken: bool,
+    network: Network,
+    system: System,
+    crowd: Crowd,
+) -> None:
+    system.targets[network.deployment.bottleneck][0].is_broken = is_broken
+
+
 def _set_load(
     load: float,
     network: Network,
@@ -185,4 +203,20 @@
         begin=partial(_set_cut, 'fd3'),
         end=partial(_set_cut, ''),
     ),
+    _passing(
+        'one deep target x5 slow, 10 s',
+        10,
+        PATIENT,
+        begin=partial(_set_one_speed, 5),
+        end=partial(_set_one_speed, 1),
+        deep_share=(2 + 1 / 5) / 3,
+    ),
+    _passing(
+        'one deep target fails fast, 10 s',
+        10,
+        PATIENT,
+        begin=partial(_set_one_broken, True),
+        end=partial(_set_one_broken, False),
+        deep_share=2 / 3,
+    ),
 )
