Take an inquiry's answer only from the incarnation that was asked

The scenario in which the home of a purchase is killed and replaced failed: the purchase was answered by a third attempt, so it ran twice. The asker sent its question for the killed incarnation to its address, the new one answered, and its promise was booked for the killed one. While a young node could not promise at all this did not show. Answers now name who answers; one by another incarnation counts as a failure of the one asked. In the fleet of the tests questions now also arrive at whoever is at the address, and a node without this check wrongs the caller in one scene. The wire form of inquiries carries the new fields, and the digest of known nodes.

The same scenario stated an age of 2 s for a request that was 3.6 s old; it now states the age it has.

All kept answers together are bounded by bytes.

--- a/bench/run_once/__main__.py
+++ b/bench/run_once/__main__.py
@@ -116,7 +116,7 @@
         for at in range(size)
     )
     asker, *peers = [_factory(RunOnce)(home, 0) for home in homes]
-    promise = InquiryAnswer(claim=Claim.WILL_NOT_RUN)
+    promise = InquiryAnswer(claim=Claim.WILL_NOT_RUN, answerer=homes[1])
     sent = 0
     began = process_time()
     for at in range(_MANY):
@@ -130,6 +130,7 @@
         )
         asker.handle(requested, 1000)
         for peer in homes[1:]:
+            promise.answerer = peer
             answered = InquiryAnswered(
                 key=str(at),
                 peer=peer,
@@ -166,7 +167,8 @@
         'number': 100000,
         'digest': 2**63,
     }
-    return len(orjson.dumps(question)) + len(orjson.dumps(answer.as_dict()))
+    answered = {**answer.as_dict(), 'answerer': answer.answerer.as_dict()}
+    return len(orjson.dumps(question)) + len(orjson.dumps(answered))
 
 
 def _print_inquiries() -> None:
--- a/bench/run_once/_network.py
+++ b/bench/run_once/_network.py
@@ -34,7 +34,7 @@
         self.by_name: dict[str, Machine] = {}
         self.messages: list[Message] = []
         self.executions: Counter[str] = Counter()
-        self.inquiries = 0
+        self.question: run_once.Inquire | None = None
         self.on_answer: Callable[[str, Outcome], None] = _ignore
         self.on_unsent: Callable[[str], None] = _ignore_unsent
 
@@ -52,6 +52,8 @@
         if machine.frozen_at is not None:
             machine.held.append(message)
             return
+        if isinstance(message, InquiryMessage):
+            self.question = message.question
         self.tell(machine, _event_of(message, machine, self.now))
 
     def reach(self, machine: Machine, home: HomeStamp) -> Machine | None:
@@ -80,8 +82,8 @@
         asker = self.by_name.get(message.asker.node)
         if asker is None or asker.home != message.asker:
             return
-        peer = self.reach(asker, message.question.peer)
-        if peer is not None:
+        peer = self.by_name.get(message.question.peer.node)
+        if peer is not None and peer.side == asker.side:
             self.receive(peer, message)
             return
         failed = ReplyMessage(
@@ -263,7 +265,6 @@
     machine: Machine,
     network: Network,
 ) -> None:
-    network.inquiries += 1
     network.send(InquiryMessage(asker=machine.home, question=action))
 
 
@@ -273,12 +274,10 @@
     machine: Machine,
     network: Network,
 ) -> None:
-    question = run_once.Inquire(
-        key=action.key,
-        peer=machine.home,
-        age_ms=0,
-        number=action.number,
-    )
+    # The asker knows only which address it asked.
+    question = network.question
+    if question is None:
+        return
     reply = ReplyMessage(
         asker=action.asker,
         question=question,
--- a/src/lovageshunt/idempotency/_inquiring.py
+++ b/src/lovageshunt/idempotency/_inquiring.py
@@ -90,10 +90,10 @@
     if entry is None:
         entry = state.create(event.key, born_at=born_at, now=now)
     if entry is None:
-        return [_reply(event, InquiryAnswer(claim=Claim.CANNOT_SAY))]
+        return [_reply(event, _plain_answer(state, Claim.CANNOT_SAY))]
     asker = identity_of(event.asker)
     if _is_held(state, entry, asker):
-        return [_reply(event, InquiryAnswer(claim=Claim.MINE))]
+        return [_reply(event, _plain_answer(state, Claim.MINE))]
     before = _promised_before(entry, asker)
     moved = []
     if entry.state != 'elsewhere':
@@ -101,6 +101,7 @@
     suspects = state.suspects(event.gone, born_at=born_at, now=now)
     answer = InquiryAnswer(
         claim=Claim.WILL_NOT_RUN,
+        answerer=stamp_of(state.me),
         home=before,
         refused_through=entry.refused_through,
         known=_unknown_to(event, state, suspects),
@@ -120,10 +121,13 @@
     inquiry = None if entry is None else entry.inquiry
     if entry is None or inquiry is None or inquiry.number != event.number:
         return []
-    peer = identity_of(event.peer)
     answer = event.answer
+    peer = identity_of(answer.answerer)
     if answer.claim is Claim.MINE:
         return yield_to(state, entry, peer)
+    if answer.answerer != event.peer:
+        inquiry.fail([identity_of(event.peer)])
+        inquiry.ask([peer])
     inquiry.take(peer, answer)
     entry.refused_through = max(entry.refused_through, answer.refused_through)
     widened = set(map(identity_of, answer.known))
@@ -289,6 +293,10 @@
     return stamp_of(entry.home)
 
 
+def _plain_answer(state: NodeState, claim: Claim) -> InquiryAnswer:
+    return InquiryAnswer(claim=claim, answerer=stamp_of(state.me))
+
+
 def _reply(event: Inquired, answer: InquiryAnswer) -> AnswerInquiry:
     return AnswerInquiry(
         key=event.key,
--- a/src/lovageshunt/idempotency/_leaving.py
+++ b/src/lovageshunt/idempotency/_leaving.py
@@ -84,7 +84,7 @@
             entry.life.step('refuse')
         return []
     entry.life.step('end')
-    entry.ending = handed.ending
+    state.keep(entry, handed.ending)
     entry.inquiry = None
     state.inquiring.pop(entry.key, None)
     return [
--- a/src/lovageshunt/idempotency/_records.py
+++ b/src/lovageshunt/idempotency/_records.py
@@ -106,6 +106,8 @@
 class InquiryAnswer(Record):
     """The answer of one node to an inquiry.
 
+    ``answerer`` is the node and incarnation that answers. A later one at the
+    address of the one that was asked has no word to give for it.
     ``home`` names the node to which the answering one gave its promise
     before. Attempts up to ``refused_through`` were told *not run*.
     ``known`` lists the nodes of the service that the answering one knows,
@@ -117,6 +119,7 @@
 
     __slots__ = (
         'claim',
+        'answerer',
         'home',
         'refused_through',
         'known',
@@ -128,6 +131,7 @@
         self,
         *,
         claim: Claim,
+        answerer: HomeStamp,
         home: HomeStamp | None = None,
         refused_through: int = 0,
         known: tuple[HomeStamp, ...] = (),
@@ -136,6 +140,7 @@
     ) -> None:
         """Take the claim and what the answering node knows beside."""
         self.claim = claim
+        self.answerer = answerer
         self.home = home
         self.refused_through = refused_through
         self.known = known
--- a/src/lovageshunt/idempotency/_running.py
+++ b/src/lovageshunt/idempotency/_running.py
@@ -16,7 +16,6 @@
     Refused,
     WaiterCancelled,
 )
-from lovageshunt.idempotency._records import Ending
 from lovageshunt.idempotency._refusing import (
     FIRST_ATTEMPT,
     refuse_all,
@@ -85,7 +84,7 @@
         )
     runner = entry.runner
     entry.life.step('end')
-    entry.ending = _bounded(ending, state.settings.max_answer_bytes)
+    state.keep(entry, ending)
     return [
         Replay(call_id=waiter.call_id, ending=ending)
         for waiter in state.release(entry)
@@ -125,16 +124,3 @@
             retry_after_ms=state.settings.doubt_retry_ms,
         ),
     ]
-
-
-def _bounded(ending: Ending, max_bytes: int) -> Ending:
-    """Keep an answer, or only that it can no longer be given whole."""
-    answer = ending.answer
-    if ending.outcome is not Outcome.ANSWERED:
-        return ending
-    if answer is not None and len(answer.body) <= max_bytes:
-        return ending
-    return Ending(
-        outcome=Outcome.FAILED,
-        reason=RefusalReason.CONNECTION_LOST,
-    )
--- a/src/lovageshunt/idempotency/_settings.py
+++ b/src/lovageshunt/idempotency/_settings.py
@@ -12,6 +12,8 @@
     ``settle_seconds`` is the least time before a node takes first attempts.
     ``caution_seconds`` is how long after a suspension a first attempt
     is inquired about. ``unstated_age_ms`` stands for an age not stated.
+    ``max_answer_bytes`` bounds the body of one kept answer and
+    ``max_table_bytes`` that of all together.
     """
 
     __slots__ = (
@@ -25,6 +27,7 @@
         'refusal_retry_ms',
         'max_entries',
         'max_answer_bytes',
+        'max_table_bytes',
     )
 
     def __init__(
@@ -40,6 +43,7 @@
         refusal_retry_ms: int = 200,
         max_entries: int = 20_000,
         max_answer_bytes: int = 4096,
+        max_table_bytes: int = 4_194_304,
     ) -> None:
         """Take every bound by name."""
         self.retention_seconds = retention_seconds
@@ -52,3 +56,4 @@
         self.refusal_retry_ms = refusal_retry_ms
         self.max_entries = max_entries
         self.max_answer_bytes = max_answer_bytes
+        self.max_table_bytes = max_table_bytes
--- a/src/lovageshunt/idempotency/_state.py
+++ b/src/lovageshunt/idempotency/_state.py
@@ -2,11 +2,21 @@
 
 from collections.abc import Iterable
 
+from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.idempotency._entry import Arrival, Entry
-from lovageshunt.idempotency._records import Departed, Identity, identity_of
+from lovageshunt.idempotency._records import (
+    Departed,
+    Ending,
+    Identity,
+    identity_of,
+)
 from lovageshunt.idempotency._settings import RunOnceSettings
 
 MS_PER_SECOND = 1000
+_NOT_KEPT = Ending(
+    outcome=Outcome.FAILED,
+    reason=RefusalReason.CONNECTION_LOST,
+)
 
 
 class NodeState:
@@ -29,6 +39,7 @@
         'entry_by_key',
         'entry_by_call_id',
         '_last_number',
+        '_answer_bytes',
     )
 
     def __init__(
@@ -51,6 +62,7 @@
         self.entry_by_key: dict[str, Entry] = {}
         self.entry_by_call_id: dict[str, Entry] = {}
         self._last_number = 0
+        self._answer_bytes = 0
 
     def find(self, key: str, now: float) -> Entry | None:
         """Return the entry of a call, unless it expired."""
@@ -69,6 +81,21 @@
         self.entry_by_key[key] = entry
         return entry
 
+    def keep(self, entry: Entry, ending: Ending) -> None:
+        """Keep how a call ended, with its answer if there is room.
+
+        An answer that is not kept is *failed* for later attempts: the call
+        ran, and no whole answer will come.
+        """
+        size = _size_of(ending)
+        settings = self.settings
+        has_room = self._answer_bytes + size <= settings.max_table_bytes
+        is_cut = ending.outcome is Outcome.ANSWERED and ending.answer is None
+        if is_cut or size > settings.max_answer_bytes or not has_room:
+            ending = _NOT_KEPT
+        self._answer_bytes += _size_of(ending)
+        entry.ending = ending
+
     def expiry_from(self, now: float) -> float:
         """Return until when something learned now is kept."""
         settings = self.settings
@@ -76,7 +103,8 @@
 
     def drop(self, entry: Entry) -> None:
         """Forget an entry that binds nobody."""
-        self.entry_by_key.pop(entry.key, None)
+        if self.entry_by_key.pop(entry.key, None) is not None:
+            self._answer_bytes -= _size_of(entry.ending)
         self.inquiring.pop(entry.key, None)
         self.release(entry)
 
@@ -153,3 +181,9 @@
             if not departed.is_proved_dead
             or born_at <= now - departed.seconds_ago
         }
+
+
+def _size_of(ending: Ending | None) -> int:
+    if ending is None or ending.answer is None:
+        return 0
+    return len(ending.answer.body)
--- a/src/lovageshunt/node/_inquiry_codec.py
+++ b/src/lovageshunt/node/_inquiry_codec.py
@@ -27,6 +27,7 @@
             'asker': asker.as_dict(),
             'age_ms': inquiry.age_ms,
             'number': inquiry.number,
+            'digest': inquiry.digest,
         },
     )
 
@@ -40,6 +41,7 @@
             asker=HomeStamp(**fields['asker']),
             age_ms=int(fields['age_ms']),
             number=int(fields['number']),
+            digest=int(fields['digest']),
         )
     except (LookupError, TypeError, ValueError) as error:
         raise MalformedEnvelopeError(repr(error)) from error
@@ -51,10 +53,12 @@
     return orjson.dumps(
         {
             'claim': answer.claim,
+            'answerer': answer.answerer.as_dict(),
             'home': None if home is None else home.as_dict(),
             'refused_through': answer.refused_through,
             'known': [one.as_dict() for one in answer.known],
             'covered': [one.as_dict() for one in answer.covered],
+            'is_witness': answer.is_witness,
         },
     )
 
@@ -66,10 +70,12 @@
         home = fields['home']
         return InquiryAnswer(
             claim=Claim(fields['claim']),
+            answerer=HomeStamp(**fields['answerer']),
             home=None if home is None else HomeStamp(**home),
             refused_through=int(fields['refused_through']),
             known=tuple(HomeStamp(**one) for one in fields['known']),
             covered=tuple(HomeStamp(**one) for one in fields['covered']),
+            is_witness=bool(fields['is_witness']),
         )
     except (LookupError, TypeError, ValueError) as error:
         raise MalformedEnvelopeError(repr(error)) from error
--- a/tests/idempotency/nodes.py
+++ b/tests/idempotency/nodes.py
@@ -25,7 +25,6 @@
     outcome=Outcome.ANSWERED,
     answer=StoredAnswer(status=200, headers=(), body=b'paid'),
 )
-PROMISE = InquiryAnswer(claim=Claim.WILL_NOT_RUN)
 
 
 def requested(call_id, attempt, *, key='k', peers=PEERS, **fields):
@@ -53,10 +52,11 @@
     return node
 
 
-def promise(node, peer, number=1, answer=PROMISE):
-    """Give the node a peer's answer."""
+def promise(node, peer, *, claim=Claim.WILL_NOT_RUN, by=None, **fields):
+    """Give the node the answer to its first inquiry, a promise or other."""
+    answer = InquiryAnswer(claim=claim, answerer=by or peer, **fields)
     return node.handle(
-        InquiryAnswered(key='k', peer=peer, number=number, answer=answer),
+        InquiryAnswered(key='k', peer=peer, number=1, answer=answer),
         NOW,
     )
 
--- a/tests/idempotency/test_arriving.py
+++ b/tests/idempotency/test_arriving.py
@@ -1,7 +1,5 @@
 """What is done with an attempt when it arrives."""
 
-import pytest
-
 from lovageshunt.calls import HomeStamp, RefusalReason
 from lovageshunt.idempotency import (
     AnswerNotRun,
@@ -12,8 +10,6 @@
     Dispatch,
     DispatchDue,
     Inquire,
-    InquiryAnswer,
-    InquiryAnswered,
     InquiryFailed,
     Redirect,
     Replay,
@@ -151,34 +147,42 @@
     def test_it_goes_to_the_node_that_has_it(self, node):
         """The attempt is sent there without a stamp."""
         node.handle(requested('x', 2), NOW)
-        mine = InquiryAnswer(claim=Claim.MINE)
+        actions = promise(node, HIGHER, claim=Claim.MINE)
 
-        assert promise(node, HIGHER, answer=mine) == [
+        assert actions == [
             Redirect(call_id='x', home=HIGHER, stamp=None, attempt=2),
         ]
 
-    @pytest.mark.parametrize(
-        'event',
-        [
-            InquiryFailed(key='k', peer=HIGHER, number=1),
-            InquiryAnswered(
-                key='k',
-                peer=HIGHER,
-                number=1,
-                answer=InquiryAnswer(claim=Claim.CANNOT_SAY),
-            ),
-        ],
-    )
-    def test_it_is_unknown_without_the_word_of_one(self, node, event):
-        """One silent, full or young node leaves the call in doubt."""
+    def test_it_is_unknown_when_one_cannot_be_asked(self, node):
+        """One silent node leaves the call in doubt."""
         node.handle(requested('x', 2), NOW)
         promise(node, LOWER)
+        failed = InquiryFailed(key='k', peer=HIGHER, number=1)
 
-        answer = only(node.handle(event, NOW))
+        answer = only(node.handle(failed, NOW))
 
         assert isinstance(answer, AnswerUnknown)
         assert answer.reason is RefusalReason.IN_DOUBT
 
+    def test_it_is_unknown_when_one_cannot_promise(self, node):
+        """A full node would run a late first attempt."""
+        node.handle(requested('x', 2), NOW)
+        promise(node, LOWER)
+
+        answer = only(promise(node, HIGHER, claim=Claim.CANNOT_SAY))
+
+        assert isinstance(answer, AnswerUnknown)
+
+    def test_later_incarnation_has_no_word_for_the_one_asked(self, node):
+        """What answers at an address may not be what ran the call."""
+        later = HomeStamp(node='c', incarnation='2')
+        node.handle(requested('x', 2), NOW)
+        promise(node, LOWER)
+
+        answer = only(promise(node, HIGHER, by=later))
+
+        assert isinstance(answer, AnswerUnknown)
+
     def test_silence_ends_in_doubt(self, node):
         """Nodes that did not answer in time count as failed."""
         node.handle(requested('x', 2), NOW)
@@ -191,9 +195,8 @@
         """A list that lags is widened by the answers."""
         newer = HomeStamp(node='d', incarnation='1')
         node.handle(requested('x', 2), NOW)
-        answer = InquiryAnswer(claim=Claim.WILL_NOT_RUN, known=(ME, newer))
 
-        asked = only(promise(node, LOWER, answer=answer))
+        asked = only(promise(node, LOWER, known=(ME, newer)))
 
         assert isinstance(asked, Inquire)
         assert asked.peer == newer
@@ -226,8 +229,9 @@
         node.handle(InquiryFailed(key='k', peer=earlier, number=1), NOW)
         promise(node, LOWER)
 
-        settled = InquiryAnswer(claim=Claim.WILL_NOT_RUN, is_witness=True)
-        assert promise(node, HIGHER, answer=settled) == [Run(call_id='x')]
+        actions = promise(node, HIGHER, is_witness=True)
+
+        assert actions == [Run(call_id='x')]
 
     def test_it_is_unknown_without_a_witness(self):
         """No node that is older than the call knows whom to ask."""
@@ -243,8 +247,7 @@
         """It names the nodes that the younger ones do not know."""
         node = make_node(started_at=NOW - 1)
         node.handle(requested('x', 2), NOW)
-        settled = InquiryAnswer(claim=Claim.WILL_NOT_RUN, is_witness=True)
-        promise(node, LOWER, answer=settled)
+        promise(node, LOWER, is_witness=True)
 
         assert promise(node, HIGHER) == [Run(call_id='x')]
 
--- a/tests/idempotency/test_inquiring.py
+++ b/tests/idempotency/test_inquiring.py
@@ -49,6 +49,14 @@
         assert answer.claim is Claim.WILL_NOT_RUN
         assert answer.is_witness is is_witness
 
+    def test_full_table_cannot_promise(self):
+        """Without an entry a late first attempt would run."""
+        node = make_node(max_entries=0)
+
+        answer, _ = inquired(node, HIGHER)
+
+        assert answer.claim is Claim.CANNOT_SAY
+
     def test_lower_rank_wins_between_two_inquiries(self, node):
         """A node yields to a lower asker and holds against a higher."""
         node.handle(requested('x', 2), NOW)
--- a/tests/idempotency/test_leaving.py
+++ b/tests/idempotency/test_leaving.py
@@ -3,12 +3,10 @@
 from lovageshunt.calls import RefusalReason
 from lovageshunt.idempotency import (
     AnswerInquiry,
-    Claim,
     Completed,
     Drained,
     HandedOver,
     Inquired,
-    InquiryAnswer,
     InquiryFailed,
     Leaving,
     Replay,
@@ -62,14 +60,12 @@
 
     def test_heir_covers_the_leaver(self, node):
         """An inquiry succeeds though the leaver cannot be asked."""
-        covering = InquiryAnswer(
-            claim=Claim.WILL_NOT_RUN,
-            covered=(HIGHER,),
-        )
         node.handle(requested('x', 2), NOW)
         node.handle(InquiryFailed(key='k', peer=HIGHER, number=1), NOW)
 
-        assert promise(node, LOWER, answer=covering) == [Run(call_id='x')]
+        actions = promise(node, LOWER, covered=(HIGHER,))
+
+        assert actions == [Run(call_id='x')]
 
     def test_answer_names_the_covered(self, node):
         """An heir tells askers whose keys it has."""
--- a/tests/idempotency/test_running.py
+++ b/tests/idempotency/test_running.py
@@ -1,5 +1,7 @@
 """What is done with a call on its way to the target and after it."""
 
+import pytest
+
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.idempotency import (
     AnswerNotRun,
@@ -41,9 +43,10 @@
             Replay(call_id='y', ending=ending),
         ]
 
-    def test_large_answer_is_not_given_cut(self):
+    @pytest.mark.parametrize('bound', ['max_answer_bytes', 'max_table_bytes'])
+    def test_large_answer_is_not_given_cut(self, bound):
         """An answer too large to keep is failed for later attempts."""
-        node = make_node(max_answer_bytes=1)
+        node = make_node(**{bound: 1})
         node.handle(requested('x', 1), NOW)
         dispatch(node, 'x')
         node.handle(Completed(key='k', ending=ANSWERED), NOW)
--- a/tests/idempotency/test_safeguards.py
+++ b/tests/idempotency/test_safeguards.py
@@ -18,7 +18,11 @@
     Woke,
 )
 
-_PROMISE = InquiryAnswer(claim=Claim.WILL_NOT_RUN)
+
+def _promise(answerer):
+    return InquiryAnswer(claim=Claim.WILL_NOT_RUN, answerer=answerer)
+
+
 _ROUNDS = 6
 
 
@@ -67,7 +71,10 @@
 class _WithoutDoubt(_Naive):
     def handle(self, event, now):
         if isinstance(event, InquiryFailed):
-            event = InquiryAnswered(**event.as_dict(), answer=_PROMISE)
+            event = InquiryAnswered(
+                **event.as_dict(),
+                answer=_promise(event.peer),
+            )
         return super().handle(event, now)
 
 
@@ -78,6 +85,13 @@
         return super().handle(event, now)
 
 
+class _WithoutIdentity(_Naive):
+    def handle(self, event, now):
+        if isinstance(event, InquiryAnswered):
+            event.answer.answerer = event.peer
+        return super().handle(event, now)
+
+
 class _WithoutWitness(_Naive):
     def handle(self, event, now):
         if isinstance(event, InquiryAnswered):
@@ -99,7 +113,7 @@
                 key=event.key,
                 asker=event.asker,
                 number=event.number,
-                answer=_PROMISE,
+                answer=_promise(self.home),
             )
             return [yielded]
         return super().handle(event, now)
@@ -246,6 +260,7 @@
     (_WithoutTombstone, _refused_resend),
     (_WithoutDoubt, _resend_across_a_cut),
     (_WithoutDeparted, _resend_after_replacement),
+    (_WithoutIdentity, _resend_after_replacement),
     (_WithoutWitness, _resend_after_all_were_replaced),
     (_WithoutSettling, _node_that_nobody_lists),
     (_WithoutRank, _two_resends_at_once),
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -49,6 +49,7 @@
         )
         self.generation = 1
         self.told_by_id: dict[str, list[Told]] = {}
+        self.began_by_id: dict[str, float] = {}
         self.session: aiohttp.ClientSession | None = None
         self.client: Client | None = None
         self.crashes = 0
@@ -116,9 +117,11 @@
     ) -> Told | None:
         """Send one attempt as a caller without the library does."""
         headers = {'idempotency-key': request_id}
+        at = self.loop.time()
+        age = at - self.began_by_id.setdefault(request_id, at)
         if attempt is not None:
             headers['lovageshunt-attempt'] = str(attempt)
-            headers['lovageshunt-age-ms'] = str(1000 * (attempt - 1))
+            headers['lovageshunt-age-ms'] = str(round(1000 * age))
         if poison:
             headers['x-poison'] = '1'
         url = f'http://{self.fleet.by_name[node].ingress}{path}'
