--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/_inquiries.py
@@ -94,7 +94,7 @@
         if posted.is_error() or posted.ok.status != _HTTP_OK:
             return failed
         try:
-            answer = decode_inquiry_answer(posted.ok.body, inquiry.peer)
+            answer = decode_inquiry_answer(posted.ok.body)
         except MalformedEnvelopeError:
             return failed
         return InquiryAnswered(
