--- a/bench/membership.py
+++ b/bench/membership.py
@@ -12,26 +12,32 @@
 from time import perf_counter
 from typing import Final
 
+import orjson
+
 from bench.membership_fleet import FAILURE_DOMAINS, TICK_SECONDS, Fleet
 from lovageshunt._record import Record
 from lovageshunt.membership import (
     Announcement,
+    DigestReceived,
     LeaveStarted,
     ListedVm,
     ListRead,
+    MembershipDigest,
     PeerAnnounced,
     PeerAnswered,
     PeerSilent,
+    ServiceDigest,
     Ticked,
     VmList,
     VmState,
 )
 
 _SIZES: Final = (50, 200, 800, 2600)
-_SETTLE_SECONDS: Final = 90
+_SETTLE_SECONDS: Final = 180
 _IDLE_SECONDS: Final = 30
 _DEPARTURES: Final = 6
 _PROMISED_SECONDS: Final = 3
+_REFUSAL_STEP_SECONDS: Final = 0.01
 _OUTAGE_SECONDS: Final = 90
 _ROUNDS: Final = 200
 _US_PER_SECOND: Final = 1_000_000
@@ -42,6 +48,7 @@
     'B/s a node after a failure domain restarts, mean / max',
     'announced leave: s to all, median / max / unaware after 3 s',
     'listed leave: s to all, median / max / unaware after 3 s',
+    'listed leave: s until the VM itself refuses, worst',
     'reads/s when quiet',
     'reads/s at a common start, worst',
     'reads/s after a failure domain restarts, worst',
@@ -60,6 +67,7 @@
         self.first_reads = max(self.fleet.reads_by_second.values())
         self.quiet = self._bytes_each_second(_IDLE_SECONDS)
         self.quiet_reads = self._reads(_IDLE_SECONDS)
+        self.refusals: list[float] = []
         self.announced = self._departures(announces=True)
         self.listed = self._departures(announces=False)
         self._restart_failure_domain()
@@ -77,6 +85,7 @@
             f'{mean(self.restarting):.0f} / {max(self.restarting):.0f}',
             _shown_departures(self.announced),
             _shown_departures(self.listed),
+            f'{max(self.refusals):.2f}',
             f'{self.quiet_reads:.2f}',
             f'{self.first_reads:.0f}',
             f'{self.restart_reads:.0f}',
@@ -123,12 +132,21 @@
             fleet.tell(fleet.by_name[name], LeaveStarted())
         else:
             fleet.list_as(name, VmState.LEAVING)
-        fleet.run(_PROMISED_SECONDS)
+            self.refusals.append(self._refusal_after(name))
+        fleet.run(began + _PROMISED_SECONDS - fleet.now)
         late = fleet.unaware_of(name) / callers
         while fleet.unaware_of(name):
             fleet.run(TICK_SECONDS)
         return fleet.now - began, late
 
+    def _refusal_after(self, name: str) -> float:
+        """Return how long a VM that is listed as leaving takes calls."""
+        began = self.fleet.now
+        view = self.fleet.by_name[name].view
+        while not view.own.is_leaving:
+            self.fleet.run(_REFUSAL_STEP_SECONDS)
+        return self.fleet.now - began
+
     def _restart_failure_domain(self) -> None:
         for name, node in list(self.fleet.by_name.items()):
             if node.own.failure_domain == FAILURE_DOMAINS[0]:
@@ -141,9 +159,9 @@
     def __init__(self) -> None:
         """Let a node read the whole list."""
         fleet = Fleet(_SIZES[-1])
-        self.vms = list(fleet.listed.values())
+        fields = [vm.as_dict() for vm in fleet.listed.values()]
+        self.published = orjson.dumps(fields)
         self.node = next(iter(fleet.by_name.values()))
-        self.reading = ListRead(VmList(revision=1, vms=self.vms))
         self.kept_bytes = _memory_of(self._read)
 
     def rows(self) -> list[str]:
@@ -155,13 +173,36 @@
             self._row('answer', [PeerAnswered(one.name) for one in called]),
             self._row('silence', [PeerSilent(one.name) for one in called]),
             self._row('list of 2,600 VMs', [self.reading]),
+            self._row('digest', self._digests()),
+        ]
+        published = f'{len(self.published) / _BYTES_PER_KB:.0f} KB'
+        kept = f'{self.kept_bytes / _BYTES_PER_KB:.0f} KB'
+        return [
+            *rows,
+            '',
+            f'A list of 2,600 VMs has {published}; the view and the last list '
+            f'read take {kept}.',
         ]
-        kept = f'{self.kept_bytes / _BYTES_PER_KB:.0f}'
-        return [*rows, '', f'One view keeps {kept} KB of a list of 2,600 VMs.']
 
     def _read(self) -> None:
+        """Decode the list as it is published, and take it in."""
+        self.vms = [
+            ListedVm(**fields) for fields in orjson.loads(self.published)
+        ]
+        self.reading = ListRead(VmList(revision=1, vms=self.vms))
         self.node.handle(self.reading, 0)
 
+    def _digests(self) -> Sequence[Record]:
+        """Return digests of a peer that holds something else."""
+        digest = MembershipDigest(
+            sender=self.vms[1].name,
+            address=self.vms[1].admin_address,
+            digest_by_service={
+                service: ServiceDigest(1, 1) for service in self.node.needed
+            },
+        )
+        return [DigestReceived(digest) for _ in range(_ROUNDS)]
+
     def _words(self) -> Sequence[Record]:
         rng = Random(1)
         return [
--- a/src/lovageshunt/membership/_actions.py
+++ b/src/lovageshunt/membership/_actions.py
@@ -5,6 +5,7 @@
 from lovageshunt.membership._messages import (
     Announcement,
     Bulletin,
+    ListNews,
     MembershipDigest,
 )
 from lovageshunt.membership._vms import ListedVm
@@ -81,7 +82,7 @@
         self.is_watch = is_watch
 
 
-def peer_of(vm: ListedVm | Announcement | Member) -> Peer:
+def peer_of(vm: ListedVm | ListNews | Announcement | Member) -> Peer:
     """Return where a node takes exchange."""
     return Peer(
         name=vm.name,
--- a/src/lovageshunt/membership/_election.py
+++ b/src/lovageshunt/membership/_election.py
@@ -55,7 +55,7 @@
         readers_per_failure_domain: int = 3,
         news_timeout: float = 60,
         volunteer_jitter: float = 60,
-        start_jitter: float = 3,
+        start_jitter: float = 4,
         first_retry_delay: float = 1,
         longest_retry_delay: float = 60,
         watch_gap: float = 1,
--- a/src/lovageshunt/membership/_gossip.py
+++ b/src/lovageshunt/membership/_gossip.py
@@ -83,6 +83,17 @@
         """Tell peers what changed in the platform's list."""
         self._outbox.put(news, now)
 
+    def warning_of(self, news: ListNews, now: float) -> Announce:
+        """Return word to a VM that is listed as leaving.
+
+        It may not know yet, and refuses calls as soon as it does, which
+        spares those that have not heard. So it is told at once, whatever is
+        left of the budget.
+        """
+        bulletin = self._bulletin([news], now)
+        self._budget.spend(wire_bytes(bulletin) + ENVELOPE_BYTES)
+        return Announce(peer_of(news), bulletin)
+
     def tell(self, fanout: int, now: float) -> list[Announce]:
         """Return the waiting news for a few peers, as far as it fits."""
         peers = self.contacts.draw(fanout) if self._outbox else []
--- a/src/lovageshunt/membership/_listing.py
+++ b/src/lovageshunt/membership/_listing.py
@@ -68,16 +68,18 @@
         """Take in a reading."""
         is_current = self._is_current(vm_list.revision, now)
         vm_by_name = {vm.name: vm for vm in vm_list.vms}
-        own = vm_by_name.get(self._own_name)
+        is_own_leave = False
         changes: list[ListNews] = []
         if is_current:
             changes = self._changes(vm_by_name, vm_list.revision, now)
             self._vm_by_name = vm_by_name
             self._read_at = now
+            own = vm_by_name.get(self._own_name)
+            is_own_leave = own is not None and self.is_own_leave(own.state, now)
         return Reading(
             is_current=is_current,
             changes=changes,
-            is_own_leave=own is not None and self.is_own_leave(own.state, now),
+            is_own_leave=is_own_leave,
         )
 
     def hear(self, news: ListNews) -> bool:
@@ -91,6 +93,10 @@
             self._heard.pop(next(iter(self._heard)))
         return True
 
+    def has_read_past(self, revision: int) -> bool:
+        """Return whether this node read a later list than that of some news."""
+        return revision < self._highest
+
     def is_latest(self, news: ListNews) -> bool:
         """Return whether no later revision told of the VM."""
         latest = max(self._revision_by_name.get(news.name, -1), news.revision)
--- a/src/lovageshunt/membership/_view.py
+++ b/src/lovageshunt/membership/_view.py
@@ -10,6 +10,7 @@
     MembersChanged,
     OwnLeaveListed,
     Peer,
+    ReadList,
     peer_of,
 )
 from lovageshunt.membership._contacts import Contacts
@@ -131,12 +132,17 @@
             for name in sorted(self._roster.by_name.keys() - listed):
                 self._roster.list_gone(name, now)
         self._gossip.news.hear(now)
+        actions: list[Record] = []
         for news in reading.changes:
             self._gossip.pass_on(news, now)
+            if news.state is VmState.LEAVING and news.name != self.own.name:
+                actions.append(self._gossip.warning_of(news, now))
         self._gossip.contacts.sample(
             peer_of(one) for one in vms if one.state is VmState.LIVE
         )
-        return (OwnLeaveListed(),) if reading.is_own_leave else ()
+        if reading.is_own_leave:
+            actions.append(OwnLeaveListed())
+        return actions
 
     @_handle.register
     def _on_list_news(
@@ -149,6 +155,9 @@
             return ()
         self._gossip.pass_on(news, now)
         if news.name == self.own.name:
+            if self._listing.has_read_past(news.revision):
+                # Late word of an earlier incarnation, or a restarted platform.
+                return (ReadList(is_watch=False),)
             is_own_leave = self._listing.is_own_leave(news.state, now)
             return (OwnLeaveListed(),) if is_own_leave else ()
         if not _concerns(self._roster, news):
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -5,11 +5,16 @@
 from lovageshunt.membership import (
     Announce,
     LeaveStarted,
+    ListedVm,
+    ListNews,
+    ListNewsHeard,
     MembersChanged,
     MembershipView,
+    OwnLeaveListed,
     PeerAnswered,
     PeerSilent,
     Probe,
+    ReadList,
     Ticked,
     VmState,
 )
@@ -129,6 +134,56 @@
         assert departed(view) == ['a']
 
 
+class TestListNews:
+    """What a reader of the platform passes on."""
+
+    def test_listed_leave_is_told_to_the_vm(self) -> None:
+        """A VM that is newly listed as leaving is told so at once."""
+        view = new_view()
+        view.handle(reading_of(1, listed('a'), listed('b')), 0)
+        reading = reading_of(2, listed('a', VmState.LEAVING), listed('b'))
+        told = view.handle(reading, 1)[0]
+        assert isinstance(told, Announce)
+        assert told.peer.address == 'a:2'
+        assert told.bulletin.list_news == [
+            ListNews(
+                revision=2,
+                **listed('a', VmState.LEAVING).as_dict(),
+            ),
+        ]
+
+    def test_told_vm_leaves(self) -> None:
+        """A VM that is told of its listed leave asks to leave, once."""
+        view = new_view()
+        own = listed('own').as_dict() | {'service': 'balances'}
+        view.handle(reading_of(1, ListedVm(**own)), 0)
+        own['state'] = VmState.LEAVING
+        news = ListNewsHeard(ListNews(revision=2, **own))
+        assert view.handle(news, 1) == [OwnLeaveListed()]
+        assert view.handle(news, 1) == []
+
+    def test_late_news_of_an_earlier_incarnation(self) -> None:
+        """News older than the list that was read is checked, not believed."""
+        view = new_view()
+        own = listed('own').as_dict() | {'service': 'balances'}
+        view.handle(reading_of(5, ListedVm(**own)), 0)
+        own['state'] = VmState.LEAVING
+        news = ListNewsHeard(ListNews(revision=4, **own))
+        assert view.handle(news, 1) == [ReadList(is_watch=False)]
+        assert view.handle(reading_of(4, ListedVm(**own)), 2) == []
+
+    def test_own_leave_listed_at_the_start(self) -> None:
+        """A node that starts waits whether the list repeats its leave."""
+        view = new_view()
+        own = listed('own', VmState.LEAVING).as_dict()
+        own['service'] = 'balances'
+        assert view.handle(reading_of(1, ListedVm(**own)), 1) == []
+        assert OwnLeaveListed() in view.handle(
+            reading_of(2, ListedVm(**own)),
+            40,
+        )
+
+
 class TestStaleList:
     """A list whose revision went back."""
 
