--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -6,7 +6,7 @@
 from time import time
 from typing import Final
 
-from lovageshunt.account import Account
+from lovageshunt.account import Account, AccountKeeping, Peer
 from lovageshunt.admission import Admission, AdmissionSettings
 from lovageshunt.client import Transport
 from lovageshunt.clock import now
@@ -19,11 +19,11 @@
 from lovageshunt.node._admin import Admin
 from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
+from lovageshunt.node._fleet_view import FleetView
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._ingress import Ingress
 from lovageshunt.node._inquiries import Inquiries
-from lovageshunt.node._kept_accounts import KeptAccounts
 from lovageshunt.node._life import NodeLife
 from lovageshunt.node._outbox import Outbox
 from lovageshunt.node._peer_link import PeerLink
@@ -78,6 +78,8 @@
             traces=self._traces,
             max_body_bytes=self._settings.limits.body_bytes,
             observe=self.runtime.observe,
+            keep_account=self.runtime.keep_account,
+            calls_below=bool(self._settings.calls.services),
         )
         token = _token_of(self._settings.security)
         admin = Admin(self.runtime, self._reports, token)
@@ -102,13 +104,20 @@
         )
         self._link = PeerLink(self._transport, _token_of(settings.security))
         self._outbox = Outbox(self._identity, self._link)
-        self._control = Control(
+        fleet = FleetView(
             identity=self._identity,
             called_services=settings.calls.services,
             election=_election_of(settings, rng),
             outbox=self._outbox,
             rng=rng,
         )
+        self._control = Control(
+            identity=self._identity,
+            called_services=settings.calls.services,
+            fleet=fleet,
+            outbox=self._outbox,
+            rng=rng,
+        )
         self._platform = PlatformLoop(
             PlatformReader(
                 addresses=tuple(map(str, settings.platform.addresses)),
@@ -116,7 +125,7 @@
             ),
             self._control.tell,
         )
-        self._control.read_platform = self._platform.start
+        fleet.read_platform = self._platform.start
 
     def _build_calls(self) -> None:
         settings = self._settings
@@ -142,7 +151,14 @@
     def _build_reports(self) -> None:
         identity = self._identity
         self._account = Account(identity.name, identity.incarnation, time())
-        self._kept = KeptAccounts()
+        self._keeping = AccountKeeping(
+            self._account,
+            Peer(
+                node=identity.name,
+                incarnation=identity.incarnation,
+                failure_domain=identity.failure_domain,
+            ),
+        )
         self._life = NodeLife()
         self._traces = Traces(
             node=identity.name,
@@ -153,7 +169,7 @@
             control=self._control,
             gate=self._gate,
             account=self._account,
-            kept=self._kept,
+            kept=self._keeping.kept,
             traces=self._traces,
             metrics=Metrics(identity.name),
             life=self._life,
@@ -168,8 +184,7 @@
             calls=self._calls,
             inquiries=self._inquiries,
             target=self._target,
-            account=self._account,
-            kept=self._kept,
+            keeping=self._keeping,
             settling=Settling(self._control, self._outbox, self._link),
             life=self._life,
             settle_seconds=self._settings.limits.settle_seconds,
