Make the wire form of an account JSON, so that it can stand in a message

Nodes put the wire form into their exchange as a JSON fragment, but it was packed bytes, so every envelope with an account was refused as malformed, and no account was kept at all: on real processes all lists of kept accounts were empty. Now it is one JSON string, packed and in base64. The new test fails with the packed bytes.

--- a/src/lovageshunt/account/_snapshot.py
+++ b/src/lovageshunt/account/_snapshot.py
@@ -1,5 +1,6 @@
 """An account at one moment, and its wire form."""
 
+from base64 import b64decode, b64encode
 from enum import StrEnum
 from typing import Any, Final
 from zlib import compress, decompressobj
@@ -84,8 +85,13 @@
 
 
 def encode_snapshot(snapshot: AccountSnapshot) -> bytes:
-    """Return the snapshot as compressed JSON, for peers."""
-    return compress(orjson.dumps(snapshot.as_dict()))
+    """Return the snapshot's wire form, for peers.
+
+    It is packed, and itself JSON (one string), so that it can stand in a
+    larger message as it is.
+    """
+    packed = compress(orjson.dumps(snapshot.as_dict()))
+    return orjson.dumps(b64encode(packed).decode('ascii'))
 
 
 def decode_snapshot(raw: bytes) -> AccountSnapshot:
@@ -94,7 +100,7 @@
     Raises ``MalformedSnapshotError`` when it is none.
     """
     try:
-        fields = orjson.loads(_unpack(raw))
+        fields = orjson.loads(_unpack(_text(orjson.loads(raw))))
     except (ValueError, ZlibError) as error:
         raise MalformedSnapshotError(str(error)) from error
     return snapshot_from_dict(fields)
@@ -113,9 +119,16 @@
         raise MalformedSnapshotError(str(error)) from error
 
 
-def _unpack(raw: bytes) -> bytes:
+def _text(wire: object) -> str:
+    if not isinstance(wire, str):
+        raise ValueError('no JSON string')
+    return wire
+
+
+def _unpack(wire: str) -> bytes:
     unpacker = decompressobj()
-    unpacked = unpacker.decompress(raw, MAX_SNAPSHOT_BYTES)
+    packed = b64decode(wire, validate=True)
+    unpacked = unpacker.decompress(packed, MAX_SNAPSHOT_BYTES)
     if not unpacker.eof:
         raise ValueError(f'cut, or longer than {MAX_SNAPSHOT_BYTES} bytes')
     return unpacked
--- a/tests/account/test_snapshot.py
+++ b/tests/account/test_snapshot.py
@@ -1,5 +1,6 @@
 """The wire form of snapshots."""
 
+from base64 import b64encode
 from types import MappingProxyType
 from zlib import compress
 
@@ -28,6 +29,11 @@
 )
 
 
+def packed(raw):
+    """Return bytes in the wire form of a snapshot."""
+    return orjson.dumps(b64encode(compress(raw)).decode())
+
+
 class TestDecodeSnapshot:
     """Decoding."""
 
@@ -36,6 +42,16 @@
         """A snapshot survives the wire unchanged."""
         assert decode_snapshot(encode_snapshot(snapshot)) == snapshot
 
+    @given(snapshot=SNAPSHOTS)
+    def test_wire_form_may_stand_in_a_message(self, snapshot):
+        """The wire form is itself JSON, and the same after a relay."""
+        raw = encode_snapshot(snapshot)
+        message = orjson.dumps({'accounts': [orjson.Fragment(raw)]})
+
+        relayed = orjson.dumps(orjson.loads(message)['accounts'][0])
+
+        assert decode_snapshot(relayed) == snapshot
+
     @given(raw=st.binary(max_size=40))
     def test_noise_is_a_typed_error(self, raw):
         """Arbitrary bytes are refused with the typed error."""
@@ -46,12 +62,12 @@
     def test_packed_noise_is_a_typed_error(self, raw):
         """Arbitrary bytes, well packed, are refused with the typed error."""
         with pytest.raises(MalformedSnapshotError):
-            decode_snapshot(compress(raw))
+            decode_snapshot(packed(raw))
 
     def test_bomb_is_refused(self):
         """A small message that unpacks to a huge one is not unpacked."""
         snapshot = AccountSnapshot(**FIELDS)
-        bomb = compress(orjson.dumps(snapshot.as_dict()).ljust(50_000_000))
+        bomb = packed(orjson.dumps(snapshot.as_dict()).ljust(50_000_000))
 
         with pytest.raises(MalformedSnapshotError):
             decode_snapshot(bomb)
