Tell callers that lag from callers that contradict

Callers report to nodes every now and then, so on a live deployment the nodes were always ahead and the account was never whole: in a run against real processes records were off by 134 and 66 calls, because the targets that call them had not reported yet.

--- a/src/lovageshunt/account/_merge.py
+++ b/src/lovageshunt/account/_merge.py
@@ -81,6 +81,14 @@
             for line in snapshot.lines
         )
 
+    def taken_at(self, role: Role) -> list[float]:
+        """Return when the accounts of one role were taken, but final ones."""
+        return [
+            snapshot.taken_at
+            for snapshot in self.snapshots()
+            if snapshot.role is role and not snapshot.is_final
+        ]
+
     def holes(
         self,
         now: float,
--- a/src/lovageshunt/account/_reconcile.py
+++ b/src/lovageshunt/account/_reconcile.py
@@ -1,7 +1,7 @@
 """The check of callers' figures against nodes' figures."""
 
 from collections.abc import Collection, Iterable, Iterator
-from typing import Final
+from math import inf
 
 from lovageshunt._record import Record
 from lovageshunt.account._line import (
@@ -11,14 +11,12 @@
     total_of,
 )
 
-#: How a claim begins whose left side is the callers'.
-_AT_CALLERS: Final = 'at callers'
-
 
 class Difference(Record):
     """A claim that callers' and nodes' figures break, and by how many calls.
 
-    ``is_explained`` says that a hole in the nodes' account may be why.
+    ``is_explained`` says that figures which are missing may be why: a hole
+    in the nodes' account, or callers that have not reported since.
     """
 
     __slots__ = (
@@ -52,10 +50,19 @@
 class Reading(Record):
     """The lines of callers and of nodes, taken at about one moment.
 
-    ``holed_services`` are those with a hole in the nodes' account.
+    ``holed_services`` are those with a hole in the nodes' account. Callers
+    report from time to time: ``callers_taken_at`` is when the least recent
+    of their accounts was taken, and ``nodes_taken_at`` when the most recent
+    of the nodes' was, in seconds since 1970.
     """
 
-    __slots__ = ('callers', 'nodes', 'holed_services')
+    __slots__ = (
+        'callers',
+        'nodes',
+        'holed_services',
+        'callers_taken_at',
+        'nodes_taken_at',
+    )
 
     def __init__(
         self,
@@ -63,11 +70,19 @@
         callers: Iterable[AccountLine],
         nodes: Iterable[AccountLine],
         holed_services: Collection[str] = (),
+        callers_taken_at: float = inf,
+        nodes_taken_at: float = -inf,
     ) -> None:
         """Sum the lines of each side by key."""
         self.callers = {line.key: line for line in total_of(callers)}
         self.nodes = {line.key: line for line in total_of(nodes)}
         self.holed_services = holed_services
+        self.callers_taken_at = callers_taken_at
+        self.nodes_taken_at = nodes_taken_at
+
+    def has_callers_of(self, service: str) -> bool:
+        """Return whether any caller has reported calls to a service."""
+        return any(key[0] == service for key in self.callers)
 
     def caller(self, key: LineKey) -> AccountLine:
         """Return the callers' line, empty when they have none."""
@@ -109,20 +124,38 @@
     key: LineKey,
     first: Reading,
     second: Reading,
+) -> list[Difference]:
+    service = key[0]
+    # A hole hides calls of nodes, so nodes' figures are too low.
+    is_holed = service in second.holed_services
+    # Nodes may have counted what callers have not reported yet.
+    is_ahead = (
+        second.callers_taken_at <= first.nodes_taken_at
+        or not second.has_callers_of(service)
+    )
+    of_callers = _caller_excesses(first.caller(key), second.node(key))
+    of_nodes = _node_excesses(first.node(key), second.caller(key))
+    return [
+        *_explained(key, of_callers, is_explained=is_holed),
+        *_explained(key, of_nodes, is_explained=is_ahead),
+    ]
+
+
+def _explained(
+    key: LineKey,
+    excesses: Iterable[tuple[str, int]],
+    *,
+    is_explained: bool,
 ) -> Iterator[Difference]:
     service, kind, importance = key
-    is_holed = service in second.holed_services
-    by_nodes = _caller_excesses(first.caller(key), second.node(key))
-    by_callers = _node_excesses(first.node(key), second.caller(key))
-    for claim, excess in (*by_nodes, *by_callers):
+    for claim, excess in excesses:
         yield Difference(
             service=service,
             kind=kind,
             importance=importance,
             claim=claim,
             excess=excess,
-            # A hole hides calls of nodes, so nodes' figures are too low.
-            is_explained=is_holed and claim.startswith(_AT_CALLERS),
+            is_explained=is_explained,
         )
 
 
@@ -132,11 +165,11 @@
 ) -> tuple[tuple[str, int], ...]:
     return (
         (
-            f'{_AT_CALLERS} answered <= answered at nodes',
+            'at callers answered <= answered at nodes',
             caller.answered - node.answered,
         ),
         (
-            f'{_AT_CALLERS} told not run <= refused at nodes',
+            'at callers told not run <= refused at nodes',
             _refused_by_nodes(caller) - node.refused,
         ),
     )
--- a/src/lovageshunt/cli/_account.py
+++ b/src/lovageshunt/cli/_account.py
@@ -8,7 +8,12 @@
 from typing import Final
 
 import orjson
-from absl.flags import DEFINE_list, DEFINE_string, FlagValues
+from absl.flags import (
+    DEFINE_float,
+    DEFINE_list,
+    DEFINE_string,
+    FlagValues,
+)
 from expression import Error, Ok, Result
 
 from lovageshunt.account import (
@@ -69,6 +74,7 @@
 ) -> Result[AccountReport, str]:
     if not earlier.has_callers:
         return Ok(AccountReport(earlier, earlier=earlier))
+    time.sleep(values.get_flag_value('wait-seconds', None))
     return _collect_once(values).map(
         lambda collection: AccountReport(collection, earlier=earlier),
     )
@@ -191,6 +197,13 @@
         'Files with snapshots that callers wrote, to be compared.',
         flag_values=values,
     )
+    DEFINE_float(
+        'wait-seconds',
+        0,
+        'Time for callers to report between two readings.',
+        lower_bound=0,
+        flag_values=values,
+    )
     DEFINE_string(
         'csv',
         None,
--- a/src/lovageshunt/cli/_account_report.py
+++ b/src/lovageshunt/cli/_account_report.py
@@ -64,6 +64,14 @@
             holed_services=[
                 service for hole in self.holes for service in hole.services
             ],
+            callers_taken_at=min(
+                self.account.taken_at(Role.CALLER),
+                default=float('inf'),
+            ),
+            nodes_taken_at=max(
+                self.account.taken_at(Role.NODE),
+                default=float('-inf'),
+            ),
         )
 
     def _take(self, answer: NodeAnswer) -> AccountSnapshot | None:
@@ -162,7 +170,7 @@
 
 
 def _difference_line(fault: Difference) -> str:
-    why = ', which a hole may explain' if fault.is_explained else ''
+    why = ', which missing figures may explain' if fault.is_explained else ''
     return (
         f'difference: {fault.service} {fault.kind} {fault.importance}: '
         f'{fault.claim} is off by {fault.excess}{why}'
--- a/tests/account/test_reconcile.py
+++ b/tests/account/test_reconcile.py
@@ -1,5 +1,6 @@
 """The check of callers' figures against nodes' figures."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -162,11 +163,39 @@
     def test_call_that_no_caller_sent_is_a_difference(self):
         """More arrived at a node than callers sent."""
         world = run(World.send, World.arrive)
-        world.caller = Account('phone', 'a', 0, role=Role.CALLER)
+        world.node.arrived(*CALL)
 
         difference = only(reconcile(world.reading()))
 
         assert difference.claim == 'at nodes arrived <= sent by callers'
+        assert not difference.is_explained
+
+    @pytest.mark.parametrize(
+        ('callers_taken_at', 'is_explained'),
+        [(5, True), (10, True), (11, False)],
+    )
+    def test_late_report_explains(self, callers_taken_at, is_explained):
+        """Callers that have not reported since the nodes may have sent it."""
+        world = run(World.send, World.arrive, World.end, World.receive)
+        first = world.reading(nodes_taken_at=10)
+        world.node.arrived(*CALL)
+        world.node.ended(*CALL, Outcome.ANSWERED, ran=True)
+        first.nodes = world.reading().nodes
+
+        found = reconcile(
+            first,
+            world.reading(callers_taken_at=callers_taken_at),
+        )
+
+        assert found
+        assert {one.is_explained for one in found} == {is_explained}
+
+    def test_service_that_no_caller_reports_is_explained(self):
+        """Without any caller's figures of a service nothing is claimed."""
+        world = run(World.send, World.arrive)
+        world.caller = Account('phone', 'a', 0, role=Role.CALLER)
+
+        assert only(reconcile(world.reading())).is_explained
 
     def test_external_callers_are_left_out(self):
         """Calls of callers that keep no account are no difference."""
