--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,6 +18,7 @@
 _START_SECONDS = 30.0
 _POLL_SECONDS = 0.1
 _STOP_SECONDS = 20.0
+_GIVEN_PORTS: set[int] = set()
 _FAILURE_DOMAINS = ('a', 'b', 'c')
 
 
@@ -306,10 +307,14 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+    """Return a loopback address that is free and was not given before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            port = probe.getsockname()[1]
+        if port not in _GIVEN_PORTS:
+            _GIVEN_PORTS.add(port)
+            return f'127.0.0.1:{port}'
 
 
 def _has_failed(vm: Vm) -> bool:
