--- a/bench/live.py
+++ b/bench/live.py
@@ -46,8 +46,10 @@
 
     def share(self, kind: str) -> float:
         """Return the share of one kind that was answered."""
-        of_kind = {told: n for told, n in self.told.items() if told[0] == kind}
-        return self.told[(kind, 'answered')] / max(1, sum(of_kind.values()))
+        total = sum(
+            times for told, times in self.told.items() if told[0] == kind
+        )
+        return self.told[(kind, 'answered')] / max(1, total)
 
 
 async def measure(times: float) -> str:
@@ -134,7 +136,9 @@
 def _row(times: float, outcomes: Outcomes, fleet: Fleet) -> str:
     goodput = outcomes.warm_answers / (_SECONDS - _WARM_SECONDS)
     answered = sum(
-        n for told, n in outcomes.told.items() if told[1] == 'answered'
+        count
+        for told, count in outcomes.told.items()
+        if told[1] == 'answered'
     )
     ran = sum(fleet.executions('records').values())
     return (
