Count what is sent to peers exactly against the byte budget

The budget was charged with sizes taken when news was queued; ages grow on the way, so a little more was sent. A test floods one view for 40 s and counts. A peer's silence is kept only for contacts, and forgotten after a pause.

--- a/src/lovageshunt/membership/_contacts.py
+++ b/src/lovageshunt/membership/_contacts.py
@@ -58,7 +58,9 @@
         known = self._by_failure_domain.setdefault(peer.failure_domain, {})
         self._silent.discard(peer.name)
         if peer.name not in known and len(known) >= self._per_failure_domain:
-            known.pop(self._rng.choice(sorted(known)))
+            replaced = self._rng.choice(sorted(known))
+            known.pop(replaced)
+            self._silent.discard(replaced)
         known[peer.name] = peer
 
     def remove(self, name: str) -> None:
@@ -69,12 +71,17 @@
 
     def silence(self, name: str) -> None:
         """Pass a peer over while others answer."""
-        self._silent.add(name)
+        if any(name in peers for peers in self._by_failure_domain.values()):
+            self._silent.add(name)
 
     def answer(self, name: str) -> None:
         """Take a peer up again."""
         self._silent.discard(name)
 
+    def forget_signs(self) -> None:
+        """Take every peer up again after a pause."""
+        self._silent.clear()
+
     def draw(self, count: int) -> list[Peer]:
         """Return up to ``count`` peers, half of the own failure domain."""
         own = self._shuffled(self._own_failure_domain)
--- a/src/lovageshunt/membership/_gossip.py
+++ b/src/lovageshunt/membership/_gossip.py
@@ -91,7 +91,7 @@
         left of the budget.
         """
         bulletin = self._bulletin([news], now)
-        self._budget.spend(wire_bytes(bulletin) + ENVELOPE_BYTES)
+        self._budget.spend(_sent_bytes(bulletin))
         return Announce(peer_of(news), bulletin)
 
     def tell(self, fanout: int, now: float) -> list[Announce]:
@@ -99,15 +99,15 @@
         peers = self.contacts.draw(fanout) if self._outbox else []
         if not peers:
             return []
-        news, size = self._outbox.take(
+        news = self._outbox.take(
             self._budget.left(now) / len(peers),
             self._budget.unreserved(now) / len(peers),
             now,
         )
         if not news:
             return []
-        self._budget.spend(size * len(peers))
         bulletin = self._bulletin(news, now)
+        self._budget.spend(len(peers) * _sent_bytes(bulletin))
         return [Announce(peer, bulletin) for peer in peers]
 
     def is_digest_due(self, now: float) -> bool:
@@ -213,7 +213,9 @@
         fitting = self._fitting(missing, now)
         if not fitting:
             return []
-        return [Announce(peer, self._bulletin(fitting, now))]
+        bulletin = self._bulletin(fitting, now)
+        self._budget.spend(_sent_bytes(bulletin))
+        return [Announce(peer, bulletin)]
 
     def _sent(
         self,
@@ -221,7 +223,7 @@
         digest: MembershipDigest,
         now: float,
     ) -> list[SendDigest]:
-        size = wire_bytes(digest) + ENVELOPE_BYTES
+        size = _sent_bytes(digest)
         if self._budget.unreserved(now) < size:
             return []
         self._budget.spend(size)
@@ -257,10 +259,12 @@
             if size > left:
                 break
             fitting.append(announcement)
-        if fitting:
-            self._budget.spend(min(size, left))
         return fitting
 
 
 def _age_of(announcement: Announcement) -> int:
     return announcement.age_ms
+
+
+def _sent_bytes(message: Bulletin | MembershipDigest) -> int:
+    return wire_bytes(message) + ENVELOPE_BYTES
--- a/src/lovageshunt/membership/_outbox.py
+++ b/src/lovageshunt/membership/_outbox.py
@@ -90,8 +90,8 @@
         most_bytes: float,
         most_unreserved: float,
         now: float,
-    ) -> tuple[list[News], int]:
-        """Remove and return what fits, and its size with the envelope.
+    ) -> list[News]:
+        """Remove and return what fits, envelope included.
 
         Departures may take ``most_bytes``; with the rest, the whole takes at
         most ``most_unreserved``.
@@ -107,10 +107,10 @@
                     waiting.pop(name)
                     continue
                 if size + entry.size > most:
-                    return taken, size
+                    return taken
                 size += entry.size
                 taken.append(waiting.pop(name).news)
-        return taken, size
+        return taken
 
 
 def _is_departure(news: News) -> bool:
--- a/src/lovageshunt/membership/_view.py
+++ b/src/lovageshunt/membership/_view.py
@@ -52,7 +52,6 @@
     __slots__ = (
         'own',
         '_settings',
-        '_rng',
         '_gossip',
         '_roster',
         '_listing',
@@ -78,14 +77,9 @@
         )
         self.own = own
         self._settings = settings
-        self._rng = rng
         services = frozenset((own.service, *needed_services))
         self._gossip = Gossip(services, contacts, settings, rng, now)
-        self._roster = Roster(
-            services,
-            settings,
-            self._gossip.facts,
-        )
+        self._roster = Roster(services, settings, self._gossip.facts)
         self._listing = Listing(own.name, settings.rollback_patience)
         self._now = now
         self._expire_at = now + _EXPIRE_SECONDS
@@ -249,6 +243,7 @@
     @_handle.register
     def _on_pause(self, event: PauseEnded, now: float) -> Sequence[Record]:
         self._roster.index.forget_signs()
+        self._gossip.contacts.forget_signs()
         return self._gossip.digest(self.own, self._roster.index, now)
 
 
--- a/tests/membership/builders.py
+++ b/tests/membership/builders.py
@@ -10,12 +10,17 @@
 )
 
 
-def listed(name: str, state: VmState = VmState.LIVE) -> ListedVm:
+def listed(
+    name: str,
+    state: VmState = VmState.LIVE,
+    *,
+    failure_domain: str = 'fd1',
+) -> ListedVm:
     """Return an entry of the list for a VM of the service records."""
     return ListedVm(
         name=name,
         service='records',
-        failure_domain='fd1',
+        failure_domain=failure_domain,
         region='r1',
         address=f'{name}:1',
         admin_address=f'{name}:2',
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -17,6 +17,7 @@
     ReadList,
     Ticked,
     VmState,
+    wire_bytes,
 )
 from tests.membership.builders import listed, reading_of, said, word
 
@@ -184,6 +185,41 @@
         )
 
 
+class TestExchange:
+    """Whom news is told, and how much of it."""
+
+    def test_peers_of_each_failure_domain(self) -> None:
+        """Half of the peers are of the own failure domain, and some of each."""
+        view = new_view()
+        vms = [
+            listed(f'{domain}-{index}', failure_domain=domain)
+            for domain in ('fd1', 'fd2', 'fd3')
+            for index in range(9)
+        ]
+        view.handle(reading_of(1, *vms), 0)
+        peers = view.peers_for_exchange(6)
+        domains = sorted(peer.failure_domain for peer in peers)
+        assert domains[:3] == ['fd1', 'fd1', 'fd1']
+        assert {'fd2', 'fd3'} <= set(domains)
+
+    def test_budget(self) -> None:
+        """However much there is to tell, the byte budget is kept."""
+        view = new_view()
+        view.handle(
+            reading_of(1, *(listed(f'x{index}') for index in range(9))), 0
+        )
+        sent = 0
+        for turn in range(400):
+            actions = view.handle(word(f'v{turn}', age_ms=turn), turn / 10)
+            actions += view.handle(Ticked(), turn / 10)
+            sent += sum(
+                wire_bytes(action.bulletin) + 250
+                for action in actions
+                if isinstance(action, Announce)
+            )
+        assert 30_000 < sent < 8000 + 40 * 1000
+
+
 class TestStaleList:
     """A list whose revision went back."""
 
