Learn nothing of a pause, and bound what is remembered

A gap of ten windows between two events now drops the window and the times of the calls that ran through it. Kinds of request that a caller remembers are bounded, since callers name them; deadlines of calls that ended are dropped before they pile up. Each of the tests fails without its change; the bound on deadlines has none.

--- a/src/lovageshunt/admission/_admission.py
+++ b/src/lovageshunt/admission/_admission.py
@@ -1,7 +1,7 @@
 """Which calls run beside one target, which wait and which are refused."""
 
 from functools import singledispatchmethod
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from typing import Final
 
 from lovageshunt.admission._control import TargetControl
@@ -23,6 +23,8 @@
 from lovageshunt.errors import DuplicateCallError
 
 _MS_PER_SECOND: Final = 1000
+#: Deadlines remembered beyond those of twice the calls present.
+_MOST_DEADLINES: Final = 1000
 
 
 class Admission:
@@ -120,7 +122,7 @@
             actions.append(self._refusal(call, reason))
             return
         self._queue.add(call)
-        heappush(self._deadlines, (call.deadline, call.call_id))
+        self._remember_deadline(call)
         if len(self._queue) > self._settings.most_waiting:
             last = self._queue.remove(self._queue.last().call_id)
             actions.append(self._refusal(last, RefusalReason.QUEUE_FULL))
@@ -156,6 +158,18 @@
             self._queue.remove(call.call_id)
             actions.append(self._refusal(call, RefusalReason.LEAVING))
 
+    def _remember_deadline(self, call: WaitingCall) -> None:
+        heappush(self._deadlines, (call.deadline, call.call_id))
+        present = len(self._queue) + len(self._running)
+        if len(self._deadlines) > _MOST_DEADLINES + 2 * present:
+            # Far deadlines of calls that ended long ago would pile up.
+            self._deadlines = [
+                entry
+                for entry in self._deadlines
+                if entry[1] in self._queue or entry[1] in self._running
+            ]
+            heapify(self._deadlines)
+
     def _reason_against(self, call: WaitingCall) -> RefusalReason | None:
         if self._drain_ends_at is not None:
             return RefusalReason.LEAVING
--- a/src/lovageshunt/admission/_caller.py
+++ b/src/lovageshunt/admission/_caller.py
@@ -50,9 +50,12 @@
 
     def learn_needs(self, kind: str, services: list[str], now: float) -> None:
         """Remember which services an answer to a kind of request named."""
-        needs = self._needs_by_kind.setdefault(kind, {})
-        for service in services:
-            needs[service] = now
+        # The kind renewed last stands last.
+        needs = self._needs_by_kind.pop(kind, {})
+        needs.update(dict.fromkeys(services, now))
+        self._needs_by_kind[kind] = needs
+        if len(self._needs_by_kind) > self._settings.most_kinds:
+            self._needs_by_kind.pop(next(iter(self._needs_by_kind)))
 
     def verdict(self, service: str, level: int, now: float) -> int | None:
         """Return when to come back in ms, or nothing if the call may go."""
--- a/src/lovageshunt/admission/_control.py
+++ b/src/lovageshunt/admission/_control.py
@@ -10,6 +10,8 @@
 _MS_PER_SECOND: Final = 1000
 #: The least share of the advised wait; the rank adds up to 1.
 _LEAST_SPREAD: Final = 0.5
+#: A gap of more windows than this between two events is a pause.
+_PAUSE_WINDOWS: Final = 10
 #: The share of busy slots below which the finished calls say too little.
 _LEAST_BUSY_SHARE: Final = 0.3
 
@@ -23,6 +25,7 @@
         '_levels',
         '_window_start',
         '_seen_until',
+        '_paused_until',
         '_busy_seconds',
         '_completed',
         '_was_saturated',
@@ -33,11 +36,9 @@
         self._settings = settings
         self._limit = ConcurrencyLimit(settings, now)
         self._levels = ThresholdController(settings)
-        self._window_start = now
         self._seen_until = now
-        self._busy_seconds = float(0)
-        self._completed = 0
-        self._was_saturated = False
+        self._paused_until = now
+        self._start_window(now)
 
     @property
     def threshold(self) -> int:
@@ -78,9 +79,12 @@
         """Count a finished call.
 
         One that was aborted would have taken longer still, so it counts
-        when it took longer than is typical.
+        when it took longer than is typical. One that ran through a pause of
+        this process tells nothing.
         """
         self._completed += 1
+        if now - seconds < self._paused_until:
+            return
         if was_good or seconds > self.service_seconds:
             self._limit.record(seconds, now)
         if was_shed:
@@ -104,8 +108,12 @@
 
     def advance(self, now: float, *, running: int, waiting: int) -> None:
         """Take what ran until now and close the window if it is over."""
-        self._busy_seconds += running * (now - self._seen_until)
+        gap = now - self._seen_until
         self._seen_until = now
+        if gap > self._settings.window_seconds * _PAUSE_WINDOWS:
+            self._forget(now)
+            return
+        self._busy_seconds += running * gap
         seconds = now - self._window_start
         if seconds < self._settings.window_seconds:
             return
@@ -116,8 +124,17 @@
             waiting=waiting,
             seconds=seconds,
         )
+        self._start_window(now)
+
+    def _forget(self, now: float) -> None:
+        """Learn nothing of a time in which the process was paused."""
+        self._paused_until = now
+        self._levels.skip_window()
+        self._start_window(now)
+
+    def _start_window(self, now: float) -> None:
         self._window_start = now
-        self._busy_seconds = 0
+        self._busy_seconds = float(0)
         self._completed = 0
         self._was_saturated = False
 
--- a/src/lovageshunt/admission/_settings.py
+++ b/src/lovageshunt/admission/_settings.py
@@ -69,7 +69,8 @@
     rises by ``probe_ranks`` and twice as many each ``doubling_seconds``, so
     that a silent service is tried again, a few ranks first. ``memory_seconds``
     is how long the services that a kind of request needs are remembered,
-    ``news_seconds`` how long a service that refuses no more is still told of.
+    ``news_seconds`` how long a service that refuses no more is still told of,
+    ``most_kinds`` how many kinds are remembered.
     """
 
     __slots__ = (
@@ -81,6 +82,7 @@
         'retry_after_seconds',
         'memory_seconds',
         'news_seconds',
+        'most_kinds',
     )
 
     def __init__(
@@ -94,6 +96,7 @@
         retry_after_seconds: float = 0.5,
         memory_seconds: float = 30,
         news_seconds: float = 5,
+        most_kinds: int = 1000,
     ) -> None:
         """Take every setting by name; all have defaults."""
         self.hold_seconds = hold_seconds
@@ -104,3 +107,4 @@
         self.retry_after_seconds = retry_after_seconds
         self.memory_seconds = memory_seconds
         self.news_seconds = news_seconds
+        self.most_kinds = most_kinds
--- a/src/lovageshunt/admission/_threshold.py
+++ b/src/lovageshunt/admission/_threshold.py
@@ -53,6 +53,10 @@
                 self._floor_ranks / RANK_COUNT,
             )
             self._update(importance, visible, seconds)
+        self.skip_window()
+
+    def skip_window(self) -> None:
+        """Forget the counts of a window."""
         self._passing = dict.fromkeys(_IMPORTANCES, 0)
         self._all = dict.fromkeys(_IMPORTANCES, 0)
 
@@ -124,6 +128,10 @@
             min(room, passing + self._capacity * _RISE),
         )
 
+    def skip_window(self) -> None:
+        """Learn nothing from a window."""
+        self._demand.skip_window()
+
     def _threshold_for(self, room: float) -> int:
         for importance in _IMPORTANCES:
             rate = self._demand.by_importance[importance]
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -326,6 +326,23 @@
         assert admission.load().limit < 8
 
 
+class TestPause:
+    """A process that wakes up late."""
+
+    def test_pause_teaches_nothing(self):
+        """Calls that ran through a pause change neither time nor threshold."""
+        target = FakeTarget(slots=8, published=8)
+        for step in range(400):
+            target.refuses(step % RANK_COUNT, step * 0.005)
+        before = target.admission.load().service_ms
+
+        target.ends = [(7.0, call_id) for _, call_id in target.ends]
+        target.refuses(0, 7.0)
+
+        assert target.admission.load().service_ms == before
+        assert target.admission.threshold == OPEN_THRESHOLD
+
+
 class FakeTarget:
     """Runs calls in its true slots; more than these wait inside it."""
 
--- a/tests/admission/test_caller.py
+++ b/tests/admission/test_caller.py
@@ -48,6 +48,18 @@
         assert thresholds.verdict_of_kind('history', LOW, 0) > 0
         assert thresholds.verdict_of_kind('tariff', LOW, 0) is None
 
+    def test_kinds_are_bounded(self):
+        """The kind that was renewed longest ago is forgotten first."""
+        thresholds = CallerThresholds(CallerSettings(most_kinds=2))
+        for kind in ('a', 'b', 'a', 'c'):
+            thresholds.learn_needs(kind, ['records'], 0)
+
+        assert [thresholds.needs(kind, 0) for kind in 'abc'] == [
+            ['records'],
+            [],
+            ['records'],
+        ]
+
 
 class TestMerged:
     """What rides on answers."""
