Bring a target that was left out back within seconds

It is now left out for 1 to 3 s at a time, one failure sends it out again until it has answered, and it returns at half its share.

--- a/bench/_systems.py
+++ b/bench/_systems.py
@@ -35,6 +35,7 @@
     BASELINE,
     Variant('not told', settings={}, tells_callers=False),
     Variant('any target', settings={}, weighs_targets=False),
+    Variant('slots only', settings={'most_share': 1}),
     Variant('current', settings={}),
 )
 
--- a/src/lovageshunt/routing/_settings.py
+++ b/src/lovageshunt/routing/_settings.py
@@ -12,9 +12,10 @@
     ``full_share``. ``slow_start_seconds`` is the time in which a new target
     comes to its full share. After ``failures_to_eject`` failures in a row a
     target is left out for ``ejection_seconds``, twice as long each time up to
-    ``most_ejection_seconds``; when more than ``most_ejected_share`` of the
-    targets look bad, none is left out. ``load_memory_seconds``
-    is how long a reported load counts, fading.
+    ``most_ejection_seconds``; one failure is then enough until it answers.
+    When more than ``most_ejected_share`` of the targets look bad, none is
+    left out. ``load_memory_seconds`` is how long a reported load counts,
+    fading.
     """
 
     __slots__ = (
@@ -37,8 +38,8 @@
         full_share: float = 0.95,
         slow_start_seconds: float = 10,
         failures_to_eject: int = 5,
-        ejection_seconds: float = 2,
-        most_ejection_seconds: float = 30,
+        ejection_seconds: float = 1,
+        most_ejection_seconds: float = 3,
         most_ejected_share: float = 0.5,
         load_memory_seconds: float = 1,
     ) -> None:
--- a/src/lovageshunt/routing/_view.py
+++ b/src/lovageshunt/routing/_view.py
@@ -35,6 +35,7 @@
         '_failures',
         '_failure_share',
         '_ejections',
+        '_is_on_probation',
     )
 
     def __init__(
@@ -55,12 +56,14 @@
         self._failures = 0
         self._failure_share = float(0)
         self._ejections = 0
+        self._is_on_probation = False
 
     def succeeded(self, seconds: float) -> None:
         """Note a whole answer."""
         self._latency += _LATENCY_WEIGHT * (seconds - self._latency)
         self._failures = 0
         self._failure_share *= 1 - _FAILURE_WEIGHT
+        self._is_on_probation = False
 
     def refused(self, now: float) -> None:
         """Note a refusal for overload: the target is full, not broken."""
@@ -81,6 +84,9 @@
         self._latency += _LATENCY_WEIGHT * (slower - self._latency)
         self._failures += 1
         self._failure_share += _FAILURE_WEIGHT * (1 - self._failure_share)
+        # One that was left out and has not answered since gets no more trials.
+        if self._is_on_probation:
+            return True
         return self._failures >= self._settings.failures_to_eject
 
     def eject(self, now: float, spread: float) -> None:
@@ -91,9 +97,11 @@
             self._settings.most_ejection_seconds,
         )
         self.ejected_until = now + seconds * spread
-        self._joined_at = self.ejected_until
+        half_start = self._settings.slow_start_seconds / 2
+        self._joined_at = self.ejected_until - half_start
         self._ejections += 1
         self._failures = 0
+        self._is_on_probation = True
 
     def report(self, load: LoadReport, now: float) -> None:
         """Take the load that came with an answer."""
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -171,6 +171,14 @@
         assert 'a' not in shares(router, 0.5)
         assert 'a' in shares(router, 60)
 
+    def test_returned_target_is_left_out_at_its_first_failure(self):
+        """A target that comes back and fails again gets one call."""
+        router = router_of(*map(member, 'abc'))
+        fail(router, 'a')
+        fail(router, 'a', now=10, times=1)
+
+        assert 'a' not in shares(router, 10.1)
+
     def test_half_of_the_targets_may_be_left_out(self):
         """Two bad targets of four get nothing."""
         router = router_of(*map(member, 'abcd'))
