--- a/src/lovageshunt/observability/_spans.py
+++ b/src/lovageshunt/observability/_spans.py
@@ -1,10 +1,12 @@
 """A span as it runs and as it is kept."""
 
-from typing import Any
+from typing import Any, Final
 
 from lovageshunt._record import Record
 from lovageshunt.errors import MalformedSpanError
 
+_NUMBERS: Final = frozenset(('started_at', 'duration_ms'))
+
 
 class ActiveSpan(Record):
     """A hop of a call that is not yet over.
@@ -111,6 +113,11 @@
     Raises ``MalformedSpanError`` when it is none.
     """
     try:
-        return SpanRecord(**fields)
+        span = SpanRecord(**fields)
     except TypeError as error:
         raise MalformedSpanError(str(error)) from error
+    for name, field in span.as_dict().items():
+        expected = float if name in _NUMBERS else str
+        if not isinstance(field, expected):
+            raise MalformedSpanError(f'{name} is {field!r}')
+    return span
--- a/tests/observability/test_traces.py
+++ b/tests/observability/test_traces.py
@@ -4,6 +4,7 @@
 from opentelemetry.sdk.trace.id_generator import RandomIdGenerator
 
 from lovageshunt.calls import Outcome, RefusalReason
+from lovageshunt.errors import MalformedSpanError
 from lovageshunt.observability import Traces, decode_span
 from tests.only import only
 
@@ -110,6 +111,20 @@
 
         assert names == ['hop 2', 'hop 3', 'hop 4']
 
+    @pytest.mark.parametrize(
+        'change',
+        [{'duration_ms': 'long'}, {'node': None}, {'unheard_of': 1}],
+    )
+    def test_malformed_record_is_a_typed_error(self, clock, change):
+        """A field of another type or name is refused."""
+        traces = traces_of(clock, share=1)
+        span = traces.start('ingress', request_id='r')
+        traces.end(span, Outcome.ANSWERED)
+        fields = only(traces.recent('r')).as_dict()
+
+        with pytest.raises(MalformedSpanError):
+            decode_span(fields | change)
+
     def test_record_survives_the_wire(self, clock):
         """A record is the same after its wire form."""
         traces = traces_of(clock, share=1.0)
