Hold what was refused or in doubt to the same obstacles as a new call

Two faults found in reading, each with a test that failed before: a node that had handed over its calls took up one of them again that it had refused, and a resend older than the retention time was asked about at nodes that may have forgotten it by then, so that it could run again.

--- a/src/lovageshunt/idempotency/_arriving.py
+++ b/src/lovageshunt/idempotency/_arriving.py
@@ -96,8 +96,6 @@
     now: float,
 ) -> list[Action]:
     """Take up a call that was refused or left in doubt here before."""
-    if attempt.event.peers is None:
-        return _refuse_new(attempt, state, RefusalReason.SETTLING, now)
     if entry.is_blocked(attempt.event.attempt):
         return refuse_one(
             attempt.arrival,
@@ -105,6 +103,14 @@
             reason=RefusalReason.CANCELLED,
             retry_after_ms=state.settings.refusal_retry_ms,
         )
+    reason = _obstacle(attempt, state, now)
+    if reason is not None:
+        return refuse_one(
+            attempt.arrival,
+            is_proved=attempt.is_first,
+            reason=reason,
+            retry_after_ms=state.settings.refusal_retry_ms,
+        )
     is_own = entry.state == 'refused' and attempt.arrival.is_stamped_here
     if is_own and state.cautious_until <= now:
         return _take(attempt, state, entry)
--- a/tests/idempotency/test_arriving.py
+++ b/tests/idempotency/test_arriving.py
@@ -276,3 +276,26 @@
         answer = only(node.handle(failed, NOW))
 
         assert isinstance(answer, AnswerUnknown)
+
+
+class TestDoubtful:
+    """A call that was left in doubt here before."""
+
+    def test_next_resend_asks_anew(self, node):
+        """The node that was silent may answer now."""
+        node.handle(requested('x', 2), NOW)
+        node.handle(Ticked(), NOW + 1)
+
+        _, *asked = node.handle(requested('y', 3), NOW + 1)
+
+        assert [each.peer for each in asked] == [LOWER, HIGHER]
+
+    def test_old_resend_is_not_asked_about(self, node):
+        """Those who knew of it may have forgotten it by then."""
+        node.handle(requested('x', 2, age_ms=800_000), NOW)
+        node.handle(Ticked(), NOW + 1)
+        later = requested('y', 3, age_ms=901_000)
+
+        answer = only(node.handle(later, NOW + 101))
+
+        assert isinstance(answer, AnswerUnknown)
--- a/tests/idempotency/test_leaving.py
+++ b/tests/idempotency/test_leaving.py
@@ -3,6 +3,7 @@
 from lovageshunt.calls import RefusalReason
 from lovageshunt.idempotency import (
     AnswerInquiry,
+    AnswerUnknown,
     Completed,
     Drained,
     HandedOver,
@@ -22,6 +23,7 @@
     NOW,
     dispatch,
     promise,
+    refuse,
     requested,
 )
 from tests.only import only
@@ -38,6 +40,16 @@
 
         assert refusal.reason is RefusalReason.LEAVING
 
+    def test_leaving_node_does_not_take_up_what_it_refused(self, node):
+        """Its heirs were told that the call did not run."""
+        node.handle(requested('x', 2, stamp=ME), NOW)
+        refuse(node)
+        node.handle(Drained(), NOW)
+
+        answer = only(node.handle(requested('y', 3, stamp=ME), NOW))
+
+        assert isinstance(answer, AnswerUnknown)
+
     def test_heir_answers_for_the_leaver(self, node):
         """A resend reads the outcome that was handed over."""
         node.handle(requested('x', 1), NOW)
