--- a/src/lovageshunt/membership/_election.py
+++ b/src/lovageshunt/membership/_election.py
@@ -55,7 +55,7 @@
         readers_per_failure_domain: int = 3,
         news_timeout: float = 60,
         volunteer_jitter: float = 60,
-        start_jitter: float = 3,
+        start_jitter: float = 4,
         first_retry_delay: float = 1,
         longest_retry_delay: float = 60,
         watch_gap: float = 1,
@@ -118,11 +118,16 @@
         self._volunteer_at: float | None = None
 
     @property
-    def is_elected(self) -> bool:
-        """Return whether this node is one of the readers by its own picture."""
+    def readers(self) -> list[str]:
+        """Return the readers of the failure domain by the own picture."""
         count = self._settings.readers_per_failure_domain
         present = (one for one in self._candidates if one not in self._silent)
-        return self._own_name in islice(present, count)
+        return list(islice(present, count))
+
+    @property
+    def is_elected(self) -> bool:
+        """Return whether this node is one of the readers by its own picture."""
+        return self._own_name in self.readers
 
     def handle(self, event: Record, now: float) -> list[Record]:
         """Take in an event; return a read when one is due."""
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -1,6 +1,7 @@
 """One small deployment that all scenarios share, and its callers."""
 
 import asyncio
+import time
 from pathlib import Path
 from typing import Any
 
@@ -48,8 +49,8 @@
             [ServicePlan('payments', instances=3, slots=20, service_ms=5)],
         )
         self.generation = 1
-        self.told_by_id: dict[str, list[Told]] = {}
         self.began_by_id: dict[str, float] = {}
+        self.told_by_id: dict[str, list[Told]] = {}
         self.session: aiohttp.ClientSession | None = None
         self.client: Client | None = None
         self.crashes = 0
@@ -117,11 +118,9 @@
     ) -> Told | None:
         """Send one attempt as a caller without the library does."""
         headers = {'idempotency-key': request_id}
-        at = self.loop.time()
-        age = at - self.began_by_id.setdefault(request_id, at)
         if attempt is not None:
             headers['lovageshunt-attempt'] = str(attempt)
-            headers['lovageshunt-age-ms'] = str(round(1000 * age))
+            headers['lovageshunt-age-ms'] = str(self.age_ms(request_id))
         if poison:
             headers['x-poison'] = '1'
         url = f'http://{self.fleet.by_name[node].ingress}{path}'
@@ -143,6 +142,11 @@
         self.told_by_id.setdefault(request_id, []).append(told)
         return told
 
+    def age_ms(self, request_id: str) -> int:
+        """Return the time since a request was first sent."""
+        began_at = self.began_by_id.setdefault(request_id, time.monotonic())
+        return int(1000 * (time.monotonic() - began_at))
+
     def runs(self, request_id: str) -> int:
         """Return how often a request ran on any target."""
         ran = self.fleet.executions('payments')
