Test the client library against fake nodes, and let a listener wait

Cause: attempts, shares, deadlines and cancellation of the library were tested only through whole fleets. The new tests run it over loopback against a small fake node.

Found, with the test that failed first: the wrapper around a target's application answered each further receive() at once with the request's body. It now waits until it is cancelled.

Ruled out: a share above the allowance, a purchase at a second member in doubt, a wrong number, a lost cancellation; none was seen.

--- a/src/lovageshunt/client/_inbound.py
+++ b/src/lovageshunt/client/_inbound.py
@@ -1,6 +1,6 @@
 """The ASGI wrapper that a target puts around its application."""
 
-from asyncio import timeout
+from asyncio import get_running_loop, timeout
 from typing import Final
 
 from lovageshunt.calls import (
@@ -103,14 +103,20 @@
 
 
 class _Replay:
-    """Gives the application the body that was read already."""
+    """Gives the application the body that was read already, once."""
 
-    __slots__ = ('_body',)
+    __slots__ = ('_body', '_is_read')
 
     def __init__(self, body: bytes) -> None:
         self._body = body
+        self._is_read = False
 
     async def __call__(self) -> AsgiMessage:
+        if self._is_read:
+            # Nothing follows: when the caller goes away, the application is
+            # cancelled. An answer at once would let its listener spin.
+            await get_running_loop().create_future()
+        self._is_read = True
         return {'type': 'http.request', 'body': self._body}
 
 
--- /dev/null
+++ b/tests/client/test_scope.py
@@ -0,0 +1,118 @@
+"""The calls of one request, against fake nodes over loopback."""
+
+import pytest
+
+from lovageshunt.calls import CallContext, Outcome, RefusalReason
+from lovageshunt.client import Call
+from tests.client.fakes import FakeNodes, client_of
+
+
+def inner(client, **fields):
+    """Return the scope of a call that arrived at a target."""
+    context = {
+        'request_id': 'r1',
+        'call_id': 'r1.2',
+        'importance': 2,
+        'rank': 77,
+        'timeout_ms': 4000,
+        'retries_left': 5,
+        **fields,
+    }
+    return client.inner_scope(CallContext(**context))
+
+
+def calls(count):
+    """Return calls to be made at once."""
+    return [Call(service='payments', path=f'/{at}') for at in range(count)]
+
+
+class TestInheritance:
+    """What calls have from the request that they are made for."""
+
+    async def test_level_and_id(self):
+        """A call below keeps request, importance and rank, and its own id."""
+        nodes = FakeNodes(lambda arrival: arrival.answer())
+        async with client_of(nodes, importance=6) as client:
+            scope = inner(client)
+            await scope.call('payments', 'GET', '/')
+            await scope.call('payments', 'GET', '/')
+        contexts = [arrival.context for arrival in nodes.arrivals]
+        assert [one.call_id for one in contexts] == ['r1.2.1', 'r1.2.2']
+        assert {one.request_id for one in contexts} == {'r1'}
+        assert {(one.importance, one.rank) for one in contexts} == {(2, 77)}
+
+    async def test_time(self):
+        """A call below has no more time than its request."""
+        nodes = FakeNodes(lambda arrival: arrival.answer())
+        async with client_of(nodes) as client:
+            await inner(client, timeout_ms=900).call('payments', 'GET', '/')
+        assert 0 < nodes.arrivals[0].context.timeout_ms <= 900
+
+
+class TestCallAll:
+    """Calls that are made at once."""
+
+    @pytest.mark.parametrize('count', [1, 2, 3, 7])
+    async def test_shares_within_allowance(self, count):
+        """The shares of calls at once never exceed the allowance."""
+        nodes = FakeNodes(lambda arrival: arrival.answer())
+        async with client_of(nodes) as client:
+            replies = await inner(client).call_all(calls(count))
+        assert all(reply.is_ok() for reply in replies)
+        shares = [arrival.context.retries_left for arrival in nodes.arrivals]
+        assert sum(shares) == 5
+
+    async def test_unspent_comes_back(self):
+        """What the answers prove unspent is given back, and no more."""
+
+        async def serve(arrival):
+            await arrival.answer(unspent=arrival.context.retries_left)
+
+        async with client_of(FakeNodes(serve)) as client:
+            scope = inner(client)
+            await scope.call_all(calls(3))
+            assert scope.unspent == 5
+
+    async def test_lost_share_is_spent(self):
+        """A share whose answer is not this call's own is spent."""
+
+        async def serve(arrival):
+            await arrival.answer(call_id='another', unspent=9)
+
+        nodes = FakeNodes(serve)
+        async with client_of(nodes, is_repeatable=False) as client:
+            scope = inner(client)
+            await scope.call_all(calls(3))
+            assert scope.unspent == 0
+
+    async def test_each_gets_its_own(self):
+        """The replies stand in the order of the calls."""
+
+        async def serve(arrival):
+            await arrival.answer(arrival.context.call_id.encode())
+
+        async with client_of(FakeNodes(serve)) as client:
+            replies = await inner(client).call_all(calls(20))
+        assert [reply.ok.body.decode() for reply in replies] == [
+            f'r1.2.{number}' for number in range(1, 21)
+        ]
+
+    async def test_none(self):
+        """No calls have no replies."""
+        async with client_of(FakeNodes(), count=0) as client:
+            assert await inner(client).call_all([]) == []
+
+    async def test_retries_within_allowance(self):
+        """Calls at once that all fail retry no more than the allowance."""
+
+        async def serve(arrival):
+            await arrival.refuse(
+                Outcome.FAILED,
+                RefusalReason.TARGET_FAILED,
+                retry_after_ms=1,
+            )
+
+        nodes = FakeNodes(serve)
+        async with client_of(nodes) as client:
+            await inner(client).call_all(calls(4))
+        assert 4 <= len(nodes.arrivals) <= 4 + 5
