--- a/bench/live.py
+++ b/bench/live.py
@@ -136,9 +136,7 @@
 def _row(times: float, outcomes: Outcomes, fleet: Fleet) -> str:
     goodput = outcomes.warm_answers / (_SECONDS - _WARM_SECONDS)
     answered = sum(
-        count
-        for told, count in outcomes.told.items()
-        if told[1] == 'answered'
+        count for told, count in outcomes.told.items() if told[1] == 'answered'
     )
     ran = sum(fleet.executions('records').values())
     return (
--- a/src/lovageshunt/client/_inbound.py
+++ b/src/lovageshunt/client/_inbound.py
@@ -166,6 +166,7 @@
         said.unspent = self.calls.unspent
         said.threshold_by_service = self._client.engine.thresholds.merged(
             now(),
+            self.calls.asked,
         )
         return said
 
--- a/src/lovageshunt/client/_scope.py
+++ b/src/lovageshunt/client/_scope.py
@@ -50,6 +50,8 @@
         if not is_root:
             self._pool = AllowancePool(context.retries_left)
         self._calls = 0
+        #: The services that were called for this request at this hop.
+        self.asked: set[str] = set()
         #: The outcome that the hop's own answer must state, if not answered.
         self.stated: AnswerInfo | None = None
 
@@ -140,6 +142,7 @@
     ) -> Result[Answer, CallError]:
         rule = self._rule_for(call)
         self._calls += 1
+        self.asked.add(call.service)
         context = self._call_context(rule, self._calls)
         attempts = Attempts(
             self._engine,
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -17,6 +17,7 @@
     new_incarnation,
 )
 from lovageshunt.node._admin import Admin
+from lovageshunt.node._call_meter import CallMeter
 from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
 from lovageshunt.node._fleet_view import FleetView
@@ -74,8 +75,12 @@
             control=self._control,
             gate=self._gate,
             calls=self._calls,
-            account=self._account,
-            traces=self._traces,
+            meter=CallMeter(
+                self._identity.service,
+                account=self._account,
+                traces=self._traces,
+                metrics=self._metrics,
+            ),
             max_body_bytes=self._settings.limits.body_bytes,
             observe=self.runtime.observe,
             keep_account=self.runtime.keep_account,
@@ -160,6 +165,7 @@
             ),
         )
         self._life = NodeLife()
+        self._metrics = Metrics(identity.name)
         self._traces = Traces(
             node=identity.name,
             share=self._settings.traces.sample_ratio,
@@ -170,8 +176,9 @@
             gate=self._gate,
             account=self._account,
             kept=self._keeping.kept,
+            link=self._link,
             traces=self._traces,
-            metrics=Metrics(identity.name),
+            metrics=self._metrics,
             life=self._life,
             slots=self._settings.target.slots,
         )
--- /dev/null
+++ b/src/lovageshunt/node/_call_meter.py
@@ -0,0 +1,95 @@
+"""Counts, traces and logs the calls of one node."""
+
+from logging import getLogger
+from typing import Final
+
+from lovageshunt.account import Account
+from lovageshunt.calls import LOWEST_IMPORTANCE, Outcome
+from lovageshunt.clock import now
+from lovageshunt.node._border import Admissible
+from lovageshunt.node._calls import CallInProgress
+from lovageshunt.node._gate_messages import Reply
+from lovageshunt.observability import ActiveSpan, Metrics, Traces
+
+_log = getLogger(__name__)
+_IMPORTANCES: Final = range(LOWEST_IMPORTANCE + 1)
+
+
+class CallMeter:
+    """Told of each call twice: when it arrives and when it is answered."""
+
+    def __init__(
+        self,
+        service: str,
+        *,
+        account: Account,
+        traces: Traces,
+        metrics: Metrics,
+    ) -> None:
+        """Take where the figures go."""
+        self._service = service
+        self._account = account
+        self._traces = traces
+        self._queue_seconds = metrics.buckets(
+            'lovageshunt_queue_seconds',
+            service,
+        )
+        self._call_seconds = [
+            metrics.buckets(
+                'lovageshunt_call_seconds',
+                service,
+                str(importance),
+            )
+            for importance in _IMPORTANCES
+        ]
+
+    def arrived(self, admissible: Admissible) -> ActiveSpan:
+        """Count a call that arrived, and begin its span."""
+        context = admissible.context
+        kind = admissible.rule.kind
+        self._account.arrived(
+            self._service,
+            kind,
+            context.importance,
+            is_retry=context.attempt != 1,
+            is_external=admissible.is_external,
+        )
+        return self._traces.start(
+            f'{self._service} {kind}',
+            trace_parent=context.trace_parent,
+            request_id=context.request_id,
+            call_id=context.call_id,
+            service=self._service,
+        )
+
+    def ended(self, call: CallInProgress, reply: Reply) -> None:
+        """Count how a call ended, and end its span."""
+        ending = reply.ending
+        context = call.admissible.context
+        is_answered = ending.outcome is Outcome.ANSWERED
+        self._account.ended(
+            self._service,
+            call.admissible.rule.kind,
+            context.importance,
+            ending.outcome,
+            ending.reason,
+            was_wasted=reply.ran and not is_answered,
+            ran=reply.ran,
+        )
+        self._traces.end(call.span, ending.outcome, ending.reason)
+        if call.forwarded_at is not None:
+            waited = call.forwarded_at - call.arrived_at
+            self._queue_seconds.observe(waited)
+        if is_answered:
+            elapsed = now() - call.arrived_at
+            self._call_seconds[context.importance].observe(elapsed)
+            return
+        _log.info(
+            'call ended: %s, %s',
+            ending.outcome,
+            ending.reason,
+            extra={
+                'request_id': context.request_id,
+                'trace_id': call.span.trace_id,
+            },
+        )
--- a/src/lovageshunt/node/_gate.py
+++ b/src/lovageshunt/node/_gate.py
@@ -5,6 +5,8 @@
 does no input or output.
 """
 
+from collections.abc import Collection
+
 from lovageshunt._record import Record
 from lovageshunt.admission import Admission
 from lovageshunt.calls import LoadReport
@@ -57,9 +59,21 @@
         """Return the target's load for the next answer."""
         return self._state.admission.load()
 
-    def threshold_by_service(self, now: float) -> dict[str, int]:
-        """Return the thresholds to tell callers: own, and those below."""
-        by_service = self._state.thresholds.merged(now)
+    def threshold_by_service(
+        self,
+        kind: str,
+        asked: Collection[str] | None,
+        now: float,
+    ) -> dict[str, int]:
+        """Return the thresholds to tell a caller: own, and those below.
+
+        Below, those of the services that its call ``asked``; when it was
+        not forwarded, those that calls of its kind lately needed.
+        """
+        thresholds = self._state.thresholds
+        if asked is None:
+            asked = thresholds.needs(kind, now)
+        by_service = thresholds.merged(now, asked)
         by_service[self._state.run_once.service] = self.threshold
         return by_service
 
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -5,10 +5,8 @@
 
 from asyncio import wait
 from collections.abc import Callable
-from logging import getLogger
 from typing import Final
 
-from lovageshunt.account import Account
 from lovageshunt.calls import (
     ANSWER_HEADER,
     AnswerInfo,
@@ -39,13 +37,12 @@
     refusal_body,
     stated_ending,
 )
+from lovageshunt.node._call_meter import CallMeter
 from lovageshunt.node._calls import CallInProgress, Calls
 from lovageshunt.node._control import Control
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._gate_messages import CallArrived, Reply
-from lovageshunt.observability import Traces
 
-_log = getLogger(__name__)
 _MS_PER_SECOND: Final = 1000
 _TOO_LARGE_STATUS: Final = 413
 _BAD_REQUEST_STATUS: Final = 400
@@ -65,8 +62,7 @@
         control: Control,
         gate: Gate,
         calls: Calls,
-        account: Account,
-        traces: Traces,
+        meter: CallMeter,
         max_body_bytes: int,
         observe: Callable[[], None],
         keep_account: Callable[[bytes], None],
@@ -84,8 +80,7 @@
         self._control = control
         self._gate = gate
         self._calls = calls
-        self._account = account
-        self._traces = traces
+        self._meter = meter
         self._max_body_bytes = max_body_bytes
         self._service = control.identity.service
 
@@ -131,7 +126,7 @@
             waiting = self._wait(call)
             if await until_disconnect(receive, waiting) is None:
                 self._calls.abandon(call, RefusalReason.CANCELLED)
-                self._end(call, call.reply.result())
+                self._meter.ended(call, call.reply.result())
                 return
         await self._answer(call, call.reply.result(), send)
 
@@ -139,28 +134,13 @@
         self, inbound: Inbound, admissible: Admissible
     ) -> CallInProgress:
         self._observe()
-        context = admissible.context
         at = now()
-        span = self._traces.start(
-            f'{self._service} {admissible.rule.kind}',
-            trace_parent=context.trace_parent,
-            request_id=context.request_id,
-            call_id=context.call_id,
-            service=self._service,
-        )
         call = self._calls.begin(
             inbound,
             admissible,
-            span,
+            self._meter.arrived(admissible),
             arrived_at=at,
-            deadline=at + context.timeout_ms / _MS_PER_SECOND,
-        )
-        self._account.arrived(
-            self._service,
-            admissible.rule.kind,
-            context.importance,
-            is_retry=context.attempt != 1,
-            is_external=admissible.is_external,
+            deadline=at + admissible.context.timeout_ms / _MS_PER_SECOND,
         )
         self._calls.handle(self._arrival(call))
         return call
@@ -191,7 +171,7 @@
         reply: Reply,
         send: Send,
     ) -> None:
-        self._end(call, reply)
+        self._meter.ended(call, reply)
         ending = stated_ending(call.admissible, reply.ending)
         is_answered = ending.outcome is Outcome.ANSWERED
         wait_ms = 0 if is_answered else reply.retry_after_ms
@@ -219,7 +199,7 @@
             reason=ending.reason,
             retry_after_ms=wait_ms,
             unspent=_unspent(call),
-            threshold_by_service=self._gate.threshold_by_service(now()),
+            threshold_by_service=self._thresholds(call),
             load=self._gate.load(),
             home=context.home,
             body_length=body_length,
@@ -227,29 +207,14 @@
             calls_below=self._calls_below,
         )
 
-    def _end(self, call: CallInProgress, reply: Reply) -> None:
-        ending = reply.ending
-        context = call.admissible.context
-        self._account.ended(
-            self._service,
-            call.admissible.rule.kind,
-            context.importance,
-            ending.outcome,
-            ending.reason,
-            was_wasted=reply.ran and ending.outcome is not Outcome.ANSWERED,
-            ran=reply.ran,
-        )
-        self._traces.end(call.span, ending.outcome, ending.reason)
-        if ending.outcome is not Outcome.ANSWERED:
-            _log.info(
-                'call ended: %s, %s',
-                ending.outcome,
-                ending.reason,
-                extra={
-                    'request_id': context.request_id,
-                    'trace_id': call.span.trace_id,
-                },
-            )
+    def _thresholds(self, call: CallInProgress) -> dict[str, int]:
+        """Return the thresholds of the services that the call asked."""
+        reply = call.target_reply
+        asked = None
+        if reply is not None and reply.info is not None:
+            asked = reply.info.threshold_by_service
+        kind = call.admissible.context.kind
+        return self._gate.threshold_by_service(kind, asked, now())
 
     async def _take_account(self, inbound: Inbound, send: Send) -> None:
         try:
--- a/src/lovageshunt/node/_reports.py
+++ b/src/lovageshunt/node/_reports.py
@@ -10,6 +10,7 @@
 from lovageshunt.node._control import Control
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._life import NodeLife
+from lovageshunt.node._peer_link import PeerLink
 from lovageshunt.observability import Metrics, Traces
 from lovageshunt.rules import Conflict
 
@@ -27,6 +28,7 @@
         traces: Traces,
         metrics: Metrics,
         life: NodeLife,
+        link: PeerLink,
         slots: int,
     ) -> None:
         """Take the parts."""
@@ -38,6 +40,7 @@
         self._metrics = metrics
         self._life = life
         self._slots = slots
+        self._link = link
 
     def status(self) -> dict[str, Any]:
         """Return the node at a glance."""
@@ -107,8 +110,27 @@
         threshold.value = _shown_threshold(self._gate.threshold)
         generation = self._metrics.cell('lovageshunt_rules_generation')
         generation.value = self._generation()
+        sent = self._metrics.cell('lovageshunt_control_bytes_total', 'peers')
+        sent.value = self._link.sent_bytes
+        self._export_members()
         return self._metrics.render(accepts)
 
+    def _export_members(self) -> None:
+        for service in self._control.services:
+            members = self._control.members(service)
+            suspects = sum(member.is_suspect for member in members)
+            count_by_state = {
+                'suspect': suspects,
+                'available': len(members) - suspects,
+            }
+            for state, count in count_by_state.items():
+                targets = self._metrics.cell(
+                    'lovageshunt_targets',
+                    service,
+                    state,
+                )
+                targets.value = count
+
     def _names(self) -> dict[str, Any]:
         identity = self._control.identity
         return {'node': identity.name, 'incarnation': identity.incarnation}
