Count the end of a call when the gate replies; wait for the last accounts

The account counted a call's end after a turn of the loop, so that it and the gate could disagree when read in between; now they agree at any moment, and /v1/account tells the calls held. A leaver waits until its final account was sent. The library counts as wasted what was answered for a request that then failed.

--- a/src/lovageshunt/client/_scope.py
+++ b/src/lovageshunt/client/_scope.py
@@ -50,6 +50,7 @@
         if not is_root:
             self._pool = AllowancePool(context.retries_left)
         self._calls = 0
+        self._answered: list[KindRule] = []
         #: The services that were called for this request at this hop.
         self.asked: set[str] = set()
         #: The outcome that the hop's own answer must state, if not answered.
@@ -122,6 +123,7 @@
 
         The hop has run itself, so the outcome is never *not run*.
         """
+        self._count_wasted()
         is_unknown = isinstance(error, CallUnknownError)
         outcome = Outcome.UNKNOWN if is_unknown else Outcome.FAILED
         self.stated = AnswerInfo(
@@ -152,7 +154,19 @@
             pool=pool,
             deadline=now() + context.timeout_ms / _MS_PER_SECOND,
         )
-        return await attempts.run()
+        reply = await attempts.run()
+        if reply.is_ok():
+            self._answered.append(rule)
+        return reply
+
+    def _count_wasted(self) -> None:
+        """Count what was answered for a request that fails now."""
+        for rule in self._answered:
+            self._engine.account.wasted(
+                rule.service,
+                rule.kind,
+                self._context.importance,
+            )
 
     def _pool_for(self, call: Call) -> AllowancePool | None:
         """Return the request's pool; a root's is that of its first call."""
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -53,6 +53,7 @@
         """Build the parts; nothing is opened yet."""
         self._settings = settings
         self._build_links(Random())  # noqa: S311
+        self._build_meter()
         self._build_calls()
         self._build_reports()
         self.runtime = self._runtime()
@@ -75,12 +76,7 @@
             control=self._control,
             gate=self._gate,
             calls=self._calls,
-            meter=CallMeter(
-                self._identity.service,
-                account=self._account,
-                traces=self._traces,
-                metrics=self._metrics,
-            ),
+            meter=self._meter,
             max_body_bytes=self._settings.limits.body_bytes,
             observe=self.runtime.observe,
             keep_account=self.runtime.keep_account,
@@ -132,6 +128,30 @@
         )
         fleet.read_platform = self._platform.start
 
+    def _build_meter(self) -> None:
+        identity = self._identity
+        self._account = Account(identity.name, identity.incarnation, time())
+        self._keeping = AccountKeeping(
+            self._account,
+            Peer(
+                node=identity.name,
+                incarnation=identity.incarnation,
+                failure_domain=identity.failure_domain,
+            ),
+        )
+        self._metrics = Metrics(identity.name)
+        self._traces = Traces(
+            node=identity.name,
+            share=self._settings.traces.sample_ratio,
+            slow_seconds=_SLOW_SECONDS,
+        )
+        self._meter = CallMeter(
+            identity.service,
+            account=self._account,
+            traces=self._traces,
+            metrics=self._metrics,
+        )
+
     def _build_calls(self) -> None:
         settings = self._settings
         self._gate = _gate_of(settings, self._identity)
@@ -151,26 +171,11 @@
             gate=self._gate,
             target=self._target,
             inquiries=self._inquiries,
+            meter=self._meter,
         )
 
     def _build_reports(self) -> None:
-        identity = self._identity
-        self._account = Account(identity.name, identity.incarnation, time())
-        self._keeping = AccountKeeping(
-            self._account,
-            Peer(
-                node=identity.name,
-                incarnation=identity.incarnation,
-                failure_domain=identity.failure_domain,
-            ),
-        )
         self._life = NodeLife()
-        self._metrics = Metrics(identity.name)
-        self._traces = Traces(
-            node=identity.name,
-            share=self._settings.traces.sample_ratio,
-            slow_seconds=_SLOW_SECONDS,
-        )
         self._reports = Reports(
             control=self._control,
             gate=self._gate,
--- /dev/null
+++ b/src/lovageshunt/node/_call.py
@@ -0,0 +1,48 @@
+"""One call while it is in progress at this node."""
+
+from asyncio import Future, Task, get_running_loop
+
+from lovageshunt.client import Inbound
+from lovageshunt.node._border import Admissible
+from lovageshunt.node._gate_messages import Reply
+from lovageshunt.node._target import TargetReply
+from lovageshunt.observability import ActiveSpan
+
+
+class CallInProgress:
+    """One arrival: what came, its deadline, and who waits for the reply."""
+
+    __slots__ = (
+        'ticket',
+        'inbound',
+        'admissible',
+        'span',
+        'arrived_at',
+        'deadline',
+        'forwarded_at',
+        'reply',
+        'target_reply',
+        'forwarding',
+    )
+
+    def __init__(
+        self,
+        *,
+        ticket: str,
+        inbound: Inbound,
+        admissible: Admissible,
+        span: ActiveSpan,
+        arrived_at: float,
+        deadline: float,
+    ) -> None:
+        """Begin with nobody having replied."""
+        self.ticket = ticket
+        self.inbound = inbound
+        self.admissible = admissible
+        self.span = span
+        self.arrived_at = arrived_at
+        self.deadline = deadline
+        self.forwarded_at: float | None = None
+        self.reply: Future[Reply] = get_running_loop().create_future()
+        self.target_reply: TargetReply | None = None
+        self.forwarding: Task[None] | None = None
--- a/src/lovageshunt/node/_call_meter.py
+++ b/src/lovageshunt/node/_call_meter.py
@@ -7,7 +7,7 @@
 from lovageshunt.calls import LOWEST_IMPORTANCE, Outcome
 from lovageshunt.clock import now
 from lovageshunt.node._border import Admissible
-from lovageshunt.node._calls import CallInProgress
+from lovageshunt.node._call import CallInProgress
 from lovageshunt.node._gate_messages import Reply
 from lovageshunt.observability import ActiveSpan, Metrics, Traces
 
@@ -51,7 +51,7 @@
             self._service,
             kind,
             context.importance,
-            is_retry=context.attempt != 1,
+            is_retry=context.attempt > 1,
             is_external=admissible.is_external,
         )
         return self._traces.start(
--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -1,6 +1,6 @@
 """The calls in progress at this node, and what is done for them."""
 
-from asyncio import CancelledError, Future, Task, create_task, get_running_loop
+from asyncio import CancelledError, Task, create_task
 from collections.abc import Coroutine
 from functools import singledispatchmethod
 from itertools import count
@@ -25,6 +25,8 @@
     StoredAnswer,
 )
 from lovageshunt.node._border import Admissible, forwarded_context
+from lovageshunt.node._call import CallInProgress
+from lovageshunt.node._call_meter import CallMeter
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._gate_messages import (
     CallAbandoned,
@@ -52,45 +54,6 @@
 )
 
 
-class CallInProgress:
-    """One arrival: what came, its deadline, and who waits for the reply."""
-
-    __slots__ = (
-        'ticket',
-        'inbound',
-        'admissible',
-        'span',
-        'arrived_at',
-        'deadline',
-        'forwarded_at',
-        'reply',
-        'target_reply',
-        'forwarding',
-    )
-
-    def __init__(
-        self,
-        *,
-        ticket: str,
-        inbound: Inbound,
-        admissible: Admissible,
-        span: ActiveSpan,
-        arrived_at: float,
-        deadline: float,
-    ) -> None:
-        """Begin with nobody having replied."""
-        self.ticket = ticket
-        self.inbound = inbound
-        self.admissible = admissible
-        self.span = span
-        self.arrived_at = arrived_at
-        self.deadline = deadline
-        self.forwarded_at: float | None = None
-        self.reply: Future[Reply] = get_running_loop().create_future()
-        self.target_reply: TargetReply | None = None
-        self.forwarding: Task[None] | None = None
-
-
 class Calls:
     """Carries out what the gate asks for."""
 
@@ -101,12 +64,14 @@
         gate: Gate,
         target: TargetLink,
         inquiries: Inquiries,
+        meter: CallMeter,
     ) -> None:
         """Begin with no calls."""
         self._identity = identity
         self._gate = gate
         self._target = target
         self._inquiries = inquiries
+        self._meter = meter
         self._by_ticket: dict[str, CallInProgress] = {}
         self._numbers = count(1)
         self._tasks: set[Task[None]] = set()
@@ -154,8 +119,9 @@
     @_act.register
     def _on_reply(self, action: Reply) -> None:
         call = self._by_ticket[action.ticket]
-        if not call.reply.done():
-            call.reply.set_result(action)
+        # Counted here, so that the account and the gate agree at any moment.
+        self._meter.ended(call, action)
+        call.reply.set_result(action)
         if call.forwarding is None:
             self._by_ticket.pop(action.ticket)
 
--- a/src/lovageshunt/node/_control.py
+++ b/src/lovageshunt/node/_control.py
@@ -107,6 +107,10 @@
             event = PeerAnswered(peer, incarnation)
         self.fleet.tell(event)
 
+    async def drain(self) -> None:
+        """Wait until everything that was to be told has been sent."""
+        await self._outbox.drain()
+
     def begin_leave(self) -> None:
         """Announce that this node leaves."""
         self.fleet.begin_leave()
--- a/src/lovageshunt/node/_gate.py
+++ b/src/lovageshunt/node/_gate.py
@@ -45,6 +45,14 @@
         """Return how many calls wait or run here."""
         return len(self._state.by_ticket)
 
+    @property
+    def unanswered(self) -> int:
+        """Return how many arrivals have had no reply."""
+        return sum(
+            not arrival.is_answered
+            for arrival in self._state.by_ticket.values()
+        )
+
     @property
     def threshold(self) -> int:
         """Return the target's own threshold."""
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -37,8 +37,9 @@
     refusal_body,
     stated_ending,
 )
+from lovageshunt.node._call import CallInProgress
 from lovageshunt.node._call_meter import CallMeter
-from lovageshunt.node._calls import CallInProgress, Calls
+from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._gate_messages import CallArrived, Reply
@@ -126,7 +127,6 @@
             waiting = self._wait(call)
             if await until_disconnect(receive, waiting) is None:
                 self._calls.abandon(call, RefusalReason.CANCELLED)
-                self._meter.ended(call, call.reply.result())
                 return
         await self._answer(call, call.reply.result(), send)
 
@@ -171,7 +171,6 @@
         reply: Reply,
         send: Send,
     ) -> None:
-        self._meter.ended(call, reply)
         ending = stated_ending(call.admissible, reply.ending)
         is_answered = ending.outcome is Outcome.ANSWERED
         wait_ms = 0 if is_answered else reply.retry_after_ms
--- a/src/lovageshunt/node/_outbox.py
+++ b/src/lovageshunt/node/_outbox.py
@@ -1,6 +1,6 @@
 """Gathers what is to be told to peers, and sends it once a turn."""
 
-from asyncio import Task, create_task
+from asyncio import Task, create_task, wait
 from collections.abc import Callable
 
 from lovageshunt.node._envelope import Envelope
@@ -59,6 +59,11 @@
                 self._sending.add(task)
                 task.add_done_callback(self._sending.discard)
 
+    async def drain(self) -> None:
+        """Wait until what was flushed has been sent, or given up on."""
+        if self._sending:
+            await wait(self._sending)
+
     async def _send(self, peer: str, address: str, envelope: Envelope) -> None:
         sent = await self._link.exchange(address, envelope)
         self.heard(peer, sent.default_value(''))
--- a/src/lovageshunt/node/_reports.py
+++ b/src/lovageshunt/node/_reports.py
@@ -87,6 +87,9 @@
         return {
             **self._names(),
             'account': self._account.snapshot(time()).as_dict(),
+            'held_by_service': {
+                self._control.identity.service: self._gate.unanswered,
+            },
             'callers': _dicts(self._kept.snapshots(Role.CALLER)),
             'kept': _dicts(self._kept.snapshots(Role.NODE)),
         }
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -40,6 +40,7 @@
 #: A turn that is later than this was a pause.
 PAUSE_SLACK_SECONDS: Final = 1.0
 _LOAD_SECONDS: Final = 1.0
+_ACCOUNTS_SECONDS: Final = 1.0
 _log = getLogger(__name__)
 
 
@@ -82,7 +83,10 @@
         )
         self._seen_at = now()
         self._load_at = now()
+        self._accounts_at = now()
         self._leaving = Event()
+        #: How often the process was found to have been paused.
+        self.pause_count = 0
         self._is_settled = False
         self._transit_seconds = transit_seconds
         self._serves_from = now() + settle_seconds
@@ -109,6 +113,7 @@
         gap = at - self._seen_at
         self._seen_at = at
         if self._epochs.observe(at):
+            self.pause_count += 1
             _log.warning('the process was paused for %.1f s', gap)
             self._calls.handle(Woke(gap_seconds=gap))
             self._control.tell(PauseEnded())
@@ -202,6 +207,9 @@
             self._calls.handle(reported)
 
     def _send_accounts(self) -> None:
+        if now() < self._accounts_at:
+            return
+        self._accounts_at = now() + _ACCOUNTS_SECONDS
         tick = KeepingTick(
             now=now(),
             wall_time=time(),
@@ -225,6 +233,7 @@
         )
         self._control.send_snapshots(self._keeping.handle(closed))
         await self._inquiries.flush()
+        await self._control.drain()
 
     async def _leaving_turn(self) -> None:
         self.observe()
