--- a/src/lovageshunt/cli/_node.py
+++ b/src/lovageshunt/cli/_node.py
@@ -29,9 +29,10 @@
             write_error(str(fault))
         return ExitCode.FAULTS
     logs = settings.ok.logs
-    configure_logs(logs.level.upper(), int(logs.records_per_second))
+    limit = configure_logs(logs.level.upper(), int(logs.records_per_second))
+    daemon = NodeDaemon(settings.ok, lambda: limit.suppressed_total)
     try:
-        return ExitCode(asyncio.run(NodeDaemon(settings.ok).run()))
+        return ExitCode(asyncio.run(daemon.run()))
     except OSError as error:
         write_error(f'{error}; see that files and addresses are right')
         return ExitCode.FAILED
--- a/src/lovageshunt/membership/_election.py
+++ b/src/lovageshunt/membership/_election.py
@@ -20,7 +20,7 @@
     PeerAnswered,
     PeerSilent,
 )
-from lovageshunt.membership._news import PlatformNews
+from lovageshunt.membership._news import NO_NEWS, PlatformNews
 from lovageshunt.membership._vms import VmState
 
 _MS_PER_SECOND: Final = 1000
@@ -117,6 +117,14 @@
         self._failures = 0
         self._volunteer_at: float | None = None
 
+    def news_age_seconds(self, now: float) -> float:
+        """Return how long ago a reader is known to have had an answer.
+
+        Negative while none is known.
+        """
+        age_ms = self._news.age_ms(now)
+        return -1 if age_ms == NO_NEWS else age_ms / _MS_PER_SECOND
+
     @property
     def readers(self) -> list[str]:
         """Return the readers of the failure domain by the own picture."""
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -1,5 +1,6 @@
 """Builds the parts of a node from its settings."""
 
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from ssl import SSLContext, create_default_context
@@ -49,9 +50,17 @@
 class Assembly:
     """Every part of one node, put together."""
 
-    def __init__(self, settings: NodeSettings) -> None:
-        """Build the parts; nothing is opened yet."""
+    def __init__(
+        self,
+        settings: NodeSettings,
+        suppressed: Callable[[], int],
+    ) -> None:
+        """Build the parts; nothing is opened yet.
+
+        ``suppressed`` counts the logs held back.
+        """
         self._settings = settings
+        self._suppressed = suppressed
         self._build_links(Random())  # noqa: S311
         self._build_meter()
         self._build_calls()
@@ -186,6 +195,7 @@
             metrics=self._metrics,
             life=self._life,
             slots=self._settings.target.slots,
+            suppressed=self._suppressed,
         )
 
     def _runtime(self) -> Runtime:
@@ -197,6 +207,7 @@
             inquiries=self._inquiries,
             target=self._target,
             keeping=self._keeping,
+            pauses=self._metrics.cell('lovageshunt_pauses_total'),
             settling=Settling(self._control, self._outbox, self._link),
             life=self._life,
             settle_seconds=self._settings.limits.settle_seconds,
--- a/src/lovageshunt/node/_daemon.py
+++ b/src/lovageshunt/node/_daemon.py
@@ -1,6 +1,7 @@
 """Runs a node from its settings to its planned stop."""
 
 from asyncio import Task, create_task, gather, get_running_loop, wait
+from collections.abc import Callable
 from logging import getLogger
 from signal import SIGINT, SIGTERM
 
@@ -13,9 +14,16 @@
 class NodeDaemon:
     """One node: its parts, its servers, and its life."""
 
-    def __init__(self, settings: NodeSettings) -> None:
-        """Build the parts; nothing is opened yet."""
-        self._parts = Assembly(settings)
+    def __init__(
+        self,
+        settings: NodeSettings,
+        suppressed: Callable[[], int],
+    ) -> None:
+        """Build the parts; nothing is opened yet.
+
+        ``suppressed`` counts the logs held back.
+        """
+        self._parts = Assembly(settings, suppressed)
         self._running: Task[None] | None = None
 
     async def run(self) -> int:
--- a/src/lovageshunt/node/_fleet_view.py
+++ b/src/lovageshunt/node/_fleet_view.py
@@ -88,6 +88,13 @@
             self._outbox.know(member.name, _admin_of(member))
         return members
 
+    def platform_age_seconds(self) -> float:
+        """Return how long ago the platform is known to have answered.
+
+        Negative while it is not known to have.
+        """
+        return self._election.news_age_seconds(now())
+
     @property
     def readers(self) -> list[str]:
         """Return the platform's readers in the own failure domain."""
--- a/src/lovageshunt/node/_reports.py
+++ b/src/lovageshunt/node/_reports.py
@@ -1,6 +1,6 @@
 """What operators read of a node, as plain content for JSON."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from time import time
 from typing import Any
 
@@ -30,8 +30,9 @@
         life: NodeLife,
         link: PeerLink,
         slots: int,
+        suppressed: Callable[[], int],
     ) -> None:
-        """Take the parts."""
+        """Take the parts; ``suppressed`` counts the logs held back."""
         self._control = control
         self._gate = gate
         self._account = account
@@ -41,6 +42,7 @@
         self._life = life
         self._slots = slots
         self._link = link
+        self._suppressed = suppressed
 
     def status(self) -> dict[str, Any]:
         """Return the node at a glance."""
@@ -115,6 +117,10 @@
         generation.value = self._generation()
         sent = self._metrics.cell('lovageshunt_control_bytes_total', 'peers')
         sent.value = self._link.sent_bytes
+        age = self._metrics.cell('lovageshunt_platform_read_age_seconds')
+        age.value = self._control.fleet.platform_age_seconds()
+        suppressed = self._metrics.cell('lovageshunt_logs_suppressed_total')
+        suppressed.value = self._suppressed()
         self._export_members()
         return self._metrics.render(accepts)
 
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -33,6 +33,7 @@
 from lovageshunt.node._life import NodeLife
 from lovageshunt.node._settling import Settling
 from lovageshunt.node._target import TargetLink
+from lovageshunt.observability import Cell
 from lovageshunt.retries import PeerReported
 
 #: The timer turns this often.
@@ -57,6 +58,7 @@
         inquiries: Inquiries,
         target: TargetLink,
         keeping: AccountKeeping,
+        pauses: Cell,
         settling: Settling,
         life: NodeLife,
         settle_seconds: float,
@@ -64,7 +66,7 @@
         leave_seconds: float,
         drain_seconds: float,
     ) -> None:
-        """Take the parts; ``run`` starts them."""
+        """Take the parts; ``pauses`` counts pauses, ``run`` starts all."""
         self.identity = identity
         self._control = control
         self._gate = gate
@@ -72,6 +74,7 @@
         self._inquiries = inquiries
         self._target = target
         self._keeping = keeping
+        self._pauses = pauses
         self._settling = settling
         self._life = life
         self._leave_seconds = leave_seconds
@@ -85,8 +88,6 @@
         self._load_at = now()
         self._accounts_at = now()
         self._leaving = Event()
-        #: How often the process was found to have been paused.
-        self.pause_count = 0
         self._is_settled = False
         self._transit_seconds = transit_seconds
         self._serves_from = now() + settle_seconds
@@ -113,7 +114,7 @@
         gap = at - self._seen_at
         self._seen_at = at
         if self._epochs.observe(at):
-            self.pause_count += 1
+            self._pauses.value += 1
             _log.warning('the process was paused for %.1f s', gap)
             self._calls.handle(Woke(gap_seconds=gap))
             self._control.tell(PauseEnded())
