Refuse old resends as unknown also where a node is leaving

The state machine now cancels queued calls and lets nodes be in a planned stop for long. It found a leaving node that told a stamped resend, older than the retention time, that its call was not run: the node had run it and forgotten it.

--- a/bench/run_once/_fleet.py
+++ b/bench/run_once/_fleet.py
@@ -15,6 +15,7 @@
     Refused,
     Settled,
     StoredAnswer,
+    WaiterCancelled,
     Woke,
 )
 
@@ -115,6 +116,11 @@
         )
         self.tell(machine, refused)
 
+    def cancel(self, machine: Machine, call_id: str) -> None:
+        """Let the caller of a queued call go away."""
+        machine.queue.remove(call_id)
+        self.tell(machine, WaiterCancelled(call_id=call_id))
+
     def finish(
         self,
         machine: Machine,
--- a/src/lovageshunt/idempotency/_arriving.py
+++ b/src/lovageshunt/idempotency/_arriving.py
@@ -153,6 +153,9 @@
     state: NodeState,
     now: float,
 ) -> RefusalReason | None:
+    if attempt.born_at < now - state.settings.retention_seconds:
+        # It may have run and been forgotten, here as elsewhere.
+        return RefusalReason.IN_DOUBT
     if state.is_leaving:
         return RefusalReason.LEAVING
     if attempt.event.peers is None:
@@ -160,8 +163,6 @@
     if attempt.is_first and attempt.named is not None:
         # The home is gone, and only it might have run this one message.
         return RefusalReason.STALE_PICTURE
-    if attempt.born_at < now - state.settings.retention_seconds:
-        return RefusalReason.IN_DOUBT
     return None
 
 
--- a/tests/idempotency/test_fleet.py
+++ b/tests/idempotency/test_fleet.py
@@ -6,11 +6,12 @@
 
 from bench.run_once import Caller, CallerKind, Fleet, make_node
 from lovageshunt.calls import Outcome
-from lovageshunt.idempotency import Ticked
+from lovageshunt.idempotency import Leaving, Ticked
 
 _NAMES = ('a', 'b', 'c', 'd')
 _INDEX = st.integers(0, 11)
 _ENDINGS = (Outcome.ANSWERED, Outcome.ANSWERED, Outcome.UNKNOWN, Outcome.FAILED)
+_FATES = ('admit', 'admit', 'refuse', 'cancel')
 _WAITS_SECONDS = (0.1, 0.1, 1, 1, 6, 6, 20, 300, 950)
 _MAX_CALLERS = 3
 
@@ -80,13 +81,17 @@
             if at != lost:
                 self.fleet.deliver(message)
 
-    @rule(index=_INDEX, is_refused=st.booleans())
-    def admit(self, index, is_refused):
-        """Admission lets calls through, or refuses them."""
+    @rule(index=_INDEX, fate=st.sampled_from(_FATES))
+    def decide(self, index, fate):
+        """Queued calls are let through, refused or cancelled."""
         for machine in self._awake(index):
             for call_id in list(machine.queue):
-                action = self.fleet.refuse if is_refused else self.fleet.admit
-                action(machine, call_id)
+                getattr(self.fleet, fate)(machine, call_id)
+
+    @rule(index=_INDEX)
+    def leave(self, index):
+        """A node begins a planned stop, and may take long over it."""
+        self.fleet.tell(self._machine(index), Leaving())
 
     @rule(index=_INDEX, outcome=st.sampled_from(_ENDINGS))
     def finish(self, index, outcome):
--- a/tests/idempotency/test_leaving.py
+++ b/tests/idempotency/test_leaving.py
@@ -40,6 +40,13 @@
 
         assert refusal.reason is RefusalReason.LEAVING
 
+    def test_old_resend_is_unknown_at_a_leaving_node(self, node):
+        """It may have run here and been forgotten."""
+        node.handle(Leaving(), NOW)
+        old = requested('x', 2, stamp=ME, age_ms=901_000)
+
+        assert isinstance(only(node.handle(old, NOW)), AnswerUnknown)
+
     def test_leaving_node_does_not_take_up_what_it_refused(self, node):
         """Its heirs were told that the call did not run."""
         node.handle(requested('x', 2, stamp=ME), NOW)
