--- a/src/lovageshunt/client/_attempt.py
+++ b/src/lovageshunt/client/_attempt.py
@@ -71,7 +71,7 @@
 
 
 def _end_of_loss(lost: ExchangeLost, context: CallContext) -> AttemptEnd:
-    if lost.kind is LossKind.UNSENT:
+    if lost.is_unsent:
         return _made_up(
             context,
             Outcome.NOT_RUN,
--- a/src/lovageshunt/client/_transport.py
+++ b/src/lovageshunt/client/_transport.py
@@ -35,11 +35,14 @@
 class LossKind(StrEnum):
     """How an exchange was lost.
 
-    ``UNSENT``: no connection was made, so nothing was written. ``CUT``: the
-    connection ended after the first byte was written. ``LATE``: no whole
-    answer came in time. ``TOO_LARGE``: the answer exceeds the bound.
+    ``REFUSED``: nothing listens at the address. ``UNSENT``: no connection
+    was made, and nothing is known of the other side. Of both, nothing was
+    written. ``CUT``: the connection ended after the first byte was written.
+    ``LATE``: no whole answer came in time. ``TOO_LARGE``: the answer exceeds
+    the bound.
     """
 
+    REFUSED = 'refused'
     UNSENT = 'unsent'
     CUT = 'cut'
     LATE = 'late'
@@ -56,6 +59,11 @@
         self.kind = kind
         self.detail = detail
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether it is certain that nothing was written."""
+        return self.kind in {LossKind.REFUSED, LossKind.UNSENT}
+
 
 class WholeAnswer(Record):
     """An answer that arrived to its last byte."""
@@ -145,7 +153,7 @@
                 )
         except (ClientConnectorError, ConnectionTimeoutError) as unsent:
             # The second is a TimeoutError too, so it is told apart first.
-            return _lost(LossKind.UNSENT, str(unsent))
+            return _lost(_kind_of_unsent(unsent), str(unsent))
         except TimeoutError:
             return _lost(LossKind.LATE, f'no answer in {timeout_seconds} s')
         except (ClientError, OSError) as cut:
@@ -195,6 +203,14 @@
         return b''.join(chunks)
 
 
+def _kind_of_unsent(error: ClientError) -> LossKind:
+    # Cut off by the network, a VM has no route; a refusal is its own word.
+    if not isinstance(error, ClientConnectorError):
+        return LossKind.UNSENT
+    is_refused = isinstance(error.os_error, ConnectionRefusedError)
+    return LossKind.REFUSED if is_refused else LossKind.UNSENT
+
+
 def _lost(
     kind: LossKind,
     detail: str,
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -174,6 +174,7 @@
             metrics=Metrics(identity.name),
             life=self._life,
             slots=self._settings.target.slots,
+            link=self._link,
         )
 
     def _runtime(self) -> Runtime:
--- a/src/lovageshunt/node/_reports.py
+++ b/src/lovageshunt/node/_reports.py
@@ -10,6 +10,7 @@
 from lovageshunt.node._control import Control
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._life import NodeLife
+from lovageshunt.node._peer_link import PeerLink
 from lovageshunt.observability import Metrics, Traces
 from lovageshunt.rules import Conflict
 
@@ -28,6 +29,7 @@
         metrics: Metrics,
         life: NodeLife,
         slots: int,
+        link: PeerLink,
     ) -> None:
         """Take the parts."""
         self._control = control
@@ -38,6 +40,7 @@
         self._metrics = metrics
         self._life = life
         self._slots = slots
+        self._link = link
 
     def status(self) -> dict[str, Any]:
         """Return the node at a glance."""
@@ -54,6 +57,7 @@
             'waiting': load.waiting,
             'limit': load.limit,
             'slots': self._slots,
+            'sent_bytes': self._link.sent_bytes,
             'threshold': _shown_threshold(self._gate.threshold),
             'arrived': sum(line.arrived for line in lines),
             'answered': sum(line.answered for line in lines),
--- a/src/lovageshunt/node/_settling.py
+++ b/src/lovageshunt/node/_settling.py
@@ -54,7 +54,7 @@
         )
         sent = await self._link.exchange(address, envelope)
         if sent.is_error():
-            return sent.error.kind is LossKind.UNSENT
+            return sent.error.kind is LossKind.REFUSED
         self._control.heard(member.name, sent.ok)
         if sent.ok:
             self._confirmed.add(member.name)
--- a/src/lovageshunt/node/_target.py
+++ b/src/lovageshunt/node/_target.py
@@ -176,7 +176,7 @@
 
 
 def _reply_of_loss(lost: ExchangeLost, is_repeatable: bool) -> TargetReply:
-    if lost.kind is LossKind.UNSENT:
+    if lost.is_unsent:
         return TargetReply(
             outcome=Outcome.NOT_RUN,
             reason=RefusalReason.CONNECTION_LOST,
--- a/tests/client/test_inbound.py
+++ b/tests/client/test_inbound.py
@@ -212,8 +212,8 @@
     async def test_caller_gone_cancels_below(self):
         """The node below notices that the caller of the target went away."""
         nodes = FakeNodes()
-        caller = Caller()
-        async with client_of(nodes) as client:
+        caller = Caller(timeout_ms=60_000)
+        async with client_of(nodes, timeout_ms=60_000) as client:
             asking = asyncio.create_task(caller.ask(calling_below, client))
             while not nodes.arrivals:
                 await asyncio.sleep(0.01)
--- a/tests/client/test_transport.py
+++ b/tests/client/test_transport.py
@@ -154,20 +154,22 @@
     """Requests of which no byte was written."""
 
     async def test_refused(self):
-        """A refused connection proves that nothing was sent."""
+        """A refused connection proves that nothing was sent or listens."""
         with socket.socket() as unused:
             unused.bind(('127.0.0.1', 0))
             exchange = await send_to(unused.getsockname()[1])
-        assert kind_of(exchange) is LossKind.UNSENT
+        assert kind_of(exchange) is LossKind.REFUSED
+        assert exchange.error.is_unsent
 
     async def test_never_made(self):
-        """A connection that is not made in time proves it too."""
+        """One that is not made in time proves only that nothing was sent."""
         with socket.socket() as full, socket.socket() as other:
             full.bind(('127.0.0.1', 0))
             full.listen(0)
             other.connect(full.getsockname())
             exchange = await send_to(full.getsockname()[1])
         assert kind_of(exchange) is LossKind.UNSENT
+        assert exchange.error.is_unsent
 
     async def test_closed(self):
         """A closed transport sends nothing."""
