--- a/src/lovageshunt/node/_reports.py
+++ b/src/lovageshunt/node/_reports.py
@@ -59,6 +59,7 @@
             'waiting': load.waiting,
             'limit': load.limit,
             'slots': self._slots,
+            'sent_bytes': self._link.sent_bytes,
             'threshold': _shown_threshold(self._gate.threshold),
             'arrived': sum(line.arrived for line in lines),
             'answered': sum(line.answered for line in lines),
