Let targets in any language call through their node

The key [listen] egress was read and unused, so a target without the library could only call as an external caller: a new root request at each hop, with retries and an importance of its own.

A node now keeps one scope for each call that its target serves, found by the context header that it gave to the target. Calls below divide one share of retries, inherit the level, and are cancelled with the call above or when the target drops them. Unspent retries, thresholds heard and an unknown outcome below go into the node's own answer. A request without a header, or with one that belongs to no call in progress, is refused; only loopback may be set.

Ruled out: a scope for each request decoded from its header. With it four calls of one request were handed shares of 2, 2, 2, 2 out of 2, and the test of division fails; with one scope they get 2, 0, 0, 0. Without joining what was called to the target's reply, a target could claim "not run" after its calls ran; the test of that fails then as well.

--- a/src/lovageshunt/client/__init__.py
+++ b/src/lovageshunt/client/__init__.py
@@ -12,8 +12,9 @@
     until_disconnect,
 )
 from lovageshunt.client._client import Client
+from lovageshunt.client._engine import Engine
 from lovageshunt.client._inbound import InboundCalls, scope_of
-from lovageshunt.client._messages import Answer, Call
+from lovageshunt.client._messages import Answer, Call, call_error
 from lovageshunt.client._options import ClientOptions
 from lovageshunt.client._scope import CallScope
 from lovageshunt.client._transport import (
@@ -39,6 +40,7 @@
     'CallScope',
     'Client',
     'ClientOptions',
+    'Engine',
     'ExchangeLost',
     'Inbound',
     'InboundCalls',
@@ -49,6 +51,7 @@
     'Transport',
     'View',
     'WholeAnswer',
+    'call_error',
     'encode_view',
     'read_inbound',
     'respond',
--- a/src/lovageshunt/client/_scope.py
+++ b/src/lovageshunt/client/_scope.py
@@ -53,6 +53,11 @@
         #: The outcome that the hop's own answer must state, if not answered.
         self.stated: AnswerInfo | None = None
 
+    @property
+    def context(self) -> CallContext:
+        """Return the context that the request came with."""
+        return self._context
+
     @property
     def request_id(self) -> str:
         """Return the id of the root request."""
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -8,7 +8,7 @@
 
 from lovageshunt.account import Account, AccountKeeping, Peer
 from lovageshunt.admission import Admission, AdmissionSettings
-from lovageshunt.client import Transport
+from lovageshunt.client import ClientOptions, Engine, Transport
 from lovageshunt.clock import now
 from lovageshunt.idempotency import RunOnce, RunOnceSettings
 from lovageshunt.membership import (
@@ -17,8 +17,10 @@
     new_incarnation,
 )
 from lovageshunt.node._admin import Admin
+from lovageshunt.node._below import CallingTargetLink, CallsBelow
 from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
+from lovageshunt.node._egress import Egress
 from lovageshunt.node._fleet_view import FleetView
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._identity import Identity
@@ -68,8 +70,14 @@
         await self._transport.close()
         await self._plain.close()
 
-    def servers(self) -> tuple[EmbeddedServer, EmbeddedServer]:
-        """Return the servers of calls and of the admin side."""
+    @property
+    def rules_generation(self) -> int:
+        """Return the generation in force, 0 before there is one."""
+        document = self._control.rules.current
+        return 0 if document is None else document.generation
+
+    def servers(self) -> tuple[EmbeddedServer, ...]:
+        """Return the servers of calls, of the admin side and of egress."""
         ingress = Ingress(
             control=self._control,
             gate=self._gate,
@@ -85,9 +93,29 @@
         admin = Admin(self.runtime, self._reports, token)
         tls = _server_tls(self._settings.security)
         drain_seconds = int(self._settings.limits.drain_seconds)
-        return (
+        servers = [
             make_server(ingress, self._identity.ingress, tls, drain_seconds),
             make_server(admin.app(), self._identity.admin, tls, drain_seconds),
+        ]
+        egress_address = self._settings.listen.egress
+        if egress_address is not None:
+            address = str(egress_address)
+            # Loopback only, like the link to the target: no TLS is needed.
+            servers.append(
+                make_server(
+                    self._egress(), address, ServerTls(), drain_seconds
+                ),
+            )
+        return tuple(servers)
+
+    def _egress(self) -> Egress:
+        return Egress(
+            control=self._control,
+            engine=self._engine,
+            below=self._below,
+            called_services=self._settings.calls.services,
+            max_body_bytes=self._settings.limits.body_bytes,
+            keep_account=self.runtime.keep_account,
         )
 
     def _build_links(self, rng: Random) -> None:
@@ -102,6 +130,8 @@
             max_body_bytes=body_bytes,
             keep_alive_seconds=_TARGET_KEEP_ALIVE_SECONDS,
         )
+        self._engine = Engine(_options_of(settings), self._transport, rng)
+        self._below = CallsBelow(self._engine)
         self._link = PeerLink(self._transport, _token_of(settings.security))
         self._outbox = Outbox(self._identity, self._link)
         fleet = FleetView(
@@ -130,12 +160,7 @@
     def _build_calls(self) -> None:
         settings = self._settings
         self._gate = _gate_of(settings, self._identity)
-        self._target = TargetLink(
-            address=str(settings.target.address),
-            transport=self._plain,
-            health_path=settings.target.health_path,
-            load_path=settings.target.load_path,
-        )
+        self._target = self._target_link()
         self._inquiries = Inquiries(
             self._control,
             self._link,
@@ -148,6 +173,24 @@
             inquiries=self._inquiries,
         )
 
+    def _target_link(self) -> TargetLink:
+        settings = self._settings
+        target = settings.target
+        if settings.listen.egress is None:
+            return TargetLink(
+                address=str(target.address),
+                transport=self._plain,
+                health_path=target.health_path,
+                load_path=target.load_path,
+            )
+        return CallingTargetLink(
+            address=str(target.address),
+            transport=self._plain,
+            health_path=target.health_path,
+            load_path=target.load_path,
+            below=self._below,
+        )
+
     def _build_reports(self) -> None:
         identity = self._identity
         self._account = Account(identity.name, identity.incarnation, time())
@@ -194,6 +237,16 @@
         )
 
 
+def _options_of(settings: NodeSettings) -> ClientOptions:
+    return ClientOptions(
+        name=settings.node.name,
+        failure_domain=settings.node.failure_domain,
+        region=settings.node.region,
+        seeds=(),
+        services=settings.calls.services,
+    )
+
+
 def _identity_of(settings: NodeSettings, rng: Random) -> Identity:
     return Identity(
         name=settings.node.name,
--- a/src/lovageshunt/settings/_keys.py
+++ b/src/lovageshunt/settings/_keys.py
@@ -105,7 +105,7 @@
             name='egress',
             kind=ADDRESS,
             default=ABSENT,
-            meaning='Calls of a target that does not embed the client.',
+            meaning='Calls of a target without the library; loopback only.',
         ),
     ),
 )
--- a/src/lovageshunt/settings/_load.py
+++ b/src/lovageshunt/settings/_load.py
@@ -37,6 +37,7 @@
         _check_admin(reader, by_section)
         _check_pair(reader, by_section['security'])
         _check_listen(reader, by_section)
+        _check_egress(reader, by_section['listen'])
     if reader.faults:
         return Error(reader.faults)
     return Ok(
@@ -88,6 +89,19 @@
         )
 
 
+def _check_egress(reader: SettingsReader, listen: dict[str, Any]) -> None:
+    egress = listen['egress']
+    if egress is None or egress.is_loopback:
+        return
+    reader.add(
+        section='listen',
+        key='egress',
+        value=str(egress),
+        expected='a loopback address, as only the target beside uses it',
+        remedy='listen on 127.0.0.1',
+    )
+
+
 def _check_pair(reader: SettingsReader, security: dict[str, Any]) -> None:
     names = ('certificate_file', 'key_file')
     given = [name for name in names if security[name] is not None]
--- /dev/null
+++ b/tests/node/parts.py
@@ -0,0 +1,145 @@
+"""Nodes in this process, their platform and raw targets."""
+
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import orjson
+
+from lovageshunt.node._assembly import Assembly
+from lovageshunt.node._servers import EmbeddedServer, ServerTls, make_server
+from lovageshunt.rules import encode_document, parse_sheet
+from lovageshunt.settings import load_node_settings
+from standins.fleet import free_address
+from standins.platform import PlatformState, make_app
+
+SHEET = b"""deployment;parts
+generation;1
+service;kind;method;path;importance;repeatable;timeout_seconds;retry_bound
+shop;basket;GET;/;2;yes;5;3
+shop;order;POST;/;0;no;5;3
+stock;count;GET;/;5;yes;5;3
+"""
+#: That stock may call as well keeps shares of retries going to it.
+CALLS = {'shop': 'stock', 'stock': 'shop'}
+
+
+class NodeParts:
+    """One node: its addresses, and its parts once it runs."""
+
+    def __init__(self, service):
+        """Give the node free ports."""
+        self.service = service
+        self.ingress = free_address()
+        self.admin = free_address()
+        self.egress = free_address()
+        self.target = free_address()
+        self.parts = None
+
+    def listing(self):
+        """Return the node's entry in the published list."""
+        return {
+            'name': f'{self.service}-1',
+            'service': self.service,
+            'failure_domain': 'a',
+            'region': 'one',
+            'address': self.ingress,
+            'admin_address': self.admin,
+            'state': 'live',
+        }
+
+    def settings(self, platform, more):
+        """Return the node's settings as a file has them."""
+        return (
+            f'[node]\nname={self.service}-1\nservice={self.service}\n'
+            'failure_domain=a\nregion=one\n'
+            f'[listen]\ningress={self.ingress}\nadmin={self.admin}\n'
+            f'egress={self.egress}\n'
+            f'[target]\naddress={self.target}\nslots=20\nconnections=160\n'
+            f'[platform]\naddresses={platform}\n'
+            f'[calls]\nservices={CALLS[self.service]}\n'
+            '[limits]\nsettle_seconds=0\ntransit_seconds=0\n'
+            f'leave_seconds=0\ndrain_seconds=1\n{more}'
+        )
+
+
+async def read_body(receive):
+    """Return the whole body of a raw ASGI request."""
+    body = b''
+    is_more = True
+    while is_more:
+        message = await receive()
+        body += message.get('body', b'')
+        is_more = message.get('more_body', False)
+    return body
+
+
+async def answer(send, status=200, body=b'', headers=()):
+    """Send a whole raw ASGI answer."""
+    await send(
+        {'type': 'http.response.start', 'status': status, 'headers': headers},
+    )
+    await send({'type': 'http.response.body', 'body': body})
+
+
+@asynccontextmanager
+async def serving(*servers: EmbeddedServer):
+    """Run servers."""
+    tasks = [asyncio.create_task(server.serve()) for server in servers]
+    while not all(server.started for server in servers):
+        await asyncio.sleep(0.01)
+    try:
+        yield
+    finally:
+        for server in servers:
+            server.should_exit = True
+        await asyncio.gather(*tasks)
+
+
+@asynccontextmanager
+async def running(node, path):
+    """Run one node from its settings file until the end of the block."""
+    node.parts = Assembly(load_node_settings(path).ok)
+    await node.parts.open()
+    async with serving(*node.parts.servers()):
+        life = asyncio.create_task(node.parts.runtime.run())
+        try:
+            yield
+        finally:
+            node.parts.runtime.begin_leave()
+            await life
+    await node.parts.close()
+
+
+@asynccontextmanager
+async def deployment(folder, target_by_service, more=''):
+    """Run a platform, and a node and a raw target for each service."""
+    nodes = {service: NodeParts(service) for service in target_by_service}
+    platform = free_address()
+    state = PlatformState()
+    state.publish('vms', [node.listing() for node in nodes.values()])
+    document = encode_document(parse_sheet(SHEET).ok.document)
+    state.publish('rules', orjson.loads(document))
+    plain = ServerTls()
+    async with AsyncExitStack() as stack:
+        servers = [make_server(make_app(state), platform, plain, 1)]
+        for service, target in target_by_service.items():
+            address = nodes[service].target
+            servers.append(make_server(target, address, plain, 1))
+        await stack.enter_async_context(serving(*servers))
+        for service, node in nodes.items():
+            path = folder / f'{service}.ini'
+            path.write_text(node.settings(platform, more), encoding='utf-8')
+            await stack.enter_async_context(running(node, path))
+        async with asyncio.timeout(10):
+            while not all(map(_is_ready, nodes.values())):
+                await asyncio.sleep(0.02)
+        try:
+            yield nodes
+        finally:
+            # Ends the watches that the platform holds open.
+            state.control({'outage': True})
+
+
+def _is_ready(node):
+    runtime = node.parts.runtime
+    return runtime.is_serving and node.parts.rules_generation > 0
--- /dev/null
+++ b/tests/node/test_egress.py
@@ -0,0 +1,238 @@
+"""Targets that embed no library call others through their node."""
+
+import asyncio
+
+import aiohttp
+import orjson
+import pytest
+
+from tests.node.parts import answer, deployment, read_body
+
+CONTEXT = 'lovageshunt-context'
+
+
+class Shop:
+    """A raw target that calls stock through the egress of its node."""
+
+    def __init__(self):
+        """Call once for each request, and pass on what comes."""
+        self.egress = ''
+        self.paths = ('/stock/count?of=rice',)
+        self.headers = None
+        self.answer_headers = []
+        self.header = ''
+        self.calls = []
+        self.told = []
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request of the node."""
+        await read_body(receive)
+        got = {name.decode(): text.decode() for name, text in scope['headers']}
+        if scope['path'] in ('/health', '/load'):
+            await answer(send, 404)
+            return
+        self.header = got[CONTEXT]
+        for path in self.paths:
+            status, body = await self.call(path)
+        await answer(send, status, body, self.answer_headers)
+
+    async def call(self, path):
+        """Make one call as any HTTP client does."""
+        headers = self.headers
+        if headers is None:
+            headers = {CONTEXT: self.header}
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(
+                f'http://{self.egress}{path}', headers=headers
+            ) as reply,
+        ):
+            self.told.append(reply)
+            return reply.status, await reply.read()
+
+
+class Stock:
+    """A raw target that answers, fails or hangs."""
+
+    def __init__(self):
+        """Begin with answering."""
+        self.status = 200
+        self.contexts = []
+        self.paths = []
+        self.seconds = 0
+        self.cancelled = asyncio.Event()
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request of the node."""
+        await read_body(receive)
+        if scope['path'] in ('/health', '/load'):
+            await answer(send, 404)
+            return
+        got = {name.decode(): text.decode() for name, text in scope['headers']}
+        self.contexts.append(orjson.loads(got[CONTEXT]))
+        self.paths.append((scope['path'], scope['query_string']))
+        if self.seconds:
+            message = await receive()
+            assert message['type'] == 'http.disconnect'
+            self.cancelled.set()
+            return
+        await answer(send, self.status, b'{"rice": 3}')
+
+
+@pytest.fixture
+def shop():
+    """Return the target that calls."""
+    return Shop()
+
+
+@pytest.fixture
+def stock():
+    """Return the target that is called."""
+    return Stock()
+
+
+@pytest.fixture
+def nodes(tmp_path, shop, stock):
+    """Return how to run both nodes."""
+    return deployment(tmp_path, {'shop': shop, 'stock': stock})
+
+
+async def ask(nodes, shop, **headers):
+    """Send one request to the shop as a caller without the library does."""
+    shop.egress = nodes['shop'].egress
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(
+            f'http://{nodes["shop"].ingress}/basket',
+            headers={
+                name.replace('_', '-'): text for name, text in headers.items()
+            },
+        ) as reply,
+    ):
+        said = orjson.loads(reply.headers['lovageshunt-answer'])
+        return reply.status, said, await reply.read()
+
+
+@pytest.mark.asyncio
+class TestEgress:
+    """The node makes the calls of its target."""
+
+    async def test_whole_answer(self, nodes, shop, stock):
+        """A call below is answered whole and inherits the request."""
+        async with nodes as running:
+            status, said, body = await ask(running, shop)
+
+        assert (status, body) == (200, b'{"rice": 3}')
+        assert stock.paths == [('/count', b'of=rice')]
+        inner, outer = stock.contexts[0], orjson.loads(shop.header)
+        for name in ('request_id', 'importance', 'rank'):
+            assert inner[name] == outer[name]
+        assert (
+            orjson.loads(shop.told[0].headers['lovageshunt-answer'])['outcome']
+            == 'answered'
+        )
+
+    async def test_retries_are_divided(self, nodes, shop, stock):
+        """Calls that bring one context share its retries."""
+        shop.paths = ('/stock/count',) * 4
+        async with nodes as running:
+            await ask(running, shop)
+        shares = [context['retries_left'] for context in stock.contexts]
+
+        assert len(shares) == 4
+        assert 0 < sum(shares) <= orjson.loads(shop.header)['retries_left']
+
+    async def test_failure_is_typed(self, nodes, shop, stock):
+        """A failure below comes with its outcome and when to come back."""
+        stock.status = 500
+        async with nodes as running:
+            status, said, _ = await ask(running, shop)
+        reply = shop.told[0]
+
+        assert reply.status == 502
+        assert int(reply.headers['retry-after']) > 0
+        assert (
+            orjson.loads(reply.headers['lovageshunt-answer'])['outcome']
+            == 'failed'
+        )
+        assert said['outcome'] == 'failed'
+
+    async def test_gone_target_is_not_run(self, nodes, shop):
+        """A service that is not called by settings is refused with words."""
+        shop.paths = ('/prices/all',)
+        async with nodes as running:
+            status, _, body = await ask(running, shop)
+
+        assert status == 404
+        assert '[calls] services' in orjson.loads(body)['message']
+
+    async def test_without_context(self, nodes, shop, stock):
+        """A call without a context opens no root request of its own."""
+        shop.headers = {}
+        async with nodes as running:
+            status, _, body = await ask(running, shop)
+
+        assert status == 400
+        assert orjson.loads(body)['reason'] == 'malformed'
+        assert not stock.contexts
+
+    async def test_forged_context(self, nodes, shop, stock):
+        """A context that the node did not give is refused."""
+        async with nodes as running:
+            await ask(running, shop)
+            forged = orjson.loads(shop.header)
+            forged['importance'] = 0
+            shop.headers = {CONTEXT: orjson.dumps(forged).decode()}
+            status, _, body = await ask(running, shop)
+
+        assert status == 403
+        assert orjson.loads(body)['reason'] == 'forbidden'
+        assert len(stock.contexts) == 1
+
+    async def test_not_run_is_not_claimed(self, nodes, shop, stock):
+        """A target that has called others cannot state that nothing ran."""
+        shop.answer_headers = [(b'lovageshunt-not-run', b'1')]
+        async with nodes as running:
+            _, said, _ = await ask(running, shop)
+
+        assert len(stock.contexts) == 1
+        assert said['outcome'] == 'failed'
+
+    async def test_late_call(self, nodes, shop, stock):
+        """A call that comes after its request is over is refused."""
+        async with nodes as running:
+            await ask(running, shop)
+            status, _ = await shop.call('/stock/count')
+
+        assert status == 403
+        assert len(stock.contexts) == 1
+
+    async def test_abandoned_request(self, nodes, shop, stock):
+        """When the caller goes away, the call below is cancelled."""
+        stock.seconds = 5
+        async with nodes as running:
+            asking = asyncio.create_task(ask(running, shop))
+            while not stock.contexts:
+                await asyncio.sleep(0.01)
+            asking.cancel()
+            async with asyncio.timeout(2):
+                await stock.cancelled.wait()
+
+        assert len(stock.contexts) == 1
+
+    async def test_target_hangs_up(self, nodes, shop, stock):
+        """When the target drops its call, the call below is cancelled."""
+        stock.seconds = 5
+        async with nodes as running:
+            asking = asyncio.create_task(ask(running, shop))
+            while not stock.contexts:
+                await asyncio.sleep(0.01)
+            dropped = asyncio.create_task(shop.call('/stock/count'))
+            while len(stock.contexts) < 2:
+                await asyncio.sleep(0.01)
+            dropped.cancel()
+            async with asyncio.timeout(2):
+                await stock.cancelled.wait()
+            asking.cancel()
+
+        assert len(stock.contexts) == 2
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -63,6 +63,12 @@
             ('127.0.0.1:8101', '127.0.0.1', ('listen', 'ingress'), 'correct'),
             ('1:8102', '1:8101', ('listen', 'admin'), 'own port'),
             ('127.0.0.1:8102', '10.0.0.1:1', ('listen', 'admin'), 'token'),
+            (
+                '[target]',
+                'egress=10.0.0.1:1\n[target]',
+                ('listen', 'egress'),
+                '127',
+            ),
             ('[calls]', '[logs]\nlevel = loud', ('logs', 'level'), 'correct'),
             (
                 '[calls]',
