Settle anew after a suspension as long as peers remember

A node frozen for longer than the retention time was forgotten by its peers, and took first attempts again two seconds after it woke; a resend elsewhere did not ask it and ran the call again. Shown by a scene that failed before.

--- a/src/lovageshunt/idempotency/_events.py
+++ b/src/lovageshunt/idempotency/_events.py
@@ -187,7 +187,8 @@
     """Every listed peer confirmed that it lists this node's incarnation.
 
     Until then an inquiry elsewhere may miss this node, so it takes no first
-    attempt unless it is the only node listed.
+    attempt unless it is the only node listed. It is told again after a
+    suspension of the retention time or longer.
     """
 
     __slots__ = ()
--- a/src/lovageshunt/idempotency/_inquiring.py
+++ b/src/lovageshunt/idempotency/_inquiring.py
@@ -180,9 +180,12 @@
     """Trust nothing that was read before the gap.
 
     Messages may have waited in the process's own buffers, so entries are
-    kept for as long as it was suspended beyond their time.
+    kept for as long as it was suspended beyond their time. After a gap as
+    long as peers remember who departed, the node must settle anew.
     """
     state.epoch += 1
+    if state.settings.retention_seconds <= event.gap_seconds:
+        state.settled_at = None
     state.cautious_until = now + state.settings.caution_seconds
     for entry in state.entry_by_key.values():
         entry.expires_at += event.gap_seconds
--- a/tests/idempotency/test_safeguards.py
+++ b/tests/idempotency/test_safeguards.py
@@ -124,6 +124,15 @@
         return [] if isinstance(event, Woke) else super().handle(event, now)
 
 
+class _WithoutSettlingAnew(_Naive):
+    def handle(self, event, now):
+        settled_at = self._state.settled_at
+        actions = super().handle(event, now)
+        if isinstance(event, Woke):
+            self._state.settled_at = settled_at
+        return actions
+
+
 class _Scene:
     """Three nodes and one caller."""
 
@@ -254,6 +263,20 @@
     return scene
 
 
+def _purchase_at_a_forgotten_node(factory):
+    scene = _Scene(factory)
+    frozen = scene.fleet.by_name['a']
+    scene.fleet.freeze(frozen)
+    scene.learn(hidden='a')
+    scene.fleet.now += 1000
+    scene.fleet.thaw(frozen)
+    scene.fleet.now += 60
+    scene.caller.born_at = scene.fleet.now
+    scene.arrive(scene.send('a'))
+    scene.arrive(scene.send('b'))
+    return scene
+
+
 _SCENES = (
     (_WithoutInquiry, _resend_elsewhere),
     (_WithoutPromise, _late_first_attempt),
@@ -265,6 +288,7 @@
     (_WithoutSettling, _node_that_nobody_lists),
     (_WithoutRank, _two_resends_at_once),
     (_WithoutWaking, _wake_after_long),
+    (_WithoutSettlingAnew, _purchase_at_a_forgotten_node),
 )
 
 
