--- a/bench/run_once/_fleet.py
+++ b/bench/run_once/_fleet.py
@@ -15,6 +15,7 @@
     Refused,
     Settled,
     StoredAnswer,
+    WaiterCancelled,
     Woke,
 )
 
@@ -31,10 +32,12 @@
         super().__init__()
         self.published: list[HomeStamp] = []
         self._factory = factory
+        self._started = 0
 
     def start(self, name: str, *, is_old: bool = False) -> Machine:
         """Put a fresh node at a name, in place of any earlier one."""
-        home = HomeStamp(node=name, incarnation=f'{name}-{self.now}')
+        self._started += 1
+        home = HomeStamp(node=name, incarnation=f'{name}{self._started}')
         born_at = self.now - _OLD_SECONDS if is_old else self.now
         machine = Machine(home, self._factory(home, born_at))
         self.by_name[name] = machine
@@ -113,6 +116,11 @@
         )
         self.tell(machine, refused)
 
+    def cancel(self, machine: Machine, call_id: str) -> None:
+        """Let the caller of a queued call go away."""
+        machine.queue.remove(call_id)
+        self.tell(machine, WaiterCancelled(call_id=call_id))
+
     def finish(
         self,
         machine: Machine,
--- a/bench/run_once/_network.py
+++ b/bench/run_once/_network.py
@@ -16,7 +16,7 @@
 from lovageshunt.calls import HomeStamp, Outcome
 
 _DEADLINE_SECONDS = 5
-_TRANSIT_SECONDS = 10
+_TRANSIT_SECONDS = 5
 _MS_PER_SECOND = 1000
 
 
@@ -34,8 +34,9 @@
         self.by_name: dict[str, Machine] = {}
         self.messages: list[Message] = []
         self.executions: Counter[str] = Counter()
-        self.inquiries = 0
+        self.question: run_once.Inquire | None = None
         self.on_answer: Callable[[str, Outcome], None] = _ignore
+        self.on_unsent: Callable[[str], None] = _ignore_unsent
 
     def send(self, message: Message) -> None:
         """Put a message on its way."""
@@ -51,6 +52,8 @@
         if machine.frozen_at is not None:
             machine.held.append(message)
             return
+        if isinstance(message, InquiryMessage):
+            self.question = message.question
         self.tell(machine, _event_of(message, machine, self.now))
 
     def reach(self, machine: Machine, home: HomeStamp) -> Machine | None:
@@ -68,8 +71,10 @@
     @deliver.register
     def _deliver_request(self, message: RequestMessage) -> None:
         machine = self.by_name.get(message.to)
-        is_late = self.now - message.sent_at > _TRANSIT_SECONDS
-        if machine is not None and not is_late:
+        if machine is None:
+            self._miss(message)
+            return
+        if self.now - message.sent_at <= _TRANSIT_SECONDS:
             self.receive(machine, message)
 
     @deliver.register
@@ -77,8 +82,8 @@
         asker = self.by_name.get(message.asker.node)
         if asker is None or asker.home != message.asker:
             return
-        peer = self.reach(asker, message.question.peer)
-        if peer is not None:
+        peer = self.by_name.get(message.question.peer.node)
+        if peer is not None and peer.side == asker.side:
             self.receive(peer, message)
             return
         failed = ReplyMessage(
@@ -98,6 +103,17 @@
     def _deliver_answer(self, message: AnswerMessage) -> None:
         self.on_answer(message.call_id, message.outcome)
 
+    def _miss(self, message: RequestMessage) -> None:
+        """Tell the sender that there was nobody to connect to."""
+        if not message.is_redirected:
+            self.on_unsent(message.call_id)
+            return
+        unknown = AnswerMessage(
+            call_id=message.call_id,
+            outcome=Outcome.UNKNOWN,
+        )
+        self.send(unknown)
+
 
 def age_ms_of(call_id: str, now: float) -> int:
     """Return the age of a request, from when its call id says it began."""
@@ -109,6 +125,10 @@
     """Drop an answer that nobody waits for."""
 
 
+def _ignore_unsent(call_id: str) -> None:
+    """Drop the news that an attempt did not leave."""
+
+
 @singledispatch
 def _event_of(
     message: Message,
@@ -234,6 +254,7 @@
         age_ms=age_ms_of(action.call_id, network.now),
         to=action.home.node,
         sent_at=network.now,
+        is_redirected=True,
     )
     network.send(redirected)
 
@@ -244,7 +265,6 @@
     machine: Machine,
     network: Network,
 ) -> None:
-    network.inquiries += 1
     network.send(InquiryMessage(asker=machine.home, question=action))
 
 
@@ -254,12 +274,10 @@
     machine: Machine,
     network: Network,
 ) -> None:
-    question = run_once.Inquire(
-        key=action.key,
-        peer=machine.home,
-        age_ms=0,
-        number=action.number,
-    )
+    # The asker knows only which address it asked.
+    question = network.question
+    if question is None:
+        return
     reply = ReplyMessage(
         asker=action.asker,
         question=question,
--- a/src/lovageshunt/idempotency/_inquiring.py
+++ b/src/lovageshunt/idempotency/_inquiring.py
@@ -59,7 +59,7 @@
     inquiry = Inquiry(
         number=state.next_number(),
         due_at=now + state.settings.inquiry_seconds,
-        is_too_young=state.is_younger_than(entry.born_at),
+        is_witnessed=state.is_settled_for(entry.born_at),
         digest=digest_of(asked | {state.me}),
     )
     inquiry.cover(state.expiry_by_leaver)
@@ -90,22 +90,23 @@
     if entry is None:
         entry = state.create(event.key, born_at=born_at, now=now)
     if entry is None:
-        return [_reply(event, InquiryAnswer(claim=Claim.CANNOT_SAY))]
+        return [_reply(event, _plain_answer(state, Claim.CANNOT_SAY))]
     asker = identity_of(event.asker)
     if _is_held(state, entry, asker):
-        return [_reply(event, InquiryAnswer(claim=Claim.MINE))]
+        return [_reply(event, _plain_answer(state, Claim.MINE))]
     before = _promised_before(entry, asker)
     moved = []
     if entry.state != 'elsewhere':
         moved = yield_to(state, entry, asker)
-    is_too_young = state.is_younger_than(min(born_at, entry.born_at))
     suspects = state.suspects(event.gone, born_at=born_at, now=now)
     answer = InquiryAnswer(
-        claim=Claim.CANNOT_SAY if is_too_young else Claim.WILL_NOT_RUN,
+        claim=Claim.WILL_NOT_RUN,
+        answerer=stamp_of(state.me),
         home=before,
         refused_through=entry.refused_through,
         known=_unknown_to(event, state, suspects),
         covered=tuple(map(stamp_of, state.expiry_by_leaver)),
+        is_witness=state.is_settled_for(min(born_at, entry.born_at)),
     )
     return [_reply(event, answer), *moved]
 
@@ -120,10 +121,13 @@
     inquiry = None if entry is None else entry.inquiry
     if entry is None or inquiry is None or inquiry.number != event.number:
         return []
-    peer = identity_of(event.peer)
     answer = event.answer
+    peer = identity_of(answer.answerer)
     if answer.claim is Claim.MINE:
         return yield_to(state, entry, peer)
+    if answer.answerer != event.peer:
+        inquiry.fail([identity_of(event.peer)])
+        inquiry.ask([peer])
     inquiry.take(peer, answer)
     entry.refused_through = max(entry.refused_through, answer.refused_through)
     widened = set(map(identity_of, answer.known))
@@ -201,7 +205,7 @@
     # This incarnation answers at the address of the earlier ones.
     earlier = [each for each in fresh if each[0] == state.me[0]]
     inquiry.fail(earlier)
-    if not state.is_younger_than(entry.born_at):
+    if state.started_at < entry.born_at:
         inquiry.replace(state.me)
     return [
         Inquire(
@@ -289,6 +293,10 @@
     return stamp_of(entry.home)
 
 
+def _plain_answer(state: NodeState, claim: Claim) -> InquiryAnswer:
+    return InquiryAnswer(claim=claim, answerer=stamp_of(state.me))
+
+
 def _reply(event: Inquired, answer: InquiryAnswer) -> AnswerInquiry:
     return AnswerInquiry(
         key=event.key,
--- a/src/lovageshunt/idempotency/_records.py
+++ b/src/lovageshunt/idempotency/_records.py
@@ -95,7 +95,7 @@
 
     ``WILL_NOT_RUN``: it did not run the call and promises not to.
     ``MINE``: the call is, was or may be run there. ``CANNOT_SAY``: it is too
-    young or too full to promise.
+    full to promise.
     """
 
     WILL_NOT_RUN = 'will_not_run'
@@ -106,30 +106,46 @@
 class InquiryAnswer(Record):
     """The answer of one node to an inquiry.
 
+    ``answerer`` is the node and incarnation that answers. A later one at the
+    address of the one that was asked has no word to give for it.
     ``home`` names the node to which the answering one gave its promise
     before. Attempts up to ``refused_through`` were told *not run*.
     ``known`` lists the nodes of the service that the answering one knows,
     unless the asker's digest of them is the same, and ``covered`` the
-    departed ones whose keys were handed to it.
+    departed ones whose keys were handed to it. ``is_witness`` is true when
+    it was settled before the call began, and so knows of every node that may
+    have taken its first attempt.
     """
 
-    __slots__ = ('claim', 'home', 'refused_through', 'known', 'covered')
+    __slots__ = (
+        'claim',
+        'answerer',
+        'home',
+        'refused_through',
+        'known',
+        'covered',
+        'is_witness',
+    )
 
     def __init__(
         self,
         *,
         claim: Claim,
+        answerer: HomeStamp,
         home: HomeStamp | None = None,
         refused_through: int = 0,
         known: tuple[HomeStamp, ...] = (),
         covered: tuple[HomeStamp, ...] = (),
+        is_witness: bool = False,
     ) -> None:
         """Take the claim and what the answering node knows beside."""
         self.claim = claim
+        self.answerer = answerer
         self.home = home
         self.refused_through = refused_through
         self.known = known
         self.covered = covered
+        self.is_witness = is_witness
 
 
 class HandedEntry(Record):
--- a/src/lovageshunt/membership/_view.py
+++ b/src/lovageshunt/membership/_view.py
@@ -10,6 +10,7 @@
     MembersChanged,
     OwnLeaveListed,
     Peer,
+    ReadList,
     peer_of,
 )
 from lovageshunt.membership._contacts import Contacts
@@ -34,7 +35,10 @@
 from lovageshunt.membership._vms import ListedVm, VmState
 
 #: A departure is told by its own node to this many times the usual peers.
-_OWN_LEAVE_FANOUT: Final = 3
+_OWN_LEAVE_FANOUT: Final = 2
+
+#: How often what is too old is looked for.
+_EXPIRE_SECONDS: Final = 10
 
 
 class MembershipView:
@@ -48,11 +52,11 @@
     __slots__ = (
         'own',
         '_settings',
-        '_rng',
         '_gossip',
         '_roster',
         '_listing',
         '_now',
+        '_expire_at',
     )
 
     def __init__(
@@ -73,15 +77,12 @@
         )
         self.own = own
         self._settings = settings
-        self._rng = rng
-        self._gossip = Gossip(contacts, settings, rng, now)
-        self._roster = Roster(
-            frozenset((own.service, *needed_services)),
-            settings,
-            self._gossip.facts,
-        )
+        services = frozenset((own.service, *needed_services))
+        self._gossip = Gossip(services, contacts, settings, rng, now)
+        self._roster = Roster(services, settings, self._gossip.facts)
         self._listing = Listing(own.name, settings.rollback_patience)
         self._now = now
+        self._expire_at = now + _EXPIRE_SECONDS
         self._gossip.learn(own, now)
 
     def members_of(self, service: str) -> Sequence[Member]:
@@ -125,12 +126,17 @@
             for name in sorted(self._roster.by_name.keys() - listed):
                 self._roster.list_gone(name, now)
         self._gossip.news.hear(now)
+        actions: list[Record] = []
         for news in reading.changes:
-            self._gossip.pass_on(news)
+            self._gossip.pass_on(news, now)
+            if news.state is VmState.LEAVING and news.name != self.own.name:
+                actions.append(self._gossip.warning_of(news, now))
         self._gossip.contacts.sample(
             peer_of(one) for one in vms if one.state is VmState.LIVE
         )
-        return (OwnLeaveListed(),) if reading.is_own_leave else ()
+        if reading.is_own_leave:
+            actions.append(OwnLeaveListed())
+        return actions
 
     @_handle.register
     def _on_list_news(
@@ -141,16 +147,20 @@
         news = event.news
         if not self._listing.hear(news):
             return ()
-        self._gossip.pass_on(news)
+        self._gossip.pass_on(news, now)
         if news.name == self.own.name:
+            if self._listing.has_read_past(news.revision):
+                # Late word of an earlier incarnation, or a restarted platform.
+                return (ReadList(is_watch=False),)
             is_own_leave = self._listing.is_own_leave(news.state, now)
             return (OwnLeaveListed(),) if is_own_leave else ()
         if not _concerns(self._roster, news):
             return ()
-        if news.state is VmState.GONE:
+        is_latest = self._listing.is_latest(news)
+        if news.state is not VmState.GONE:
+            self._roster.list_vm(_listed_vm(news), now, is_current=is_latest)
+        elif is_latest:
             self._roster.list_gone(news.name, now)
-        else:
-            self._roster.list_vm(_listed_vm(news), now, is_current=True)
         return ()
 
     @_handle.register
@@ -203,14 +213,15 @@
 
     @_handle.register
     def _on_digest(self, event: DigestReceived, now: float) -> Sequence[Record]:
-        services = self._roster.index.services
-        self._gossip.news.hear_age(event.digest.news_age_ms, now)
-        return self._gossip.answer(event.digest, services, now)
+        return self._gossip.answer(event.digest, self.own, now)
 
     @_handle.register
     def _on_ticked(self, event: Ticked, now: float) -> Sequence[Record]:
-        self._roster.expire(now)
-        self._gossip.expire(now, {self.own.name, *self._roster.by_name})
+        if now >= self._expire_at:
+            self._expire_at = now + _EXPIRE_SECONDS
+            self._roster.expire(now)
+            self._listing.expire(now)
+            self._gossip.expire(now, {self.own.name, *self._roster.by_name})
         actions: list[Record] = list(self._roster.due_probes(now))
         actions.extend(self._gossip.tell(self._settings.rumour_fanout, now))
         if self._gossip.is_digest_due(now):
@@ -232,6 +243,7 @@
     @_handle.register
     def _on_pause(self, event: PauseEnded, now: float) -> Sequence[Record]:
         self._roster.index.forget_signs()
+        self._gossip.contacts.forget_signs()
         return self._gossip.digest(self.own, self._roster.index, now)
 
 
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -1,12 +1,13 @@
 """Builds the parts of a node from its settings."""
 
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 from ssl import SSLContext, create_default_context
 from time import time
 from typing import Final
 
-from lovageshunt.account import Account
+from lovageshunt.account import Account, AccountKeeping, Peer
 from lovageshunt.admission import Admission, AdmissionSettings
 from lovageshunt.client import Transport
 from lovageshunt.clock import now
@@ -17,13 +18,14 @@
     new_incarnation,
 )
 from lovageshunt.node._admin import Admin
+from lovageshunt.node._call_meter import CallMeter
 from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
+from lovageshunt.node._fleet_view import FleetView
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._ingress import Ingress
 from lovageshunt.node._inquiries import Inquiries
-from lovageshunt.node._kept_accounts import KeptAccounts
 from lovageshunt.node._life import NodeLife
 from lovageshunt.node._outbox import Outbox
 from lovageshunt.node._peer_link import PeerLink
@@ -48,10 +50,19 @@
 class Assembly:
     """Every part of one node, put together."""
 
-    def __init__(self, settings: NodeSettings) -> None:
-        """Build the parts; nothing is opened yet."""
+    def __init__(
+        self,
+        settings: NodeSettings,
+        suppressed: Callable[[], int],
+    ) -> None:
+        """Build the parts; nothing is opened yet.
+
+        ``suppressed`` counts the logs held back.
+        """
         self._settings = settings
+        self._suppressed = suppressed
         self._build_links(Random())  # noqa: S311
+        self._build_meter()
         self._build_calls()
         self._build_reports()
         self.runtime = self._runtime()
@@ -74,10 +85,11 @@
             control=self._control,
             gate=self._gate,
             calls=self._calls,
-            account=self._account,
-            traces=self._traces,
+            meter=self._meter,
             max_body_bytes=self._settings.limits.body_bytes,
             observe=self.runtime.observe,
+            keep_account=self.runtime.keep_account,
+            calls_below=bool(self._settings.calls.services),
         )
         token = _token_of(self._settings.security)
         admin = Admin(self.runtime, self._reports, token)
@@ -102,13 +114,20 @@
         )
         self._link = PeerLink(self._transport, _token_of(settings.security))
         self._outbox = Outbox(self._identity, self._link)
-        self._control = Control(
+        fleet = FleetView(
             identity=self._identity,
             called_services=settings.calls.services,
             election=_election_of(settings, rng),
             outbox=self._outbox,
             rng=rng,
         )
+        self._control = Control(
+            identity=self._identity,
+            called_services=settings.calls.services,
+            fleet=fleet,
+            outbox=self._outbox,
+            rng=rng,
+        )
         self._platform = PlatformLoop(
             PlatformReader(
                 addresses=tuple(map(str, settings.platform.addresses)),
@@ -116,7 +135,31 @@
             ),
             self._control.tell,
         )
-        self._control.read_platform = self._platform.start
+        fleet.read_platform = self._platform.start
+
+    def _build_meter(self) -> None:
+        identity = self._identity
+        self._account = Account(identity.name, identity.incarnation, time())
+        self._keeping = AccountKeeping(
+            self._account,
+            Peer(
+                node=identity.name,
+                incarnation=identity.incarnation,
+                failure_domain=identity.failure_domain,
+            ),
+        )
+        self._metrics = Metrics(identity.name)
+        self._traces = Traces(
+            node=identity.name,
+            share=self._settings.traces.sample_ratio,
+            slow_seconds=_SLOW_SECONDS,
+        )
+        self._meter = CallMeter(
+            identity.service,
+            account=self._account,
+            traces=self._traces,
+            metrics=self._metrics,
+        )
 
     def _build_calls(self) -> None:
         settings = self._settings
@@ -137,27 +180,22 @@
             gate=self._gate,
             target=self._target,
             inquiries=self._inquiries,
+            meter=self._meter,
         )
 
     def _build_reports(self) -> None:
-        identity = self._identity
-        self._account = Account(identity.name, identity.incarnation, time())
-        self._kept = KeptAccounts()
         self._life = NodeLife()
-        self._traces = Traces(
-            node=identity.name,
-            share=self._settings.traces.sample_ratio,
-            slow_seconds=_SLOW_SECONDS,
-        )
         self._reports = Reports(
             control=self._control,
             gate=self._gate,
             account=self._account,
-            kept=self._kept,
+            kept=self._keeping.kept,
+            link=self._link,
             traces=self._traces,
-            metrics=Metrics(identity.name),
+            metrics=self._metrics,
             life=self._life,
             slots=self._settings.target.slots,
+            suppressed=self._suppressed,
         )
 
     def _runtime(self) -> Runtime:
@@ -168,8 +206,8 @@
             calls=self._calls,
             inquiries=self._inquiries,
             target=self._target,
-            account=self._account,
-            kept=self._kept,
+            keeping=self._keeping,
+            pauses=self._metrics.cell('lovageshunt_pauses_total'),
             settling=Settling(self._control, self._outbox, self._link),
             life=self._life,
             settle_seconds=self._settings.limits.settle_seconds,
--- a/src/lovageshunt/node/_reports.py
+++ b/src/lovageshunt/node/_reports.py
@@ -1,16 +1,16 @@
 """What operators read of a node, as plain content for JSON."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from time import time
 from typing import Any
 
-from lovageshunt.account import Account, AccountSnapshot
+from lovageshunt.account import Account, AccountSnapshot, KeptSnapshots, Role
 from lovageshunt.calls import LOWEST_IMPORTANCE, RANK_COUNT
 from lovageshunt.clock import now
 from lovageshunt.node._control import Control
 from lovageshunt.node._gate import Gate
-from lovageshunt.node._kept_accounts import KeptAccounts
 from lovageshunt.node._life import NodeLife
+from lovageshunt.node._peer_link import PeerLink
 from lovageshunt.observability import Metrics, Traces
 from lovageshunt.rules import Conflict
 
@@ -24,13 +24,15 @@
         control: Control,
         gate: Gate,
         account: Account,
-        kept: KeptAccounts,
+        kept: KeptSnapshots,
         traces: Traces,
         metrics: Metrics,
         life: NodeLife,
+        link: PeerLink,
         slots: int,
+        suppressed: Callable[[], int],
     ) -> None:
-        """Take the parts."""
+        """Take the parts; ``suppressed`` counts the logs held back."""
         self._control = control
         self._gate = gate
         self._account = account
@@ -39,6 +41,8 @@
         self._metrics = metrics
         self._life = life
         self._slots = slots
+        self._link = link
+        self._suppressed = suppressed
 
     def status(self) -> dict[str, Any]:
         """Return the node at a glance."""
@@ -85,8 +89,11 @@
         return {
             **self._names(),
             'account': self._account.snapshot(time()).as_dict(),
-            'callers': _dicts(self._kept.callers()),
-            'kept': _dicts(self._kept.nodes()),
+            'held_by_service': {
+                self._control.identity.service: self._gate.unanswered,
+            },
+            'callers': _dicts(self._kept.snapshots(Role.CALLER)),
+            'kept': _dicts(self._kept.snapshots(Role.NODE)),
         }
 
     def traces(self, some_id: str) -> dict[str, Any]:
@@ -108,8 +115,31 @@
         threshold.value = _shown_threshold(self._gate.threshold)
         generation = self._metrics.cell('lovageshunt_rules_generation')
         generation.value = self._generation()
+        sent = self._metrics.cell('lovageshunt_control_bytes_total', 'peers')
+        sent.value = self._link.sent_bytes
+        age = self._metrics.cell('lovageshunt_platform_read_age_seconds')
+        age.value = self._control.fleet.platform_age_seconds()
+        suppressed = self._metrics.cell('lovageshunt_logs_suppressed_total')
+        suppressed.value = self._suppressed()
+        self._export_members()
         return self._metrics.render(accepts)
 
+    def _export_members(self) -> None:
+        for service in self._control.services:
+            members = self._control.members(service)
+            suspects = sum(member.is_suspect for member in members)
+            count_by_state = {
+                'suspect': suspects,
+                'available': len(members) - suspects,
+            }
+            for state, count in count_by_state.items():
+                targets = self._metrics.cell(
+                    'lovageshunt_targets',
+                    service,
+                    state,
+                )
+                targets.value = count
+
     def _names(self) -> dict[str, Any]:
         identity = self._control.identity
         return {'node': identity.name, 'incarnation': identity.incarnation}
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -6,7 +6,13 @@
 from typing import Final
 
 from lovageshunt._record import Record
-from lovageshunt.account import Account
+from lovageshunt.account import (
+    AccountClosed,
+    AccountKeeping,
+    KeepingTick,
+    SnapshotHeard,
+    decode_snapshot,
+)
 from lovageshunt.admission import LoadReported
 from lovageshunt.clock import now
 from lovageshunt.idempotency import (
@@ -24,10 +30,10 @@
 from lovageshunt.node._gate_messages import LeaveBegun, TimePassed
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._inquiries import Inquiries, wait_for_answer
-from lovageshunt.node._kept_accounts import KeptAccounts
 from lovageshunt.node._life import NodeLife
 from lovageshunt.node._settling import Settling
 from lovageshunt.node._target import TargetLink
+from lovageshunt.observability import Cell
 from lovageshunt.retries import PeerReported
 
 #: The timer turns this often.
@@ -35,8 +41,7 @@
 #: A turn that is later than this was a pause.
 PAUSE_SLACK_SECONDS: Final = 1.0
 _LOAD_SECONDS: Final = 1.0
-_SNAPSHOT_SECONDS: Final = 30.0
-_SNAPSHOT_PEERS: Final = 2
+_ACCOUNTS_SECONDS: Final = 1.0
 _log = getLogger(__name__)
 
 
@@ -52,8 +57,8 @@
         calls: Calls,
         inquiries: Inquiries,
         target: TargetLink,
-        account: Account,
-        kept: KeptAccounts,
+        keeping: AccountKeeping,
+        pauses: Cell,
         settling: Settling,
         life: NodeLife,
         settle_seconds: float,
@@ -61,15 +66,15 @@
         leave_seconds: float,
         drain_seconds: float,
     ) -> None:
-        """Take the parts; ``run`` starts them."""
+        """Take the parts; ``pauses`` counts pauses, ``run`` starts all."""
         self.identity = identity
         self._control = control
         self._gate = gate
         self._calls = calls
         self._inquiries = inquiries
         self._target = target
-        self._account = account
-        self._kept = kept
+        self._keeping = keeping
+        self._pauses = pauses
         self._settling = settling
         self._life = life
         self._leave_seconds = leave_seconds
@@ -81,12 +86,12 @@
         )
         self._seen_at = now()
         self._load_at = now()
-        self._snapshot_at = now() + _SNAPSHOT_SECONDS
+        self._accounts_at = now()
         self._leaving = Event()
         self._is_settled = False
         self._transit_seconds = transit_seconds
         self._serves_from = now() + settle_seconds
-        control.leave = self.begin_leave
+        control.fleet.leave = self.begin_leave
 
     @property
     def state(self) -> str:
@@ -109,6 +114,7 @@
         gap = at - self._seen_at
         self._seen_at = at
         if self._epochs.observe(at):
+            self._pauses.value += 1
             _log.warning('the process was paused for %.1f s', gap)
             self._calls.handle(Woke(gap_seconds=gap))
             self._control.tell(PauseEnded())
@@ -122,15 +128,20 @@
         """Take what a peer sent."""
         self.observe()
         self._control.take(envelope)
-        if envelope.snapshot is not None:
-            self._kept.keep(envelope.snapshot)
+        for raw in envelope.snapshots:
+            self.keep_account(raw)
         if envelope.suspects:
             reported = PeerReported(reports=tuple(envelope.suspects))
             self._calls.handle(reported)
 
+    def keep_account(self, raw: bytes) -> None:
+        """Keep an account; raises ``MalformedSnapshotError``."""
+        snapshot = decode_snapshot(raw)
+        self._keeping.handle(SnapshotHeard(now=now(), snapshot=snapshot))
+
     async def inquired(self, question: Inquired) -> InquiryAnswer:
         """Return the answer to a peer's question about a call."""
-        peers = self._control.peers
+        peers = self._control.fleet.peers
         question.peers = peers.peers or ()
         question.gone = peers.gone(now())
         answer = self._inquiries.expect(
@@ -164,11 +175,11 @@
         self._control.tick()
         await self._settle()
         await self._read_load()
-        self._send_snapshot()
+        self._send_accounts()
         await sleep(TICK_SECONDS)
 
     async def _settle(self) -> None:
-        if self._life.state != 'settling' or not self._control.has_list:
+        if self._life.state != 'settling' or not self._has_list:
             return
         if not self._is_settled:
             self._is_settled = await self._settling.is_known_to_all(now())
@@ -180,6 +191,10 @@
             self._life.step('serve')
             _log.info('serving')
 
+    @property
+    def _has_list(self) -> bool:
+        return self._control.fleet.peers.peers is not None
+
     async def _read_load(self) -> None:
         if now() < self._load_at:
             return
@@ -192,12 +207,16 @@
             )
             self._calls.handle(reported)
 
-    def _send_snapshot(self) -> None:
-        if now() < self._snapshot_at:
+    def _send_accounts(self) -> None:
+        if now() < self._accounts_at:
             return
-        self._snapshot_at = now() + _SNAPSHOT_SECONDS
-        snapshot = self._account.snapshot(time())
-        self._control.send_snapshot(snapshot, _SNAPSHOT_PEERS)
+        self._accounts_at = now() + _ACCOUNTS_SECONDS
+        tick = KeepingTick(
+            now=now(),
+            wall_time=time(),
+            peers=self._control.keeping_peers(),
+        )
+        self._control.send_snapshots(self._keeping.handle(tick))
 
     @property
     def _in_progress(self) -> int:
@@ -208,9 +227,14 @@
         while self._must_stay(now() - left_at):
             await self._leaving_turn()
         self._calls.handle(Drained())
-        snapshot = self._account.snapshot(time(), is_final=True)
-        self._control.send_snapshot(snapshot, _SNAPSHOT_PEERS)
+        closed = AccountClosed(
+            now=now(),
+            wall_time=time(),
+            peers=self._control.keeping_peers(),
+        )
+        self._control.send_snapshots(self._keeping.handle(closed))
         await self._inquiries.flush()
+        await self._control.drain()
 
     async def _leaving_turn(self) -> None:
         self.observe()
--- a/src/lovageshunt/rules/_spread.py
+++ b/src/lovageshunt/rules/_spread.py
@@ -21,6 +21,7 @@
 from lovageshunt.rules._in_force import RulesInForce
 from lovageshunt.rules._messages import ManifestTold, VersionTold
 from lovageshunt.rules._outbox import Outbox
+from lovageshunt.rules._pace import Pace
 from lovageshunt.rules._settling import Settling
 from lovageshunt.rules._spread_settings import SpreadSettings
 
@@ -35,6 +36,8 @@
         '_settling',
         '_dialogue',
         '_exchange_at',
+        '_ask_at',
+        '_pace',
     )
 
     def __init__(
@@ -56,6 +59,8 @@
         )
         self._dialogue = Dialogue(rng, settings, rules, self._outbox)
         self._exchange_at: float = 0
+        self._ask_at: float = 0
+        self._pace = Pace(settings.ask_seconds)
 
     @property
     def sent_bytes(self) -> int:
@@ -98,11 +103,16 @@
         if now >= self._exchange_at:
             self._exchange_at = now + self._settings.exchange_seconds
             self._dialogue.tell_version()
-        self._dialogue.ask_parts()
+        if now >= self._ask_at:
+            self._ask_at = now + self._pace.next(self.rules.missing_now())
+            self._ask()
 
     def _settle(self, now: float) -> None:
         held = self._settling.end(now)
-        if not self._settling.is_over:
-            self._dialogue.ask_manifest(self._settings.settle_answers)
         if held is not None:
             self._dialogue.take_document(held, now)
+
+    def _ask(self) -> None:
+        if not self._settling.is_over:
+            self._dialogue.ask_manifest(self._settings.settle_answers)
+        self._dialogue.ask_parts()
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -18,6 +18,7 @@
 _START_SECONDS = 30.0
 _POLL_SECONDS = 0.1
 _STOP_SECONDS = 20.0
+_GIVEN_PORTS: set[int] = set()
 _FAILURE_DOMAINS = ('a', 'b', 'c')
 
 
@@ -246,8 +247,17 @@
     async def _until_up(self, url: str) -> None:
         async with asyncio.timeout(_START_SECONDS):
             while not await self._answers(url):
+                self._raise_if_ended()
                 await asyncio.sleep(_POLL_SECONDS)
 
+    def _raise_if_ended(self) -> None:
+        for vm in filter(_has_failed, self.vms):
+            logs = ''.join(
+                log.read_text(encoding='utf-8')
+                for log in self.folder.glob(f'{vm.name}.*.log')
+            )
+            raise RuntimeError(f'{vm.name} ended: {logs[-2000:]}')
+
     async def _answers(self, url: str) -> bool:
         try:
             async with self._client().get(url) as response:
@@ -297,10 +307,19 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+    """Return a loopback address that is free and was not given before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            port = probe.getsockname()[1]
+        if port not in _GIVEN_PORTS:
+            _GIVEN_PORTS.add(port)
+            return f'127.0.0.1:{port}'
+
+
+def _has_failed(vm: Vm) -> bool:
+    processes = (vm.node_process, vm.target_process)
+    return any(one and (one.returncode or 0) > 0 for one in processes)
 
 
 def _domain(index: int) -> str:
--- a/tests/idempotency/test_leaving.py
+++ b/tests/idempotency/test_leaving.py
@@ -3,12 +3,11 @@
 from lovageshunt.calls import RefusalReason
 from lovageshunt.idempotency import (
     AnswerInquiry,
-    Claim,
+    AnswerUnknown,
     Completed,
     Drained,
     HandedOver,
     Inquired,
-    InquiryAnswer,
     InquiryFailed,
     Leaving,
     Replay,
@@ -24,6 +23,7 @@
     NOW,
     dispatch,
     promise,
+    refuse,
     requested,
 )
 from tests.only import only
@@ -40,6 +40,23 @@
 
         assert refusal.reason is RefusalReason.LEAVING
 
+    def test_old_resend_is_unknown_at_a_leaving_node(self, node):
+        """It may have run here and been forgotten."""
+        node.handle(Leaving(), NOW)
+        old = requested('x', 2, stamp=ME, age_ms=901_000)
+
+        assert isinstance(only(node.handle(old, NOW)), AnswerUnknown)
+
+    def test_leaving_node_does_not_take_up_what_it_refused(self, node):
+        """Its heirs were told that the call did not run."""
+        node.handle(requested('x', 2, stamp=ME), NOW)
+        refuse(node)
+        node.handle(Drained(), NOW)
+
+        answer = only(node.handle(requested('y', 3, stamp=ME), NOW))
+
+        assert isinstance(answer, AnswerUnknown)
+
     def test_heir_answers_for_the_leaver(self, node):
         """A resend reads the outcome that was handed over."""
         node.handle(requested('x', 1), NOW)
@@ -62,14 +79,12 @@
 
     def test_heir_covers_the_leaver(self, node):
         """An inquiry succeeds though the leaver cannot be asked."""
-        covering = InquiryAnswer(
-            claim=Claim.WILL_NOT_RUN,
-            covered=(HIGHER,),
-        )
         node.handle(requested('x', 2), NOW)
         node.handle(InquiryFailed(key='k', peer=HIGHER, number=1), NOW)
 
-        assert promise(node, LOWER, answer=covering) == [Run(call_id='x')]
+        actions = promise(node, LOWER, covered=(HIGHER,))
+
+        assert actions == [Run(call_id='x')]
 
     def test_answer_names_the_covered(self, node):
         """An heir tells askers whose keys it has."""
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -5,13 +5,19 @@
 from lovageshunt.membership import (
     Announce,
     LeaveStarted,
+    ListedVm,
+    ListNews,
+    ListNewsHeard,
     MembersChanged,
     MembershipView,
+    OwnLeaveListed,
     PeerAnswered,
     PeerSilent,
     Probe,
+    ReadList,
     Ticked,
     VmState,
+    wire_bytes,
 )
 from tests.membership.builders import listed, reading_of, said, word
 
@@ -129,6 +135,91 @@
         assert departed(view) == ['a']
 
 
+class TestListNews:
+    """What a reader of the platform passes on."""
+
+    def test_listed_leave_is_told_to_the_vm(self) -> None:
+        """A VM that is newly listed as leaving is told so at once."""
+        view = new_view()
+        view.handle(reading_of(1, listed('a'), listed('b')), 0)
+        reading = reading_of(2, listed('a', VmState.LEAVING), listed('b'))
+        told = view.handle(reading, 1)[0]
+        assert isinstance(told, Announce)
+        assert told.peer.address == 'a:2'
+        assert told.bulletin.list_news == [
+            ListNews(
+                revision=2,
+                **listed('a', VmState.LEAVING).as_dict(),
+            ),
+        ]
+
+    def test_told_vm_leaves(self) -> None:
+        """A VM that is told of its listed leave asks to leave, once."""
+        view = new_view()
+        own = listed('own').as_dict() | {'service': 'balances'}
+        view.handle(reading_of(1, ListedVm(**own)), 0)
+        own['state'] = VmState.LEAVING
+        news = ListNewsHeard(ListNews(revision=2, **own))
+        assert view.handle(news, 1) == [OwnLeaveListed()]
+        assert view.handle(news, 1) == []
+
+    def test_late_news_of_an_earlier_incarnation(self) -> None:
+        """News older than the list that was read is checked, not believed."""
+        view = new_view()
+        own = listed('own').as_dict() | {'service': 'balances'}
+        view.handle(reading_of(5, ListedVm(**own)), 0)
+        own['state'] = VmState.LEAVING
+        news = ListNewsHeard(ListNews(revision=4, **own))
+        assert view.handle(news, 1) == [ReadList(is_watch=False)]
+        assert view.handle(reading_of(4, ListedVm(**own)), 2) == []
+
+    def test_own_leave_listed_at_the_start(self) -> None:
+        """A node that starts waits whether the list repeats its leave."""
+        view = new_view()
+        own = listed('own', VmState.LEAVING).as_dict()
+        own['service'] = 'balances'
+        assert view.handle(reading_of(1, ListedVm(**own)), 1) == []
+        assert OwnLeaveListed() in view.handle(
+            reading_of(2, ListedVm(**own)),
+            40,
+        )
+
+
+class TestExchange:
+    """Whom news is told, and how much of it."""
+
+    def test_peers_of_each_failure_domain(self) -> None:
+        """Half of the peers are of the own failure domain, and some of each."""
+        view = new_view()
+        vms = [
+            listed(f'{domain}-{index}', failure_domain=domain)
+            for domain in ('fd1', 'fd2', 'fd3')
+            for index in range(9)
+        ]
+        view.handle(reading_of(1, *vms), 0)
+        peers = view.peers_for_exchange(6)
+        domains = sorted(peer.failure_domain for peer in peers)
+        assert domains[:3] == ['fd1', 'fd1', 'fd1']
+        assert {'fd2', 'fd3'} <= set(domains)
+
+    def test_budget(self) -> None:
+        """However much there is to tell, the byte budget is kept."""
+        view = new_view()
+        view.handle(
+            reading_of(1, *(listed(f'x{index}') for index in range(9))), 0
+        )
+        sent = 0
+        for turn in range(400):
+            actions = view.handle(word(f'v{turn}', age_ms=turn), turn / 10)
+            actions += view.handle(Ticked(), turn / 10)
+            sent += sum(
+                wire_bytes(action.bulletin) + 250
+                for action in actions
+                if isinstance(action, Announce)
+            )
+        assert 30_000 < sent < 8000 + 40 * 1000
+
+
 class TestStaleList:
     """A list whose revision went back."""
 
