Ask far levels to come back later

A caller that refuses by a remembered threshold asked for the same wait from all. The wait now grows with the importances between level and threshold, so the last to be admitted again does not ask first; the test fails on the constant wait. The spread by rank stood twice and is now in one place.

--- a/src/lovageshunt/admission/_caller.py
+++ b/src/lovageshunt/admission/_caller.py
@@ -4,11 +4,13 @@
 from typing import Final
 
 from lovageshunt._record import Record
+from lovageshunt.admission._advice import advised_wait_ms
 from lovageshunt.admission._levels import OPEN_THRESHOLD, is_refused
 from lovageshunt.admission._settings import CallerSettings
 from lovageshunt.calls import RANK_COUNT
 
-_MS_PER_SECOND: Final = 1000
+#: More doublings would open any threshold long before.
+_MOST_DOUBLINGS: Final = 30
 
 
 class _Heard(Record):
@@ -58,13 +60,17 @@
             self._needs_by_kind.pop(next(iter(self._needs_by_kind)))
 
     def verdict(self, service: str, level: int, now: float) -> int | None:
-        """Return when to come back in ms, or nothing if the call may go."""
+        """Return when to come back in ms, or nothing if the call may go.
+
+        The wait grows with the importances between level and threshold: the
+        last to be admitted again need not ask first.
+        """
         threshold = int(self._threshold(service, now))
         if not is_refused(level, threshold, self._settings.floor_ranks):
             return None
-        spread = 0.5 + level % RANK_COUNT / RANK_COUNT
-        seconds = self._settings.retry_after_seconds * spread
-        return max(1, int(seconds * _MS_PER_SECOND))
+        distance = 1 + max(0, level - threshold) / RANK_COUNT
+        seconds = self._settings.retry_after_seconds * distance
+        return advised_wait_ms(seconds, level)
 
     def verdict_of_kind(self, kind: str, level: int, now: float) -> int | None:
         """Return the verdict of all services that the kind needs."""
@@ -107,6 +113,8 @@
         silence = now - heard.heard_at - self._settings.hold_seconds
         if silence <= 0:
             return heard.threshold
-        doublings = min(silence / self._settings.doubling_seconds, 30)
+        doublings = min(
+            silence / self._settings.doubling_seconds, _MOST_DOUBLINGS
+        )
         risen = self._settings.probe_ranks * 2**doublings
         return min(OPEN_THRESHOLD, heard.threshold + risen)
--- a/src/lovageshunt/admission/_control.py
+++ b/src/lovageshunt/admission/_control.py
@@ -2,14 +2,11 @@
 
 from typing import Final
 
+from lovageshunt.admission._advice import advised_wait_ms
 from lovageshunt.admission._limit import ConcurrencyLimit
 from lovageshunt.admission._settings import AdmissionSettings
 from lovageshunt.admission._threshold import ThresholdController
-from lovageshunt.calls import RANK_COUNT
 
-_MS_PER_SECOND: Final = 1000
-#: The least share of the advised wait; the rank adds up to 1.
-_LEAST_SPREAD: Final = 0.5
 #: A gap of more windows than this between two events is a pause.
 _PAUSE_WINDOWS: Final = 10
 #: The share of busy slots below which the finished calls say too little.
@@ -99,12 +96,11 @@
 
     def retry_after_ms(self, level: int) -> int:
         """Return when a refused call should come back, spread by its rank."""
-        spread = _LEAST_SPREAD + level % RANK_COUNT / RANK_COUNT
         seconds = min(
             self._settings.retry_after_seconds * self._levels.pressure,
             self._settings.most_retry_after_seconds,
         )
-        return max(1, int(seconds * spread * _MS_PER_SECOND))
+        return advised_wait_ms(seconds, level)
 
     def advance(self, now: float, *, running: int, waiting: int) -> None:
         """Take what ran until now and close the window if it is over."""
--- a/tests/admission/test_caller.py
+++ b/tests/admission/test_caller.py
@@ -32,6 +32,13 @@
         assert thresholds.verdict('records', LOW, 0) > 0
         assert thresholds.verdict('records', HIGH, 0) is None
 
+    def test_far_levels_come_back_later(self):
+        """The wait grows with the distance from the threshold."""
+        thresholds = told(2 * RANK_COUNT)
+
+        near = thresholds.verdict('records', 3 * RANK_COUNT + HIGH, 0)
+        assert thresholds.verdict('records', LOW, 0) > near
+
     def test_silent_service_is_tried_again(self):
         """Without answers the threshold opens, the lower levels first."""
         thresholds = told(0)
