Let the benchmark's watch tell at once what changed since the last read

The driver's platform had let a watch wait although the list had changed while the reader paused between two watches; the real one compares revisions. The decisions are unchanged. 'costs' prints the table of events alone.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -1,6 +1,7 @@
 """What membership costs, and how fast a departure is known.
 
-Run ``python -m bench.membership``, with fleet sizes to measure only those.
+Run ``python -m bench.membership``, with fleet sizes to measure only those, or
+with ``costs`` to measure only what an event costs.
 """
 
 import gc
@@ -33,6 +34,7 @@
 )
 
 _SIZES: Final = (50, 200, 800, 2600)
+_COSTS_ONLY: Final = 'costs'
 _SETTLE_SECONDS: Final = 180
 _IDLE_SECONDS: Final = 30
 _DEPARTURES: Final = 6
@@ -258,8 +260,10 @@
 
 def main() -> None:
     """Print the tables; sizes may be given on the command line."""
-    sizes = [int(size) for size in sys.argv[1:]] or _SIZES
+    arguments = sys.argv[1:] or _SIZES
     _print(('| event | µs |', '| --- | ---: |', *CostTable().rows()))
+    if _COSTS_ONLY in arguments:
+        return
     _print(
         (
             '',
@@ -267,8 +271,8 @@
             _table_row(*('---:' for _ in _SPREAD_HEADINGS)),
         ),
     )
-    for size in sizes:
-        _print((Spread(size).row(),))
+    for size in arguments:
+        _print((Spread(int(size)).row(),))
 
 
 if __name__ == '__main__':
--- a/bench/membership_fleet.py
+++ b/bench/membership_fleet.py
@@ -56,7 +56,15 @@
 class Node:
     """One node of the fleet: what it decides and what was counted of it."""
 
-    __slots__ = ('own', 'needed', 'view', 'election', 'sent_bytes', 'is_up')
+    __slots__ = (
+        'own',
+        'needed',
+        'view',
+        'election',
+        'sent_bytes',
+        'read_revision',
+        'is_up',
+    )
 
     def __init__(
         self,
@@ -81,6 +89,7 @@
             now=now,
         )
         self.sent_bytes = 0
+        self.read_revision = 0
         self.is_up = True
 
     def handle(self, event: Record, now: float) -> list[Record]:
@@ -217,6 +226,7 @@
                 self.tell(node, ListReadFailed())
                 return
             vms = list(self.listed.values())
+            node.read_revision = self.revision
             self.tell(node, ListRead(VmList(revision=self.revision, vms=vms)))
 
         return answer
@@ -235,7 +245,8 @@
 
     def _read(self, node: Node, *, is_watch: bool) -> None:
         self.reads_by_second[int(self.now)] += 1
-        if not is_watch or not self.platform_is_up:
+        is_behind = node.read_revision < self.revision
+        if not is_watch or is_behind or not self.platform_is_up:
             self._after(_PLATFORM_SECONDS, self._answer_of(node))
             return
         self._watches.append(node)
