Settle anew after a long pause; tell equal purchases apart in quarantine

Peers may forget a node that was paused beyond the retention time, and its run-once table then takes no first attempts until all confirm it again. A call that is sent on to its home is as old as the time it was held here.

--- a/src/lovageshunt/node/_border.py
+++ b/src/lovageshunt/node/_border.py
@@ -101,10 +101,16 @@
     return Ok(Admissible(context=context, rule=rule, is_external=False))
 
 
-def fingerprint_of(inbound: Inbound) -> str:
-    """Return what requests of the same content have in common."""
-    head = f'{inbound.method} {inbound.target} '.encode()
-    return xxh3_64_hexdigest(head + inbound.body)
+def fingerprint_of(inbound: Inbound, admissible: Admissible) -> str:
+    """Return what requests of the same content have in common.
+
+    A call that must not repeat stands for itself alone: another of the same
+    content is another purchase, not a resend.
+    """
+    head = f'{inbound.method} {inbound.target} '
+    if not admissible.rule.is_repeatable:
+        head = f'{head}{admissible.context.call_id} '
+    return xxh3_64_hexdigest(head.encode() + inbound.body)
 
 
 def stated_ending(admissible: Admissible, ending: Ending) -> Ending:
--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -217,6 +217,7 @@
             call.admissible,
             action,
             seconds_left=call.deadline - now(),
+            held_seconds=now() - call.arrived_at,
         )
         self.handle(CallRedirected(ticket=call.ticket, ending=ending))
         self._by_ticket.pop(call.ticket, None)
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -151,7 +151,7 @@
             ticket=call.ticket,
             context=call.admissible.context,
             is_repeatable=call.admissible.rule.is_repeatable,
-            fingerprint=fingerprint_of(call.inbound),
+            fingerprint=fingerprint_of(call.inbound, call.admissible),
             deadline=call.deadline,
             peers=peers.peers,
             gone=peers.gone(call.arrived_at),
--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/_inquiries.py
@@ -147,8 +147,12 @@
         action: Redirect,
         *,
         seconds_left: float,
+        held_seconds: float,
     ) -> Ending:
-        """Send a call to its home and return how it ended there."""
+        """Send a call to its home and return how it ended there.
+
+        ``held_seconds`` is how long it was held here, and so adds to its age.
+        """
         address = self._control.fleet.ingress_address(action.home.node)
         if address is None:
             return _in_doubt()
@@ -156,7 +160,7 @@
             admissible.context,
             home=action.stamp,
             seconds_left=seconds_left,
-            elapsed_seconds=0,
+            elapsed_seconds=held_seconds,
             trace_parent=admissible.context.trace_parent,
         )
         context.attempt = action.attempt
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -90,6 +90,7 @@
         self._leaving = Event()
         self._is_settled = False
         self._transit_seconds = transit_seconds
+        self._settle_seconds = settle_seconds
         self._serves_from = now() + settle_seconds
         control.fleet.leave = self.begin_leave
 
@@ -118,6 +119,7 @@
             _log.warning('the process was paused for %.1f s', gap)
             self._calls.handle(Woke(gap_seconds=gap))
             self._control.tell(PauseEnded())
+            self._unsettle()
 
     def handle(self, event: Record) -> None:
         """Take an event about single calls."""
@@ -191,6 +193,17 @@
             self._life.step('serve')
             _log.info('serving')
 
+    def _unsettle(self) -> None:
+        """Have every peer confirm this node anew.
+
+        During a long pause peers may have forgotten it; until they confirm
+        it, it takes no first attempts of calls that must not repeat.
+        """
+        if self._life.step('settle'):
+            self._is_settled = False
+            self._settling.forget()
+            self._serves_from = now() + self._settle_seconds
+
     @property
     def _has_list(self) -> bool:
         return self._control.fleet.peers.peers is not None
--- a/src/lovageshunt/node/_settling.py
+++ b/src/lovageshunt/node/_settling.py
@@ -32,6 +32,11 @@
         self._confirmed: set[str] = set()
         self._next_round_at: float = 0
 
+    def forget(self) -> None:
+        """Take no earlier confirmation for granted."""
+        self._confirmed.clear()
+        self._next_round_at = 0
+
     async def is_known_to_all(self, now: float) -> bool:
         """Ask those that have not confirmed; say whether none is left."""
         if now < self._next_round_at:
