--- a/src/lovageshunt/node/_call.py
+++ b/src/lovageshunt/node/_call.py
@@ -21,6 +21,7 @@
         'deadline',
         'forwarded_at',
         'reply',
+        'replied',
         'target_reply',
         'forwarding',
     )
@@ -43,6 +44,8 @@
         self.arrived_at = arrived_at
         self.deadline = deadline
         self.forwarded_at: float | None = None
-        self.reply: Future[Reply] = get_running_loop().create_future()
+        self.reply: Reply | None = None
+        #: Set with the reply; the reply stays if a waiter cancels this.
+        self.replied: Future[None] = get_running_loop().create_future()
         self.target_reply: TargetReply | None = None
         self.forwarding: Task[None] | None = None
--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -39,7 +39,12 @@
 )
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._inquiries import Inquiries
-from lovageshunt.node._target import TargetLink, TargetReply, forwardable
+from lovageshunt.node._target import (
+    TargetLink,
+    TargetReply,
+    forwardable,
+    passing_headers,
+)
 from lovageshunt.observability import ActiveSpan
 from lovageshunt.retries import TellPeers
 
@@ -121,7 +126,9 @@
         call = self._by_ticket[action.ticket]
         # Counted here, so that the account and the gate agree at any moment.
         self._meter.ended(call, action)
-        call.reply.set_result(action)
+        call.reply = action
+        if not call.replied.done():
+            call.replied.set_result(None)
         if call.forwarding is None:
             self._by_ticket.pop(action.ticket)
 
@@ -256,6 +263,6 @@
         return None
     return StoredAnswer(
         status=whole.status,
-        headers=tuple(forwardable(whole.headers).items()),
+        headers=passing_headers(whole.headers),
         body=whole.body,
     )
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -3,7 +3,7 @@
 It is a bare ASGI application, because every layer here is paid by each call.
 """
 
-from asyncio import wait
+from asyncio import get_running_loop
 from collections.abc import Callable
 from typing import Final
 
@@ -123,12 +123,12 @@
             await _refuse(send, status, admissible.error)
             return
         call = self._begin(inbound, admissible.ok)
-        if not call.reply.done():
+        if call.reply is None:
             waiting = self._wait(call)
             if await until_disconnect(receive, waiting) is None:
                 self._calls.abandon(call, RefusalReason.CANCELLED)
                 return
-        await self._answer(call, call.reply.result(), send)
+        await self._answer(call, _reply_of(call), send)
 
     def _begin(
         self, inbound: Inbound, admissible: Admissible
@@ -157,13 +157,18 @@
             gone=peers.gone(call.arrived_at),
         )
 
-    async def _wait(self, call: CallInProgress) -> Reply:
-        # Unlike a timeout around the future, wait() never cancels it.
-        left = max(0, call.deadline - now())
-        done, _ = await wait((call.reply,), timeout=left)
-        if not done:
-            self._calls.abandon(call, RefusalReason.DEADLINE)
-        return call.reply.result()
+    async def _wait(self, call: CallInProgress) -> bool:
+        timer = get_running_loop().call_later(
+            max(0, call.deadline - now()),
+            self._calls.abandon,
+            call,
+            RefusalReason.DEADLINE,
+        )
+        try:
+            await call.replied
+        finally:
+            timer.cancel()
+        return True
 
     async def _answer(
         self,
@@ -244,6 +249,12 @@
     await respond(send, status=status, headers=[_JSON], body=body)
 
 
+def _reply_of(call: CallInProgress) -> Reply:
+    if call.reply is None:
+        raise RuntimeError('the gate replies to each call before it ends')
+    return call.reply
+
+
 def _unspent(call: CallInProgress) -> int:
     reply = call.target_reply
     if reply is None:
--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/_inquiries.py
@@ -45,7 +45,7 @@
     INQUIRY_PATH,
     PeerLink,
 )
-from lovageshunt.node._target import forwardable
+from lovageshunt.node._target import forwardable, passing_headers
 from lovageshunt.retries import SuspectReport
 
 _ANSWER_SECONDS: Final = 1.0
@@ -197,7 +197,7 @@
         reason=said.reason,
         answer=StoredAnswer(
             status=whole.status,
-            headers=tuple(forwardable(whole.headers).items()),
+            headers=passing_headers(whole.headers),
             body=whole.body,
         ),
     )
--- a/src/lovageshunt/node/_target.py
+++ b/src/lovageshunt/node/_target.py
@@ -175,6 +175,17 @@
     }
 
 
+def passing_headers(
+    headers: Mapping[str, str],
+) -> tuple[tuple[str, str], ...]:
+    """Return what passes of an answer's headers; names may repeat."""
+    return tuple(
+        (name, text)
+        for name, text in headers.items()
+        if name.lower() not in _HOP_HEADERS
+    )
+
+
 def _reply_of_loss(lost: ExchangeLost, is_repeatable: bool) -> TargetReply:
     if lost.is_unsent:
         return TargetReply(
--- a/tests/client/wire.py
+++ b/tests/client/wire.py
@@ -41,6 +41,7 @@
         """Take what is done about each request."""
         self._serve = serve
         self._connections = 0
+        self.address = ''
         self.arrivals: list[Arrival] = []
 
     @property
@@ -73,12 +74,13 @@
         backlog=_BACKLOG,
     )
     port = listener.sockets[0].getsockname()[1]
+    server.address = f'127.0.0.1:{port}'
     transport = Transport(max_body_bytes=max_body_bytes)
     await transport.start()
 
     async def send(target='/', timeout_seconds=5, headers=None):
         return await transport.send(
-            address=f'127.0.0.1:{port}',
+            address=server.address,
             method='GET',
             target=target,
             headers=headers or {},
