Serve by TLS end to end, and let only nodes exchange

The keys of [security] were read, but nothing went over TLS whole: a node showed no certificate to others, asked nobody for one, and an empty token file let everyone in.

Nodes now show their certificate to each other and check the other's. The admin side asks for certificates without requiring them, so that operators reach it with the authority and the token; exchange, inquiry and hand-over need one that was checked. Certificate, key and authority are given together or not at all. Files of no use end the start with a typed error.

Ruled out: requiring a certificate of everyone on the admin side, as then each operator needs one.

Left as it was: tokens were compared in constant time already, and an admin address beyond loopback without a token was a fault already.

--- a/src/lovageshunt/cli/_node.py
+++ b/src/lovageshunt/cli/_node.py
@@ -8,6 +8,7 @@
 from absl.flags import DEFINE_string, FlagValues
 
 from lovageshunt.cli._command import Command, ExitCode, write_error
+from lovageshunt.errors import SecurityFileError
 from lovageshunt.node import NodeDaemon
 from lovageshunt.observability import configure_logs
 from lovageshunt.settings import load_node_settings
@@ -32,6 +33,9 @@
     configure_logs(logs.level.upper(), int(logs.records_per_second))
     try:
         return ExitCode(asyncio.run(NodeDaemon(settings.ok).run()))
+    except SecurityFileError as error:
+        write_error(str(error))
+        return ExitCode.FAULTS
     except OSError as error:
         write_error(f'{error}; see that files and addresses are right')
         return ExitCode.FAILED
--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -255,3 +255,14 @@
             f'a message of a peer is malformed ({reason}); it is dropped, see '
             'that all nodes run versions that know each other',
         )
+
+
+class SecurityFileError(LovageshuntError):
+    """Raised when a file that ``[security]`` names is of no use."""
+
+    def __init__(self, key: str, path: str, reason: str) -> None:
+        """Name the key, its file and what is wrong with it."""
+        super().__init__(
+            f'[security] {key} = {path}: {reason}; give a file that this '
+            'process can read, in the form that docs/CONFIGURATION.md says',
+        )
--- a/src/lovageshunt/node/_admin.py
+++ b/src/lovageshunt/node/_admin.py
@@ -25,22 +25,38 @@
 )
 from lovageshunt.node._reports import Reports
 from lovageshunt.node._runtime import Runtime
+from lovageshunt.node._servers import PEER_IS_KNOWN
 
 _JSON: Final = 'application/json'
 _UNAUTHORIZED: Final = 401
+_FORBIDDEN: Final = 403
 _BAD_REQUEST: Final = 400
 _TOO_LARGE: Final = 413
 _UNAVAILABLE: Final = 503
 _ACCEPTED: Final = 202
 
+#: What only nodes send.
+_PEER_PATHS: Final = frozenset((EXCHANGE_PATH, INQUIRY_PATH, HAND_OVER_PATH))
+
 _Handler = Callable[[Request], Awaitable[Response]]
 
 
 class Admin:
     """Reads first; drain is the only write."""
 
-    def __init__(self, runtime: Runtime, reports: Reports, token: str) -> None:
-        """Keep the parts; an empty token lets everyone in."""
+    def __init__(
+        self,
+        runtime: Runtime,
+        reports: Reports,
+        *,
+        token: str,
+        needs_certificate: bool,
+    ) -> None:
+        """Keep the parts; an empty token lets everyone in.
+
+        With ``needs_certificate`` peers must show one of the authority.
+        """
+        self._needs_certificate = needs_certificate
         self._runtime = runtime
         self._reports = reports
         self._token = f'Bearer {token}' if token else ''
@@ -76,6 +92,12 @@
                     'the token is missing or wrong; send "authorization: '
                     'Bearer TOKEN" with the token of admin_token_file',
                 )
+            if not self._may_be_peer(request):
+                return _problem(
+                    _FORBIDDEN,
+                    'only nodes may send this; show a certificate of the '
+                    'authority_file',
+                )
             try:
                 return await handler(request)
             except (MalformedEnvelopeError, MalformedSnapshotError) as error:
@@ -89,6 +111,12 @@
             not self._token
         )
 
+    def _may_be_peer(self, request: Request) -> bool:
+        if not self._needs_certificate or request.url.path not in _PEER_PATHS:
+            return True
+        tls = request.scope.get('extensions', {}).get('tls', {})
+        return bool(tls.get(PEER_IS_KNOWN))
+
     async def _ready(self, request: Request) -> Response:
         if self._runtime.is_serving:
             return _json({'state': self._runtime.state})
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -1,8 +1,6 @@
 """Builds the parts of a node from its settings."""
 
-from pathlib import Path
 from random import Random
-from ssl import SSLContext, create_default_context
 from time import time
 from typing import Final
 
@@ -32,13 +30,19 @@
 from lovageshunt.node._platform_loop import PlatformLoop
 from lovageshunt.node._reports import Reports
 from lovageshunt.node._runtime import Runtime
+from lovageshunt.node._security import (
+    admin_tls,
+    client_tls,
+    ingress_tls,
+    read_token,
+)
 from lovageshunt.node._servers import EmbeddedServer, ServerTls, make_server
 from lovageshunt.node._settling import Settling
 from lovageshunt.node._target import TargetLink
 from lovageshunt.observability import Metrics, Traces
 from lovageshunt.platform import PlatformReader
 from lovageshunt.retries import Quarantine, QuarantineSettings
-from lovageshunt.settings import NodeSettings, SecuritySection
+from lovageshunt.settings import NodeSettings
 
 _SLOW_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
@@ -89,13 +93,27 @@
             keep_account=self.runtime.keep_account,
             calls_below=bool(self._settings.calls.services),
         )
-        token = _token_of(self._settings.security)
-        admin = Admin(self.runtime, self._reports, token)
-        tls = _server_tls(self._settings.security)
+        security = self._settings.security
+        admin = Admin(
+            self.runtime,
+            self._reports,
+            token=read_token(security),
+            needs_certificate=security.authority_file is not None,
+        )
         drain_seconds = int(self._settings.limits.drain_seconds)
         servers = [
-            make_server(ingress, self._identity.ingress, tls, drain_seconds),
-            make_server(admin.app(), self._identity.admin, tls, drain_seconds),
+            make_server(
+                ingress,
+                self._identity.ingress,
+                ingress_tls(security),
+                drain_seconds,
+            ),
+            make_server(
+                admin.app(),
+                self._identity.admin,
+                admin_tls(security),
+                drain_seconds,
+            ),
         ]
         egress_address = self._settings.listen.egress
         if egress_address is not None:
@@ -124,7 +142,7 @@
         self._identity = _identity_of(settings, rng)
         self._transport = Transport(
             max_body_bytes=body_bytes,
-            tls=_client_tls(settings.security),
+            tls=client_tls(settings.security),
         )
         self._plain = Transport(
             max_body_bytes=body_bytes,
@@ -132,7 +150,7 @@
         )
         self._engine = Engine(_options_of(settings), self._transport, rng)
         self._below = CallsBelow(self._engine)
-        self._link = PeerLink(self._transport, _token_of(settings.security))
+        self._link = PeerLink(self._transport, read_token(settings.security))
         self._outbox = Outbox(self._identity, self._link)
         fleet = FleetView(
             identity=self._identity,
@@ -300,23 +318,3 @@
         ),
         quarantine=Quarantine(QuarantineSettings()),
     )
-
-
-def _token_of(security: SecuritySection) -> str:
-    if security.admin_token_file is None:
-        return ''
-    path = Path(security.admin_token_file)
-    return path.read_text(encoding='utf-8').strip()
-
-
-def _client_tls(security: SecuritySection) -> SSLContext | None:
-    if security.authority_file is None:
-        return None
-    return create_default_context(cafile=security.authority_file)
-
-
-def _server_tls(security: SecuritySection) -> ServerTls:
-    return ServerTls(
-        certificate_file=security.certificate_file or '',
-        key_file=security.key_file or '',
-    )
--- /dev/null
+++ b/src/lovageshunt/node/_security.py
@@ -0,0 +1,72 @@
+"""Reads the files that settings name for the token and for TLS."""
+
+from pathlib import Path
+from ssl import SSLContext, SSLError, create_default_context
+
+from lovageshunt.errors import SecurityFileError
+from lovageshunt.node._servers import ServerTls
+from lovageshunt.settings import SecuritySection
+
+
+def read_token(security: SecuritySection) -> str:
+    """Return the admin token, or nothing if settings name no file.
+
+    Raises ``SecurityFileError`` for a file that cannot be read or is empty:
+    an empty token would let everyone in.
+    """
+    if security.admin_token_file is None:
+        return ''
+    name = security.admin_token_file
+    try:
+        token = Path(name).read_text(encoding='utf-8').strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise SecurityFileError('admin_token_file', name, str(error)) from error
+    if not token:
+        raise SecurityFileError('admin_token_file', name, 'it is empty')
+    return token
+
+
+def client_tls(security: SecuritySection) -> SSLContext | None:
+    """Return how this node asks others, or nothing without TLS.
+
+    It checks them against the authority and shows its own certificate.
+    Raises ``SecurityFileError``.
+    """
+    if security.authority_file is None or security.certificate_file is None:
+        return None
+    authority = security.authority_file
+    try:
+        tls = create_default_context(cafile=authority)
+    except (OSError, SSLError) as error:
+        raise SecurityFileError(
+            'authority_file',
+            authority,
+            str(error),
+        ) from error
+    certificate = security.certificate_file
+    try:
+        tls.load_cert_chain(certificate, security.key_file)
+    except (OSError, SSLError) as error:
+        raise SecurityFileError(
+            'certificate_file',
+            certificate,
+            str(error),
+        ) from error
+    return tls
+
+
+def ingress_tls(security: SecuritySection) -> ServerTls:
+    """Return how callers are served; they need no certificate."""
+    return ServerTls(
+        certificate_file=security.certificate_file or '',
+        key_file=security.key_file or '',
+    )
+
+
+def admin_tls(security: SecuritySection) -> ServerTls:
+    """Return how the admin side is served; it checks whoever shows one."""
+    return ServerTls(
+        certificate_file=security.certificate_file or '',
+        key_file=security.key_file or '',
+        authority_file=security.authority_file or '',
+    )
--- a/src/lovageshunt/settings/_load.py
+++ b/src/lovageshunt/settings/_load.py
@@ -35,7 +35,7 @@
     by_section = reader.read(NODE_TABLES)
     if by_section:
         _check_admin(reader, by_section)
-        _check_pair(reader, by_section['security'])
+        _check_tls(reader, by_section['security'])
         _check_listen(reader, by_section)
         _check_egress(reader, by_section['listen'])
     if reader.faults:
@@ -102,17 +102,17 @@
     )
 
 
-def _check_pair(reader: SettingsReader, security: dict[str, Any]) -> None:
-    names = ('certificate_file', 'key_file')
+def _check_tls(reader: SettingsReader, security: dict[str, Any]) -> None:
+    names = ('certificate_file', 'key_file', 'authority_file')
     given = [name for name in names if security[name] is not None]
-    if len(given) != 1:
+    if len(given) in {0, len(names)}:
         return
     reader.add(
         section='security',
         key=given[0],
         value=security[given[0]],
-        expected='both certificate_file and key_file, or neither',
-        remedy='add the other one, or remove this one',
+        expected='certificate_file, key_file and authority_file, or none',
+        remedy='add the others, or remove this one',
     )
 
 
--- a/tests/node/parts.py
+++ b/tests/node/parts.py
@@ -26,9 +26,10 @@
 class NodeParts:
     """One node: its addresses, and its parts once it runs."""
 
-    def __init__(self, service):
-        """Give the node free ports."""
-        self.service = service
+    def __init__(self, name):
+        """Give the node free ports; its name is SERVICE-NUMBER."""
+        self.name = name
+        self.service = name.rpartition('-')[0]
         self.ingress = free_address()
         self.admin = free_address()
         self.egress = free_address()
@@ -38,7 +39,7 @@
     def listing(self):
         """Return the node's entry in the published list."""
         return {
-            'name': f'{self.service}-1',
+            'name': self.name,
             'service': self.service,
             'failure_domain': 'a',
             'region': 'one',
@@ -50,7 +51,7 @@
     def settings(self, platform, more):
         """Return the node's settings as a file has them."""
         return (
-            f'[node]\nname={self.service}-1\nservice={self.service}\n'
+            f'[node]\nname={self.name}\nservice={self.service}\n'
             'failure_domain=a\nregion=one\n'
             f'[listen]\ningress={self.ingress}\nadmin={self.admin}\n'
             f'egress={self.egress}\n'
@@ -111,9 +112,9 @@
 
 
 @asynccontextmanager
-async def deployment(folder, target_by_service, more=''):
-    """Run a platform, and a node and a raw target for each service."""
-    nodes = {service: NodeParts(service) for service in target_by_service}
+async def deployment(folder, target_by_name, more=''):
+    """Run a platform, and a node and a raw target for each name."""
+    nodes = {name: NodeParts(name) for name in target_by_name}
     platform = free_address()
     state = PlatformState()
     state.publish('vms', [node.listing() for node in nodes.values()])
@@ -122,12 +123,12 @@
     plain = ServerTls()
     async with AsyncExitStack() as stack:
         servers = [make_server(make_app(state), platform, plain, 1)]
-        for service, target in target_by_service.items():
-            address = nodes[service].target
+        for name, target in target_by_name.items():
+            address = nodes[name].target
             servers.append(make_server(target, address, plain, 1))
         await stack.enter_async_context(serving(*servers))
-        for service, node in nodes.items():
-            path = folder / f'{service}.ini'
+        for name, node in nodes.items():
+            path = folder / f'{name}.ini'
             path.write_text(node.settings(platform, more), encoding='utf-8')
             await stack.enter_async_context(running(node, path))
         async with asyncio.timeout(10):
--- a/tests/node/test_egress.py
+++ b/tests/node/test_egress.py
@@ -5,6 +5,7 @@
 import aiohttp
 import orjson
 import pytest
+import pytest_asyncio
 
 from tests.node.parts import answer, deployment, read_body
 
@@ -79,31 +80,43 @@
         await answer(send, self.status, b'{"rice": 3}')
 
 
-@pytest.fixture
-def shop():
-    """Return the target that calls."""
-    return Shop()
+@pytest.fixture(scope='module')
+def targets():
+    """Return the target that calls and the one that is called."""
+    return Shop(), Stock()
+
+
+@pytest_asyncio.fixture(scope='module', loop_scope='module')
+async def nodes(tmp_path_factory, targets):
+    """Run the nodes of both targets."""
+    shop, stock = targets
+    folder = tmp_path_factory.mktemp('egress')
+    by_name = {'shop-1': shop, 'stock-1': stock}
+    async with deployment(folder, by_name) as running:
+        yield running
 
 
 @pytest.fixture
-def stock():
-    """Return the target that is called."""
-    return Stock()
+def shop(targets):
+    """Return the target that calls, as new."""
+    targets[0].__init__()
+    return targets[0]
 
 
 @pytest.fixture
-def nodes(tmp_path, shop, stock):
-    """Return how to run both nodes."""
-    return deployment(tmp_path, {'shop': shop, 'stock': stock})
+def stock(targets):
+    """Return the target that is called, as new."""
+    targets[1].__init__()
+    return targets[1]
 
 
 async def ask(nodes, shop, **headers):
     """Send one request to the shop as a caller without the library does."""
-    shop.egress = nodes['shop'].egress
+    shop.egress = nodes['shop-1'].egress
     async with (
         aiohttp.ClientSession() as session,
         session.get(
-            f'http://{nodes["shop"].ingress}/basket',
+            f'http://{nodes["shop-1"].ingress}/basket',
             headers={
                 name.replace('_', '-'): text for name, text in headers.items()
             },
@@ -113,14 +126,13 @@
         return reply.status, said, await reply.read()
 
 
-@pytest.mark.asyncio
+@pytest.mark.asyncio(loop_scope='module')
 class TestEgress:
     """The node makes the calls of its target."""
 
     async def test_whole_answer(self, nodes, shop, stock):
         """A call below is answered whole and inherits the request."""
-        async with nodes as running:
-            status, said, body = await ask(running, shop)
+        status, said, body = await ask(nodes, shop)
 
         assert (status, body) == (200, b'{"rice": 3}')
         assert stock.paths == [('/count', b'of=rice')]
@@ -135,8 +147,7 @@
     async def test_retries_are_divided(self, nodes, shop, stock):
         """Calls that bring one context share its retries."""
         shop.paths = ('/stock/count',) * 4
-        async with nodes as running:
-            await ask(running, shop)
+        await ask(nodes, shop)
         shares = [context['retries_left'] for context in stock.contexts]
 
         assert len(shares) == 4
@@ -145,8 +156,7 @@
     async def test_failure_is_typed(self, nodes, shop, stock):
         """A failure below comes with its outcome and when to come back."""
         stock.status = 500
-        async with nodes as running:
-            status, said, _ = await ask(running, shop)
+        status, said, _ = await ask(nodes, shop)
         reply = shop.told[0]
 
         assert reply.status == 502
@@ -160,8 +170,7 @@
     async def test_gone_target_is_not_run(self, nodes, shop):
         """A service that is not called by settings is refused with words."""
         shop.paths = ('/prices/all',)
-        async with nodes as running:
-            status, _, body = await ask(running, shop)
+        status, _, body = await ask(nodes, shop)
 
         assert status == 404
         assert '[calls] services' in orjson.loads(body)['message']
@@ -169,8 +178,7 @@
     async def test_without_context(self, nodes, shop, stock):
         """A call without a context opens no root request of its own."""
         shop.headers = {}
-        async with nodes as running:
-            status, _, body = await ask(running, shop)
+        status, _, body = await ask(nodes, shop)
 
         assert status == 400
         assert orjson.loads(body)['reason'] == 'malformed'
@@ -178,12 +186,11 @@
 
     async def test_forged_context(self, nodes, shop, stock):
         """A context that the node did not give is refused."""
-        async with nodes as running:
-            await ask(running, shop)
-            forged = orjson.loads(shop.header)
-            forged['importance'] = 0
-            shop.headers = {CONTEXT: orjson.dumps(forged).decode()}
-            status, _, body = await ask(running, shop)
+        await ask(nodes, shop)
+        forged = orjson.loads(shop.header)
+        forged['importance'] = 0
+        shop.headers = {CONTEXT: orjson.dumps(forged).decode()}
+        status, _, body = await ask(nodes, shop)
 
         assert status == 403
         assert orjson.loads(body)['reason'] == 'forbidden'
@@ -192,17 +199,15 @@
     async def test_not_run_is_not_claimed(self, nodes, shop, stock):
         """A target that has called others cannot state that nothing ran."""
         shop.answer_headers = [(b'lovageshunt-not-run', b'1')]
-        async with nodes as running:
-            _, said, _ = await ask(running, shop)
+        _, said, _ = await ask(nodes, shop)
 
         assert len(stock.contexts) == 1
         assert said['outcome'] == 'failed'
 
     async def test_late_call(self, nodes, shop, stock):
         """A call that comes after its request is over is refused."""
-        async with nodes as running:
-            await ask(running, shop)
-            status, _ = await shop.call('/stock/count')
+        await ask(nodes, shop)
+        status, _ = await shop.call('/stock/count')
 
         assert status == 403
         assert len(stock.contexts) == 1
@@ -210,29 +215,27 @@
     async def test_abandoned_request(self, nodes, shop, stock):
         """When the caller goes away, the call below is cancelled."""
         stock.seconds = 5
-        async with nodes as running:
-            asking = asyncio.create_task(ask(running, shop))
-            while not stock.contexts:
-                await asyncio.sleep(0.01)
-            asking.cancel()
-            async with asyncio.timeout(2):
-                await stock.cancelled.wait()
+        asking = asyncio.create_task(ask(nodes, shop))
+        while not stock.contexts:
+            await asyncio.sleep(0.01)
+        asking.cancel()
+        async with asyncio.timeout(2):
+            await stock.cancelled.wait()
 
         assert len(stock.contexts) == 1
 
     async def test_target_hangs_up(self, nodes, shop, stock):
         """When the target drops its call, the call below is cancelled."""
         stock.seconds = 5
-        async with nodes as running:
-            asking = asyncio.create_task(ask(running, shop))
-            while not stock.contexts:
-                await asyncio.sleep(0.01)
-            dropped = asyncio.create_task(shop.call('/stock/count'))
-            while len(stock.contexts) < 2:
-                await asyncio.sleep(0.01)
-            dropped.cancel()
-            async with asyncio.timeout(2):
-                await stock.cancelled.wait()
-            asking.cancel()
+        asking = asyncio.create_task(ask(nodes, shop))
+        while not stock.contexts:
+            await asyncio.sleep(0.01)
+        dropped = asyncio.create_task(shop.call('/stock/count'))
+        while len(stock.contexts) < 2:
+            await asyncio.sleep(0.01)
+        dropped.cancel()
+        async with asyncio.timeout(2):
+            await stock.cancelled.wait()
+        asking.cancel()
 
         assert len(stock.contexts) == 2
--- a/tests/settings/test_load.py
+++ b/tests/settings/test_load.py
@@ -76,6 +76,12 @@
                 ('security', 'key_file'),
                 'other',
             ),
+            (
+                '[calls]',
+                '[security]\nkey_file = k\ncertificate_file = c',
+                ('security', 'certificate_file'),
+                'others',
+            ),
             ('slots = 160', 'slots = 1\nslots = 2', ('target', 'slots'), 'li'),
             ('[calls]', '[node]', ('node', ''), 'line'),
             ('[node]', 'node', ('', ''), 'docs/CONFIGURATION.md'),
