Sign importance and retries, so that no caller may raise its own

Any program that reached a node was believed: a context header with importance 0, a rank of its choice and any number of retries was taken as it came, and a target reached without a context passed importance 0 to all that it called.

Nodes and embedding programs may now share a key ([security] context_key_file, ClientOptions.context_key). A target's wrapper takes one as a root. Without a key the header is as before, and a context that is missing at a target makes a root in every fleet.

Ruled out: signing the whole header, as deadline and age change at each hop, and a header of its own for the tag, which targets would have to pass on too.

Left open: a caller's name is not proved, so a rule for a caller holds for whoever says its name; each call of an unsigned request that fans out has the retries of its own rule.

--- a/src/lovageshunt/calls/__init__.py
+++ b/src/lovageshunt/calls/__init__.py
@@ -6,6 +6,7 @@
     CONTEXT_HEADER,
     decode_answer,
     decode_context,
+    decode_known_context,
     encode_answer,
     encode_context,
 )
@@ -18,6 +19,7 @@
     rank_of,
 )
 from lovageshunt.calls._outcome import Outcome, RefusalReason
+from lovageshunt.calls._signing import ContextKey
 
 __all__ = [
     'ANSWER_HEADER',
@@ -27,12 +29,14 @@
     'TOP_IMPORTANCE',
     'AnswerInfo',
     'CallContext',
+    'ContextKey',
     'HomeStamp',
     'LoadReport',
     'Outcome',
     'RefusalReason',
     'decode_answer',
     'decode_context',
+    'decode_known_context',
     'encode_answer',
     'encode_context',
     'level_of',
--- a/src/lovageshunt/calls/_codec.py
+++ b/src/lovageshunt/calls/_codec.py
@@ -9,6 +9,7 @@
 from lovageshunt.calls._context import CallContext, HomeStamp
 from lovageshunt.calls._importance import LOWEST_IMPORTANCE, RANK_COUNT
 from lovageshunt.calls._outcome import Outcome, RefusalReason
+from lovageshunt.calls._signing import ContextKey
 from lovageshunt.errors import MalformedAnswerError, MalformedContextError
 
 #: The request header that carries a call's context.
@@ -20,6 +21,7 @@
 #: No counter on the wire may be larger.
 _MAX_COUNT: Final = 2**31
 
+_TAG: Final = 'tag'
 _TEXT_FIELDS: Final = (
     'request_id',
     'call_id',
@@ -38,32 +40,57 @@
 )
 
 
-def encode_context(context: CallContext) -> str:
-    """Return the header's value for a context; all of it is ASCII."""
+def encode_context(
+    context: CallContext,
+    key: ContextKey | None = None,
+) -> str:
+    """Return the header's value for a context; all of it is ASCII.
+
+    With a key it carries a tag, by which other holders know it.
+    """
     fields = context.as_dict()
+    if key is not None:
+        fields[_TAG] = key.tag(context)
     if context.home is not None:
         fields['home'] = context.home.as_dict()
     return _dump(fields)
 
 
 def decode_context(header: str | bytes) -> CallContext:
-    """Return the context in a header.
+    """Return the context in a header, whoever made it.
 
     Raises ``MalformedContextError`` when it is no context or a field is out
     of its range.
     """
+    return _decode(header)[0]
+
+
+def decode_known_context(
+    header: str | bytes,
+    key: ContextKey | None,
+) -> tuple[CallContext, bool]:
+    """Return the context, and whether its importance may be believed.
+
+    Without a key every context is believed. Raises as ``decode_context``.
+    """
+    context, tag = _decode(header)
+    return context, key is None or key.has_made(tag, context)
+
+
+def _decode(header: str | bytes) -> tuple[CallContext, str]:
     try:
         fields = _load(header)
     except ValueError as error:
         raise MalformedContextError(str(error)) from error
-    for name in _TEXT_FIELDS:
+    for name in (*_TEXT_FIELDS, _TAG):
         if not isinstance(fields.get(name, ''), str):
             raise MalformedContextError(f'{name} is no text')
     for name in _COUNT_FIELDS:
         _check_count(name, fields.get(name, 0))
     _check_level(fields)
+    tag = fields.pop(_TAG, '')
     try:
-        return _context_of(fields)
+        return _context_of(fields), tag
     except TypeError as error:
         raise MalformedContextError(str(error)) from error
 
--- a/src/lovageshunt/client/_attempt.py
+++ b/src/lovageshunt/client/_attempt.py
@@ -8,6 +8,7 @@
     CONTEXT_HEADER,
     AnswerInfo,
     CallContext,
+    ContextKey,
     Outcome,
     RefusalReason,
     decode_answer,
@@ -55,13 +56,14 @@
     member: RouteMember,
     call: Call,
     context: CallContext,
+    key: ContextKey | None,
 ) -> AttemptEnd:
     """Send one attempt and return how it ended."""
     exchange = await transport.send(
         address=member.address,
         method=call.method,
         target=call.path,
-        headers={**call.headers, CONTEXT_HEADER: encode_context(context)},
+        headers={**call.headers, CONTEXT_HEADER: encode_context(context, key)},
         body=call.body,
         timeout_seconds=context.timeout_ms / _MS_PER_SECOND + _GRACE_SECONDS,
     )
--- a/src/lovageshunt/client/_attempts.py
+++ b/src/lovageshunt/client/_attempts.py
@@ -147,6 +147,7 @@
                 member,
                 self._call,
                 self._context,
+                self._engine.options.context_key,
             )
         except BaseException:
             self._link.router.lost(member.node, now())
--- a/src/lovageshunt/client/_inbound.py
+++ b/src/lovageshunt/client/_inbound.py
@@ -7,11 +7,11 @@
     ANSWER_HEADER,
     CONTEXT_HEADER,
     AnswerInfo,
-    CallContext,
     Outcome,
     RefusalReason,
-    decode_context,
+    decode_known_context,
     encode_answer,
+    rank_of,
 )
 from lovageshunt.client._asgi import (
     AsgiApp,
@@ -26,7 +26,7 @@
 )
 from lovageshunt.client._client import Client
 from lovageshunt.client._options import DEFAULT_BODY_BYTES
-from lovageshunt.client._scope import CallScope, root_context
+from lovageshunt.client._scope import CallScope
 from lovageshunt.clock import now
 from lovageshunt.errors import MalformedContextError
 
@@ -76,7 +76,7 @@
                     body=b'',
                 )
             return
-        calls = self._client.inner_scope(_context_of(reading.ok))
+        calls = _calls_of(self._client, reading.ok)
         scope[_SCOPE_KEY] = calls
         answering = _Answering(self._client, calls, send)
         served = self._serve(scope, reading.ok, answering)
@@ -164,14 +164,20 @@
         return said
 
 
-def _context_of(inbound: Inbound) -> CallContext:
+def _calls_of(client: Client, inbound: Inbound) -> CallScope:
+    """Return the scope of a call; one that nobody vouches for is a root.
+
+    A root has the importance and the retries of the rules.
+    """
     try:
-        return decode_context(inbound.headers.get(CONTEXT_HEADER, ''))
+        context, is_known = decode_known_context(
+            inbound.headers.get(CONTEXT_HEADER, ''),
+            client.engine.options.context_key,
+        )
     except MalformedContextError:
         # Health checks and people call without a context.
-        return root_context(
-            '',
-            timeout_ms=_UNSTATED_TIMEOUT_MS,
-            attempt=0,
-            age_ms=0,
-        )
+        return client.request(timeout_ms=_UNSTATED_TIMEOUT_MS)
+    if is_known:
+        return client.inner_scope(context)
+    context.rank = rank_of(context.request_id)
+    return CallScope(client.engine, context, is_root=True)
--- a/src/lovageshunt/client/_options.py
+++ b/src/lovageshunt/client/_options.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from lovageshunt._record import Record
+from lovageshunt.calls import ContextKey
 
 #: The largest body of a request or an answer, unless settings say more.
 DEFAULT_BODY_BYTES: Final = 1_048_576
@@ -13,7 +14,9 @@
     """Who the caller is and how it finds nodes.
 
     ``seeds`` are ingress addresses (IP:PORT) of a few nodes, ``services``
-    those that it calls. The view is read again each ``view_seconds``.
+    those that it calls. The view is read again each ``view_seconds``. Nodes
+    with a key believe the importance only of calls signed with the same
+    ``context_key``.
     """
 
     __slots__ = (
@@ -25,6 +28,7 @@
         'max_body_bytes',
         'view_seconds',
         'tls',
+        'context_key',
     )
 
     def __init__(
@@ -38,6 +42,7 @@
         max_body_bytes: int = DEFAULT_BODY_BYTES,
         view_seconds: float = 1.0,
         tls: SSLContext | None = None,
+        context_key: ContextKey | None = None,
     ) -> None:
         """Take every field by name."""
         self.name = name
@@ -48,3 +53,4 @@
         self.max_body_bytes = max_body_bytes
         self.view_seconds = view_seconds
         self.tls = tls
+        self.context_key = context_key
--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -266,3 +266,14 @@
             f'[security] {key} = {path}: {reason}; give a file that this '
             'process can read, in the form that docs/CONFIGURATION.md says',
         )
+
+
+class ContextKeyError(LovageshuntError):
+    """Raised when a key for contexts is too short or too long."""
+
+    def __init__(self, size: int) -> None:
+        """Name the size, never the key."""
+        super().__init__(
+            f'the context key has {size} bytes, expected 16 to 64; write a '
+            'random one, the same for the whole fleet',
+        )
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -5,22 +5,16 @@
 from typing import Final
 
 from lovageshunt.account import Account, AccountKeeping, Peer
-from lovageshunt.admission import Admission, AdmissionSettings
+from lovageshunt.calls import ContextKey
 from lovageshunt.client import ClientOptions, Engine, Transport
-from lovageshunt.clock import now
-from lovageshunt.idempotency import RunOnce, RunOnceSettings
-from lovageshunt.membership import (
-    ElectionSettings,
-    ReaderElection,
-    new_incarnation,
-)
+from lovageshunt.membership import new_incarnation
 from lovageshunt.node._admin import Admin
 from lovageshunt.node._below import CallingTargetLink, CallsBelow
 from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
+from lovageshunt.node._decisions import election_of, gate_of
 from lovageshunt.node._egress import Egress
 from lovageshunt.node._fleet_view import FleetView
-from lovageshunt.node._gate import Gate
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._ingress import Ingress
 from lovageshunt.node._inquiries import Inquiries
@@ -34,6 +28,7 @@
     admin_tls,
     client_tls,
     ingress_tls,
+    read_context_key,
     read_token,
 )
 from lovageshunt.node._servers import EmbeddedServer, ServerTls, make_server
@@ -41,11 +36,9 @@
 from lovageshunt.node._target import TargetLink
 from lovageshunt.observability import Metrics, Traces
 from lovageshunt.platform import PlatformReader
-from lovageshunt.retries import Quarantine, QuarantineSettings
 from lovageshunt.settings import NodeSettings
 
 _SLOW_SECONDS: Final = 1.0
-_MS_PER_SECOND: Final = 1000
 #: Shorter than most servers keep idle connections: a call that must not
 #: repeat may not meet a connection that its target is closing.
 _TARGET_KEEP_ALIVE_SECONDS: Final = 2.0
@@ -92,6 +85,7 @@
             observe=self.runtime.observe,
             keep_account=self.runtime.keep_account,
             calls_below=bool(self._settings.calls.services),
+            key=self._key,
         )
         security = self._settings.security
         admin = Admin(
@@ -148,14 +142,16 @@
             max_body_bytes=body_bytes,
             keep_alive_seconds=_TARGET_KEEP_ALIVE_SECONDS,
         )
-        self._engine = Engine(_options_of(settings), self._transport, rng)
+        self._key = read_context_key(settings.security)
+        options = _options_of(settings, self._key)
+        self._engine = Engine(options, self._transport, rng)
         self._below = CallsBelow(self._engine)
         self._link = PeerLink(self._transport, read_token(settings.security))
         self._outbox = Outbox(self._identity, self._link)
         fleet = FleetView(
             identity=self._identity,
             called_services=settings.calls.services,
-            election=_election_of(settings, rng),
+            election=election_of(settings, rng),
             outbox=self._outbox,
             rng=rng,
         )
@@ -177,18 +173,20 @@
 
     def _build_calls(self) -> None:
         settings = self._settings
-        self._gate = _gate_of(settings, self._identity)
+        self._gate = gate_of(settings, self._identity)
         self._target = self._target_link()
         self._inquiries = Inquiries(
             self._control,
             self._link,
             self._transport,
+            self._key,
         )
         self._calls = Calls(
             identity=self._identity,
             gate=self._gate,
             target=self._target,
             inquiries=self._inquiries,
+            key=self._key,
         )
 
     def _target_link(self) -> TargetLink:
@@ -255,13 +253,17 @@
         )
 
 
-def _options_of(settings: NodeSettings) -> ClientOptions:
+def _options_of(
+    settings: NodeSettings,
+    key: ContextKey | None,
+) -> ClientOptions:
     return ClientOptions(
         name=settings.node.name,
         failure_domain=settings.node.failure_domain,
         region=settings.node.region,
         seeds=(),
         services=settings.calls.services,
+        context_key=key,
     )
 
 
@@ -275,46 +277,3 @@
         admin=str(settings.listen.admin),
         incarnation=new_incarnation(time(), rng),
     )
-
-
-def _election_of(settings: NodeSettings, rng: Random) -> ReaderElection:
-    return ReaderElection(
-        settings.node.name,
-        settings.node.failure_domain,
-        rng,
-        now=now(),
-        settings=ElectionSettings(
-            readers_per_failure_domain=(
-                settings.platform.readers_per_failure_domain
-            ),
-        ),
-    )
-
-
-def _gate_of(settings: NodeSettings, identity: Identity) -> Gate:
-    limits = settings.limits
-    admission = AdmissionSettings(
-        slots=settings.target.slots,
-        queue_target_seconds=(
-            settings.admission.queue_target_ms / _MS_PER_SECOND
-        ),
-        window_seconds=settings.admission.interval_ms / _MS_PER_SECOND,
-        drain_seconds=limits.drain_seconds,
-    )
-    run_once = RunOnceSettings(
-        retention_seconds=limits.retention_seconds,
-        max_entries=limits.table_entries,
-        settle_seconds=limits.settle_seconds,
-        transit_seconds=limits.transit_seconds,
-    )
-    return Gate(
-        admission=Admission(admission, now()),
-        run_once=RunOnce(
-            node=identity.name,
-            incarnation=identity.incarnation,
-            service=identity.service,
-            started_at=now(),
-            settings=run_once,
-        ),
-        quarantine=Quarantine(QuarantineSettings()),
-    )
--- a/src/lovageshunt/node/_border.py
+++ b/src/lovageshunt/node/_border.py
@@ -12,10 +12,11 @@
 from lovageshunt.calls import (
     CONTEXT_HEADER,
     CallContext,
+    ContextKey,
     HomeStamp,
     Outcome,
     RefusalReason,
-    decode_context,
+    decode_known_context,
     rank_of,
 )
 from lovageshunt.client import Inbound
@@ -89,15 +90,21 @@
 def admissible_of(
     inbound: Inbound,
     rule: KindRule,
+    key: ContextKey | None = None,
 ) -> Result[Admissible, RefusalReason]:
-    """Return the call in a request, or why there is none."""
+    """Return the call in a request, or why there is none.
+
+    With a key, a context that no holder of it made is of an outside caller.
+    """
     header = inbound.headers.get(CONTEXT_HEADER)
     if header is None:
         return _external(inbound, rule)
     try:
-        context = decode_context(header)
+        context, is_known = decode_known_context(header, key)
     except MalformedContextError:
         return Error(RefusalReason.MALFORMED)
+    if not is_known:
+        return _outside(context, rule)
     return Ok(Admissible(context=context, rule=rule, is_external=False))
 
 
@@ -197,6 +204,24 @@
     return admissible.rule.is_repeatable
 
 
+def _outside(
+    context: CallContext,
+    rule: KindRule,
+) -> Result[Admissible, RefusalReason]:
+    """Give a call that nobody vouches for what the rules say.
+
+    Who it is and what it asks stays: an outcome is told under the same ids.
+    """
+    share = allowance_for(rule.retry_bound, context.attempt)
+    if share is None and rule.is_repeatable:
+        return Error(RefusalReason.RETRY_BOUND)
+    context.importance = rule.importance_for(context.caller)
+    context.rank = rank_of(context.request_id)
+    context.retries_left = 0 if share is None else share.retries
+    context.timeout_ms = min(context.timeout_ms, rule.timeout_ms)
+    return Ok(Admissible(context=context, rule=rule, is_external=True))
+
+
 def _external(
     inbound: Inbound,
     rule: KindRule,
--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -10,6 +10,7 @@
 from lovageshunt._record import Record
 from lovageshunt.calls import (
     CONTEXT_HEADER,
+    ContextKey,
     Outcome,
     RefusalReason,
     encode_context,
@@ -101,8 +102,10 @@
         gate: Gate,
         target: TargetLink,
         inquiries: Inquiries,
+        key: ContextKey | None,
     ) -> None:
         """Begin with no calls."""
+        self._key = key
         self._identity = identity
         self._gate = gate
         self._target = target
@@ -222,7 +225,7 @@
             trace_parent=call.span.trace_parent,
         )
         headers = forwardable(call.inbound.headers)
-        headers[CONTEXT_HEADER] = encode_context(sent)
+        headers[CONTEXT_HEADER] = encode_context(sent, self._key)
         reply = await self._target.dispatch(
             call.inbound,
             call_id=context.call_id,
--- /dev/null
+++ b/src/lovageshunt/node/_decisions.py
@@ -0,0 +1,60 @@
+"""Builds the decisions of a node from its settings."""
+
+from random import Random
+from typing import Final
+
+from lovageshunt.admission import Admission, AdmissionSettings
+from lovageshunt.clock import now
+from lovageshunt.idempotency import RunOnce, RunOnceSettings
+from lovageshunt.membership import ElectionSettings, ReaderElection
+from lovageshunt.node._gate import Gate
+from lovageshunt.node._identity import Identity
+from lovageshunt.retries import Quarantine, QuarantineSettings
+from lovageshunt.settings import NodeSettings
+
+_MS_PER_SECOND: Final = 1000
+
+
+def election_of(settings: NodeSettings, rng: Random) -> ReaderElection:
+    """Return what decides whether this node reads the platform."""
+    return ReaderElection(
+        settings.node.name,
+        settings.node.failure_domain,
+        rng,
+        now=now(),
+        settings=ElectionSettings(
+            readers_per_failure_domain=(
+                settings.platform.readers_per_failure_domain
+            ),
+        ),
+    )
+
+
+def gate_of(settings: NodeSettings, identity: Identity) -> Gate:
+    """Return what decides about calls."""
+    limits = settings.limits
+    admission = AdmissionSettings(
+        slots=settings.target.slots,
+        queue_target_seconds=(
+            settings.admission.queue_target_ms / _MS_PER_SECOND
+        ),
+        window_seconds=settings.admission.interval_ms / _MS_PER_SECOND,
+        drain_seconds=limits.drain_seconds,
+    )
+    run_once = RunOnceSettings(
+        retention_seconds=limits.retention_seconds,
+        max_entries=limits.table_entries,
+        settle_seconds=limits.settle_seconds,
+        transit_seconds=limits.transit_seconds,
+    )
+    return Gate(
+        admission=Admission(admission, now()),
+        run_once=RunOnce(
+            node=identity.name,
+            incarnation=identity.incarnation,
+            service=identity.service,
+            started_at=now(),
+            settings=run_once,
+        ),
+        quarantine=Quarantine(QuarantineSettings()),
+    )
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -12,6 +12,7 @@
 from lovageshunt.calls import (
     ANSWER_HEADER,
     AnswerInfo,
+    ContextKey,
     Outcome,
     RefusalReason,
     encode_answer,
@@ -71,16 +72,19 @@
         observe: Callable[[], None],
         keep_account: Callable[[bytes], None],
         calls_below: bool,
+        key: ContextKey | None,
     ) -> None:
         """Take the parts that a call passes.
 
         ``observe`` notices a pause of the process before a decision;
         ``keep_account`` keeps a client's account. ``calls_below`` says
-        whether the target calls other services.
+        whether the target calls other services. With ``key``, contexts must
+        be signed to be believed.
         """
         self._observe = observe
         self._keep_account = keep_account
         self._calls_below = calls_below
+        self._key = key
         self._control = control
         self._gate = gate
         self._calls = calls
@@ -120,7 +124,7 @@
             inbound.method,
             inbound.path,
         )
-        admissible = admissible_of(inbound, rule)
+        admissible = admissible_of(inbound, rule, self._key)
         if admissible.is_error():
             is_bound = admissible.error is RefusalReason.RETRY_BOUND
             status = _BOUND_STATUS if is_bound else _BAD_REQUEST_STATUS
--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/_inquiries.py
@@ -14,6 +14,7 @@
 from lovageshunt.calls import (
     ANSWER_HEADER,
     CONTEXT_HEADER,
+    ContextKey,
     HomeStamp,
     Outcome,
     RefusalReason,
@@ -63,8 +64,10 @@
         control: Control,
         link: PeerLink,
         transport: Transport,
+        key: ContextKey | None,
     ) -> None:
         """Begin with no question open."""
+        self._key = key
         self._control = control
         self._link = link
         self._transport = transport
@@ -161,7 +164,7 @@
         )
         context.attempt = action.attempt
         headers = forwardable(inbound.headers)
-        headers[CONTEXT_HEADER] = encode_context(context)
+        headers[CONTEXT_HEADER] = encode_context(context, self._key)
         exchange = await self._transport.send(
             address=address,
             method=inbound.method,
--- a/src/lovageshunt/node/_security.py
+++ b/src/lovageshunt/node/_security.py
@@ -3,7 +3,8 @@
 from pathlib import Path
 from ssl import SSLContext, SSLError, create_default_context
 
-from lovageshunt.errors import SecurityFileError
+from lovageshunt.calls import ContextKey
+from lovageshunt.errors import ContextKeyError, SecurityFileError
 from lovageshunt.node._servers import ServerTls
 from lovageshunt.settings import SecuritySection
 
@@ -26,6 +27,20 @@
     return token
 
 
+def read_context_key(security: SecuritySection) -> ContextKey | None:
+    """Return the key for contexts, or nothing if settings name no file.
+
+    Raises ``SecurityFileError``.
+    """
+    if security.context_key_file is None:
+        return None
+    name = security.context_key_file
+    try:
+        return ContextKey(Path(name).read_bytes())
+    except (OSError, ContextKeyError) as error:
+        raise SecurityFileError('context_key_file', name, str(error)) from error
+
+
 def client_tls(security: SecuritySection) -> SSLContext | None:
     """Return how this node asks others, or nothing without TLS.
 
--- a/src/lovageshunt/settings/_keys.py
+++ b/src/lovageshunt/settings/_keys.py
@@ -230,6 +230,12 @@
             default=ABSENT,
             meaning='The authority that other nodes are checked against.',
         ),
+        Key(
+            name='context_key_file',
+            kind=TEXT,
+            default=ABSENT,
+            meaning='The key that importance and retries are signed with.',
+        ),
     ),
 )
 
--- a/src/lovageshunt/settings/_sections.py
+++ b/src/lovageshunt/settings/_sections.py
@@ -111,6 +111,7 @@
         'certificate_file',
         'key_file',
         'authority_file',
+        'context_key_file',
     )
 
     def __init__(
@@ -120,12 +121,14 @@
         certificate_file: str | None,
         key_file: str | None,
         authority_file: str | None,
+        context_key_file: str | None,
     ) -> None:
         """Take every key."""
         self.admin_token_file = admin_token_file
         self.certificate_file = certificate_file
         self.key_file = key_file
         self.authority_file = authority_file
+        self.context_key_file = context_key_file
 
 
 class TracesSection(Record):
--- a/tests/node/test_security.py
+++ b/tests/node/test_security.py
@@ -5,9 +5,11 @@
 from collections import Counter
 
 import aiohttp
+import orjson
 import pytest
 import pytest_asyncio
 
+from lovageshunt.calls import CONTEXT_HEADER, ContextKey
 from lovageshunt.cli import main
 from lovageshunt.client import Client, ClientOptions
 from lovageshunt.errors import SecurityFileError
@@ -17,6 +19,7 @@
 from tests.node.parts import NodeParts, answer, deployment, read_body
 
 EXCHANGE = '/v1/exchange'
+KEY = b'the key of this fleet'
 
 
 class Counting:
@@ -25,11 +28,15 @@
     def __init__(self):
         """Begin with nothing run."""
         self.ran = Counter()
+        self.contexts = []
 
     async def __call__(self, scope, receive, send):
         """Serve one request of the node."""
         await read_body(receive)
         self.ran[scope['path']] += 1
+        context = dict(scope['headers']).get(CONTEXT_HEADER.encode())
+        if context is not None:
+            self.contexts.append(orjson.loads(context))
         await answer(send, 200, b'{"scheme": "%s"}' % scope['scheme'].encode())
 
 
@@ -55,13 +62,15 @@
 async def nodes(folder, authority, target):
     """Run two nodes of one service by TLS with a token."""
     certificate, key = authority.certificate('node')
+    (folder / 'key').write_bytes(KEY)
     (folder / 'token').write_text('open sesame\n', encoding='utf-8')
     async with deployment(
         folder,
         {'shop-1': target, 'shop-2': target},
         f'[security]\nadmin_token_file={folder / "token"}\n'
         f'certificate_file={certificate}\nkey_file={key}\n'
-        f'authority_file={authority.path}\n',
+        f'authority_file={authority.path}\n'
+        f'context_key_file={folder / "key"}\n',
     ) as running:
         yield running
 
@@ -182,6 +191,47 @@
         assert is_serving
 
 
+@pytest.mark.asyncio(loop_scope='module')
+class TestContextKey:
+    """Nodes that share a key for contexts."""
+
+    async def call(self, nodes, authority, key):
+        """Call as a program that embeds the library; say what arrived."""
+        client = Client(
+            ClientOptions(
+                name='phone',
+                failure_domain='a',
+                seeds=(nodes['shop-1'].ingress,),
+                services=('shop',),
+                tls=trusting(authority),
+                context_key=key,
+            ),
+        )
+        await client.start()
+        claimed = client.request().context
+        claimed.importance = 0
+        claimed.retries_left = 50
+        reply = await client.inner_scope(claimed).call('shop', 'GET', '/basket')
+        await client.close()
+        assert reply.is_ok()
+
+    async def test_claim(self, nodes, authority, target):
+        """Who has no key cannot claim importance or retries."""
+        await self.call(nodes, authority, None)
+        context = target.contexts[-1]
+
+        assert context['importance'] == 2
+        assert context['retries_left'] <= 3
+
+    async def test_holder(self, nodes, authority, target):
+        """Who has the key is believed."""
+        await self.call(nodes, authority, ContextKey(KEY))
+        context = target.contexts[-1]
+
+        assert context['importance'] == 0
+        assert context['retries_left'] == 50
+
+
 class TestFiles:
     """Files that settings name."""
 
@@ -192,6 +242,7 @@
             ('admin_token_file', None),
             ('certificate_file', 'no certificate'),
             ('authority_file', 'no authority'),
+            ('context_key_file', 'short'),
         ],
     )
     def test_useless_file(self, tmp_path, authority, key, text):
