--- a/src/lovageshunt/cli/_node.py
+++ b/src/lovageshunt/cli/_node.py
@@ -30,9 +30,10 @@
             write_error(str(fault))
         return ExitCode.FAULTS
     logs = settings.ok.logs
-    configure_logs(logs.level.upper(), int(logs.records_per_second))
+    limit = configure_logs(logs.level.upper(), int(logs.records_per_second))
     try:
-        return ExitCode(asyncio.run(NodeDaemon(settings.ok).run()))
+        daemon = NodeDaemon(settings.ok, lambda: limit.suppressed_total)
+        return ExitCode(asyncio.run(daemon.run()))
     except SecurityFileError as error:
         write_error(str(error))
         return ExitCode.FAULTS
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -1,5 +1,6 @@
 """Builds the parts of a node from its settings."""
 
+from collections.abc import Callable
 from random import Random
 from time import time
 from typing import Final
@@ -10,6 +11,7 @@
 from lovageshunt.membership import new_incarnation
 from lovageshunt.node._admin import Admin
 from lovageshunt.node._below import CallingTargetLink, CallsBelow
+from lovageshunt.node._call_meter import CallMeter
 from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
 from lovageshunt.node._decisions import election_of, gate_of
@@ -47,10 +49,19 @@
 class Assembly:
     """Every part of one node, put together."""
 
-    def __init__(self, settings: NodeSettings) -> None:
-        """Build the parts; nothing is opened yet."""
+    def __init__(
+        self,
+        settings: NodeSettings,
+        suppressed: Callable[[], int],
+    ) -> None:
+        """Build the parts; nothing is opened yet.
+
+        ``suppressed`` counts the logs held back.
+        """
         self._settings = settings
+        self._suppressed = suppressed
         self._build_links(Random())  # noqa: S311
+        self._build_meter()
         self._build_calls()
         self._build_reports()
         self.runtime = self._runtime()
@@ -79,8 +90,7 @@
             control=self._control,
             gate=self._gate,
             calls=self._calls,
-            account=self._account,
-            traces=self._traces,
+            meter=self._meter,
             max_body_bytes=self._settings.limits.body_bytes,
             observe=self.runtime.observe,
             keep_account=self.runtime.keep_account,
@@ -171,6 +181,30 @@
         )
         fleet.read_platform = self._platform.start
 
+    def _build_meter(self) -> None:
+        identity = self._identity
+        self._account = Account(identity.name, identity.incarnation, time())
+        self._keeping = AccountKeeping(
+            self._account,
+            Peer(
+                node=identity.name,
+                incarnation=identity.incarnation,
+                failure_domain=identity.failure_domain,
+            ),
+        )
+        self._metrics = Metrics(identity.name)
+        self._traces = Traces(
+            node=identity.name,
+            share=self._settings.traces.sample_ratio,
+            slow_seconds=_SLOW_SECONDS,
+        )
+        self._meter = CallMeter(
+            identity.service,
+            account=self._account,
+            traces=self._traces,
+            metrics=self._metrics,
+        )
+
     def _build_calls(self) -> None:
         settings = self._settings
         self._gate = gate_of(settings, self._identity)
@@ -187,6 +221,7 @@
             target=self._target,
             inquiries=self._inquiries,
             key=self._key,
+            meter=self._meter,
         )
 
     def _target_link(self) -> TargetLink:
@@ -208,31 +243,18 @@
         )
 
     def _build_reports(self) -> None:
-        identity = self._identity
-        self._account = Account(identity.name, identity.incarnation, time())
-        self._keeping = AccountKeeping(
-            self._account,
-            Peer(
-                node=identity.name,
-                incarnation=identity.incarnation,
-                failure_domain=identity.failure_domain,
-            ),
-        )
         self._life = NodeLife()
-        self._traces = Traces(
-            node=identity.name,
-            share=self._settings.traces.sample_ratio,
-            slow_seconds=_SLOW_SECONDS,
-        )
         self._reports = Reports(
             control=self._control,
             gate=self._gate,
             account=self._account,
             kept=self._keeping.kept,
+            link=self._link,
             traces=self._traces,
-            metrics=Metrics(identity.name),
+            metrics=self._metrics,
             life=self._life,
             slots=self._settings.target.slots,
+            suppressed=self._suppressed,
         )
 
     def _runtime(self) -> Runtime:
@@ -244,6 +266,7 @@
             inquiries=self._inquiries,
             target=self._target,
             keeping=self._keeping,
+            pauses=self._metrics.cell('lovageshunt_pauses_total'),
             settling=Settling(self._control, self._outbox, self._link),
             life=self._life,
             settle_seconds=self._settings.limits.settle_seconds,
--- a/src/lovageshunt/node/_below.py
+++ b/src/lovageshunt/node/_below.py
@@ -80,7 +80,10 @@
             reason=reply.reason,
             retry_after_ms=reply.retry_after_ms,
             unspent=below.scope.unspent,
-            threshold_by_service=self._engine.thresholds.merged(now()),
+            threshold_by_service=self._engine.thresholds.merged(
+                now(),
+                below.scope.asked,
+            ),
         )
         if reply.reason is None and outcome is not Outcome.ANSWERED:
             reply.reason = RefusalReason.TARGET_FAILED
--- a/src/lovageshunt/node/_inquiry_codec.py
+++ b/src/lovageshunt/node/_inquiry_codec.py
@@ -37,37 +37,29 @@
         raise MalformedEnvelopeError(repr(error)) from error
 
 
-def encode_inquiry_answer(answer: InquiryAnswer, by: HomeStamp) -> bytes:
-    """Return the answer to an inquiry as JSON; ``by`` is who answers."""
+def encode_inquiry_answer(answer: InquiryAnswer) -> bytes:
+    """Return the answer to an inquiry as JSON."""
     fields = answer.as_dict()
-    fields['by'] = by.as_dict()
+    fields['answerer'] = answer.answerer.as_dict()
     fields['home'] = answer.home.as_dict() if answer.home else None
     fields['known'] = [one.as_dict() for one in answer.known]
     fields['covered'] = [one.as_dict() for one in answer.covered]
     return orjson.dumps(fields)
 
 
-def decode_inquiry_answer(body: bytes, asked: HomeStamp) -> InquiryAnswer:
-    """Return the answer of the node and incarnation that was asked.
-
-    Raises ``MalformedEnvelopeError`` when it is none, or when another
-    incarnation answers at the address: it cannot speak for the earlier one.
-    """
+def decode_inquiry_answer(body: bytes) -> InquiryAnswer:
+    """Return the answer; raises ``MalformedEnvelopeError``."""
     try:
-        fields = orjson.loads(body)
-        by = HomeStamp(**fields.pop('by'))
-        answer = _inquiry_answer_of(fields)
+        return _inquiry_answer_of(orjson.loads(body))
     except (LookupError, TypeError, ValueError) as error:
         raise MalformedEnvelopeError(repr(error)) from error
-    if by != asked:
-        raise MalformedEnvelopeError(f'{by!r} answered for {asked!r}')
-    return answer
 
 
 def _inquiry_answer_of(fields: dict[str, Any]) -> InquiryAnswer:
     home = fields.pop('home')
     return InquiryAnswer(
         claim=Claim(fields.pop('claim')),
+        answerer=HomeStamp(**fields.pop('answerer')),
         home=HomeStamp(**home) if home else None,
         known=tuple(HomeStamp(**one) for one in fields.pop('known')),
         covered=tuple(HomeStamp(**one) for one in fields.pop('covered')),
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -33,6 +33,7 @@
 from lovageshunt.node._life import NodeLife
 from lovageshunt.node._settling import Settling
 from lovageshunt.node._target import TargetLink
+from lovageshunt.observability import Cell
 from lovageshunt.retries import PeerReported
 
 #: The timer turns this often.
@@ -40,6 +41,7 @@
 #: A turn that is later than this was a pause.
 PAUSE_SLACK_SECONDS: Final = 1.0
 _LOAD_SECONDS: Final = 1.0
+_ACCOUNTS_SECONDS: Final = 1.0
 _log = getLogger(__name__)
 
 
@@ -56,6 +58,7 @@
         inquiries: Inquiries,
         target: TargetLink,
         keeping: AccountKeeping,
+        pauses: Cell,
         settling: Settling,
         life: NodeLife,
         settle_seconds: float,
@@ -63,7 +66,7 @@
         leave_seconds: float,
         drain_seconds: float,
     ) -> None:
-        """Take the parts; ``run`` starts them."""
+        """Take the parts; ``pauses`` counts pauses, ``run`` starts all."""
         self.identity = identity
         self._control = control
         self._gate = gate
@@ -71,6 +74,7 @@
         self._inquiries = inquiries
         self._target = target
         self._keeping = keeping
+        self._pauses = pauses
         self._settling = settling
         self._life = life
         self._leave_seconds = leave_seconds
@@ -82,6 +86,7 @@
         )
         self._seen_at = now()
         self._load_at = now()
+        self._accounts_at = now()
         self._leaving = Event()
         self._is_settled = False
         self._transit_seconds = transit_seconds
@@ -109,6 +114,7 @@
         gap = at - self._seen_at
         self._seen_at = at
         if self._epochs.observe(at):
+            self._pauses.value += 1
             _log.warning('the process was paused for %.1f s', gap)
             self._calls.handle(Woke(gap_seconds=gap))
             self._control.tell(PauseEnded())
@@ -202,6 +208,9 @@
             self._calls.handle(reported)
 
     def _send_accounts(self) -> None:
+        if now() < self._accounts_at:
+            return
+        self._accounts_at = now() + _ACCOUNTS_SECONDS
         tick = KeepingTick(
             now=now(),
             wall_time=time(),
@@ -225,6 +234,7 @@
         )
         self._control.send_snapshots(self._keeping.handle(closed))
         await self._inquiries.flush()
+        await self._control.drain()
 
     async def _leaving_turn(self) -> None:
         self.observe()
--- a/tests/node/parts.py
+++ b/tests/node/parts.py
@@ -99,7 +99,7 @@
 @asynccontextmanager
 async def running(node, path):
     """Run one node from its settings file until the end of the block."""
-    node.parts = Assembly(load_node_settings(path).ok)
+    node.parts = Assembly(load_node_settings(path).ok, int)
     await node.parts.open()
     async with serving(*node.parts.servers()):
         life = asyncio.create_task(node.parts.runtime.run())
--- a/tests/node/test_security.py
+++ b/tests/node/test_security.py
@@ -262,4 +262,4 @@
         path.write_text(settings + lines, encoding='utf-8')
 
         with pytest.raises(SecurityFileError, match=key):
-            NodeDaemon(load_node_settings(path).ok)
+            NodeDaemon(load_node_settings(path).ok, int)
