--- a/src/lovageshunt/cli/_node.py
+++ b/src/lovageshunt/cli/_node.py
@@ -8,6 +8,7 @@
 from absl.flags import DEFINE_string, FlagValues
 
 from lovageshunt.cli._command import Command, ExitCode, write_error
+from lovageshunt.errors import SecurityFileError
 from lovageshunt.node import NodeDaemon
 from lovageshunt.observability import configure_logs
 from lovageshunt.settings import load_node_settings
@@ -30,9 +31,12 @@
         return ExitCode.FAULTS
     logs = settings.ok.logs
     limit = configure_logs(logs.level.upper(), int(logs.records_per_second))
-    daemon = NodeDaemon(settings.ok, lambda: limit.suppressed_total)
     try:
+        daemon = NodeDaemon(settings.ok, lambda: limit.suppressed_total)
         return ExitCode(asyncio.run(daemon.run()))
+    except SecurityFileError as error:
+        write_error(str(error))
+        return ExitCode.FAULTS
     except OSError as error:
         write_error(f'{error}; see that files and addresses are right')
         return ExitCode.FAILED
--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -255,3 +255,25 @@
             f'a message of a peer is malformed ({reason}); it is dropped, see '
             'that all nodes run versions that know each other',
         )
+
+
+class SecurityFileError(LovageshuntError):
+    """Raised when a file that ``[security]`` names is of no use."""
+
+    def __init__(self, key: str, path: str, reason: str) -> None:
+        """Name the key, its file and what is wrong with it."""
+        super().__init__(
+            f'[security] {key} = {path}: {reason}; give a file that this '
+            'process can read, in the form that docs/CONFIGURATION.md says',
+        )
+
+
+class ContextKeyError(LovageshuntError):
+    """Raised when a key for contexts is too short or too long."""
+
+    def __init__(self, size: int) -> None:
+        """Name the size, never the key."""
+        super().__init__(
+            f'the context key has {size} bytes, expected 16 to 64; write a '
+            'random one, the same for the whole fleet',
+        )
