--- a/bench/_systems.py
+++ b/bench/_systems.py
@@ -7,7 +7,8 @@
 from bench._network import FAILURE_DOMAINS, Network
 from bench._people import Entrance
 from bench._plain import PlainNode
-from bench._protected import ProtectedNode, Routes, Variant
+from bench._protected import ProtectedNode
+from bench._sender import Routes, Variant
 from bench._target import Target
 from lovageshunt._record import Record
 
