--- a/src/lovageshunt/client/_asgi.py
+++ b/src/lovageshunt/client/_asgi.py
@@ -1,7 +1,13 @@
 """Reads requests and sends answers at the ASGI border, whole."""
 
 from asyncio import CancelledError, create_task, current_task
-from collections.abc import Awaitable, Callable, Coroutine, MutableMapping
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Coroutine,
+    Iterable,
+    MutableMapping,
+)
 from typing import Any, Final, TypeVar
 
 from expression import Error, Ok, Result
@@ -144,9 +150,20 @@
         method=scope['method'],
         path=scope['path'],
         target=target,
-        headers={
-            name.decode('latin-1'): text.decode('latin-1')
-            for name, text in scope['headers']
-        },
+        headers=_headers_of(scope['headers']),
         body=body,
     )
+
+
+def _headers_of(pairs: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
+    """Return the headers by name; those of one name are joined."""
+    by_name: dict[str, str] = {}
+    for raw_name, raw_text in pairs:
+        name = raw_name.decode('latin-1')
+        text = raw_text.decode('latin-1')
+        known = by_name.get(name)
+        if known is not None:
+            joint = '; ' if name == 'cookie' else ', '
+            text = f'{known}{joint}{text}'
+        by_name[name] = text
+    return by_name
