Count what is turned away, end a stop truthfully, and log changes once

A malformed request, one over the body bound and one beyond the retry bound were refused before they were counted, so callers' counts and the node's could not agree; they now stand in the account as arrived and ended, under the rule of their path.

A second signal cancelled the runtime but then waited up to drain_seconds for the servers, and said nothing of the calls it cut off. It now ends them at once, names their requests and returns 1.

An unavailable platform was logged each second, now when it begins and ends. The server's own lines below warning are not written.

--- a/src/lovageshunt/node/_call_meter.py
+++ b/src/lovageshunt/node/_call_meter.py
@@ -4,12 +4,13 @@
 from typing import Final
 
 from lovageshunt.account import Account
-from lovageshunt.calls import LOWEST_IMPORTANCE, Outcome
+from lovageshunt.calls import LOWEST_IMPORTANCE, Outcome, RefusalReason
 from lovageshunt.clock import now
 from lovageshunt.node._border import Admissible
 from lovageshunt.node._call import CallInProgress
 from lovageshunt.node._gate_messages import Reply
 from lovageshunt.observability import ActiveSpan, Metrics, Traces
+from lovageshunt.rules import KindRule
 
 _log = getLogger(__name__)
 _IMPORTANCES: Final = range(LOWEST_IMPORTANCE + 1)
@@ -62,6 +63,23 @@
             service=self._service,
         )
 
+    def turned_away(
+        self,
+        rule: KindRule,
+        outcome: Outcome,
+        reason: RefusalReason,
+        *,
+        is_external: bool,
+    ) -> None:
+        """Count a request that could not be taken as a call at all."""
+        line = (self._service, rule.kind, rule.importance)
+        self._account.arrived(
+            *line,
+            is_retry=reason is RefusalReason.RETRY_BOUND,
+            is_external=is_external,
+        )
+        self._account.ended(*line, outcome, reason)
+
     def ended(self, call: CallInProgress, reply: Reply) -> None:
         """Count how a call ended, and end its span."""
         ending = reply.ending
--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -80,6 +80,14 @@
         self._tasks: set[Task[None]] = set()
         self._crash_check: Task[bool] | None = None
 
+    @property
+    def request_ids(self) -> list[str]:
+        """Return the requests whose calls are in progress."""
+        return sorted(
+            call.admissible.context.request_id
+            for call in self._by_ticket.values()
+        )
+
     def begin(
         self,
         inbound: Inbound,
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -9,6 +9,7 @@
 
 from lovageshunt.calls import (
     ANSWER_HEADER,
+    CONTEXT_HEADER,
     AnswerInfo,
     ContextKey,
     Outcome,
@@ -44,6 +45,7 @@
 from lovageshunt.node._control import Control
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._gate_messages import CallArrived, Reply
+from lovageshunt.rules import KindRule
 
 _MS_PER_SECOND: Final = 1000
 _TOO_LARGE_STATUS: Final = 413
@@ -51,6 +53,7 @@
 _BOUND_STATUS: Final = 429
 _OK_STATUS: Final = 200
 _REFUSED_RETRY_MS: Final = 5000
+_CONTEXT_NAME: Final = CONTEXT_HEADER.encode()
 _ANSWER_NAME: Final = ANSWER_HEADER.encode()
 _JSON: Final = (b'content-type', b'application/json')
 
@@ -105,26 +108,35 @@
         if reading.is_ok() and reading.ok.path == ACCOUNT_PATH:
             await self._take_account(reading.ok, send)
         elif reading.is_ok():
-            await self._serve(reading.ok, receive, send)
+            await self._serve(scope, reading.ok, receive, send)
         elif not reading.error.is_gone:
-            await _refuse(send, _TOO_LARGE_STATUS, RefusalReason.MALFORMED)
+            await self._turn_away(
+                self._rule_of(scope['method'], scope['path']),
+                send,
+                reason=RefusalReason.MALFORMED,
+                status=_TOO_LARGE_STATUS,
+                is_external=_is_external(scope),
+            )
 
     async def _serve(
         self,
+        scope: AsgiScope,
         inbound: Inbound,
         receive: Receive,
         send: Send,
     ) -> None:
-        rule = self._control.rules.kind_for(
-            self._service,
-            inbound.method,
-            inbound.path,
-        )
+        rule = self._rule_of(inbound.method, inbound.path)
         admissible = admissible_of(inbound, rule, self._key)
         if admissible.is_error():
             is_bound = admissible.error is RefusalReason.RETRY_BOUND
             status = _BOUND_STATUS if is_bound else _BAD_REQUEST_STATUS
-            await _refuse(send, status, admissible.error)
+            await self._turn_away(
+                rule,
+                send,
+                reason=admissible.error,
+                status=status,
+                is_external=_is_external(scope),
+            )
             return
         call = self._begin(inbound, admissible.ok)
         if not call.reply.done():
@@ -134,6 +146,30 @@
                 return
         await self._answer(call, call.reply.result(), send)
 
+    def _rule_of(self, method: str, path: str) -> KindRule:
+        return self._control.rules.kind_for(self._service, method, path)
+
+    async def _turn_away(
+        self,
+        rule: KindRule,
+        send: Send,
+        *,
+        reason: RefusalReason,
+        status: int,
+        is_external: bool,
+    ) -> None:
+        ending = Ending(outcome=Outcome.NOT_RUN, reason=reason)
+        if reason is RefusalReason.RETRY_BOUND:
+            ending = Ending(outcome=Outcome.FAILED, reason=reason)
+        self._meter.turned_away(
+            rule,
+            ending.outcome,
+            reason,
+            is_external=is_external,
+        )
+        body = refusal_body('', ending, _REFUSED_RETRY_MS)
+        await respond(send, status=status, headers=[_JSON], body=body)
+
     def _begin(
         self, inbound: Inbound, admissible: Admissible
     ) -> CallInProgress:
@@ -240,12 +276,8 @@
         await respond(send, status=_OK_STATUS, headers=[_JSON], body=view)
 
 
-async def _refuse(send: Send, status: int, reason: RefusalReason) -> None:
-    ending = Ending(outcome=Outcome.NOT_RUN, reason=reason)
-    if reason is RefusalReason.RETRY_BOUND:
-        ending = Ending(outcome=Outcome.FAILED, reason=reason)
-    body = refusal_body('', ending, _REFUSED_RETRY_MS)
-    await respond(send, status=status, headers=[_JSON], body=body)
+def _is_external(scope: AsgiScope) -> bool:
+    return all(name != _CONTEXT_NAME for name, _ in scope['headers'])
 
 
 def _unspent(call: CallInProgress) -> int:
--- a/src/lovageshunt/node/_platform_loop.py
+++ b/src/lovageshunt/node/_platform_loop.py
@@ -39,6 +39,7 @@
         self._revision_by_name: dict[str, int] = {}
         self._task_by_name: dict[str, Task[_Reading]] = {}
         self._last_list: VmList | None = None
+        self._failing: set[str] = set()
         self._runner: Task[None] | None = None
 
     def start(self, is_watch: bool) -> None:
@@ -81,17 +82,25 @@
 
     def _report(self, readings: dict[str, _Reading]) -> None:
         for name, reading in readings.items():
+            self._log_change(name, reading)
             if reading.is_ok() and reading.ok.is_news:
                 self._take(name, reading.ok)
         has_answer = any(reading.is_ok() for reading in readings.values())
         if has_answer and self._last_list is not None:
             self._tell(ListRead(self._last_list))
             return
-        for reading in readings.values():
-            if reading.is_error():
-                _log.warning('%s', reading.error)
         self._tell(ListReadFailed())
 
+    def _log_change(self, name: str, reading: _Reading) -> None:
+        """Log a failure once, not at each try, and its end."""
+        if reading.is_error():
+            if name not in self._failing:
+                _log.warning('%s', reading.error)
+            self._failing.add(name)
+        elif name in self._failing:
+            self._failing.discard(name)
+            _log.info('the platform gives %s again', name)
+
     def _take(self, name: str, published: Published) -> None:
         self._revision_by_name[name] = published.revision
         if name == PUBLISHED_VMS:
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -88,6 +88,7 @@
         self._load_at = now()
         self._accounts_at = now()
         self._leaving = Event()
+        self._drained_by: float | None = None
         self._is_settled = False
         self._transit_seconds = transit_seconds
         self._serves_from = now() + settle_seconds
@@ -108,6 +109,18 @@
         """Return whether the node takes calls of every kind."""
         return self._life.is_serving
 
+    @property
+    def drain_seconds_left(self) -> float:
+        """Return how long a planned stop may still wait for answers."""
+        if self._drained_by is None:
+            return 0
+        return max(0, self._drained_by - now())
+
+    @property
+    def request_ids(self) -> list[str]:
+        """Return the requests whose calls are in progress."""
+        return self._calls.request_ids
+
     def observe(self) -> None:
         """Notice a pause before the next decision is made."""
         at = now()
@@ -224,6 +237,7 @@
 
     async def _leave(self) -> None:
         left_at = now()
+        self._drained_by = left_at + self._drain_seconds
         while self._must_stay(now() - left_at):
             await self._leaving_turn()
         self._calls.handle(Drained())
--- a/src/lovageshunt/observability/_logs.py
+++ b/src/lovageshunt/observability/_logs.py
@@ -102,5 +102,7 @@
     handler.setFormatter(OrjsonFormatter(_FORMAT, timestamp=True))
     handler.addFilter(limit)
     handler.addFilter(_Scope())
+    # The server tells of each start and connection below this level.
+    logging.getLogger('uvicorn').setLevel(logging.WARNING)
     logging.basicConfig(level=level, handlers=[handler], force=True)
     return limit
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -193,6 +193,10 @@
         process.send_signal(signal.SIGTERM)
         return await asyncio.wait_for(process.wait(), _STOP_SECONDS)
 
+    def signal_node(self, name: str) -> None:
+        """Signal a node once more while it stops."""
+        self._node(name).send_signal(signal.SIGTERM)
+
     async def kill_vm(self, name: str) -> None:
         """Kill a VM's node and target at once."""
         vm = self.by_name[name]
--- /dev/null
+++ b/tests/node/test_platform_loop.py
@@ -0,0 +1,57 @@
+"""Reading the platform in turns."""
+
+import asyncio
+import logging
+
+import pytest
+from expression import Error, Ok
+
+from lovageshunt.errors import PlatformUnavailableError
+from lovageshunt.node._platform_loop import PlatformLoop
+from lovageshunt.platform import Published
+
+
+class Reader:
+    """A platform that fails when told to."""
+
+    def __init__(self):
+        """Begin with an outage."""
+        self.is_out = True
+
+    async def read(self, name):
+        """Give nothing new, or the failure."""
+        if self.is_out:
+            return Error(PlatformUnavailableError(name, '127.0.0.1:1', 'gone'))
+        return Ok(Published(revision=1, document=None, is_news=False))
+
+
+async def turn(loop):
+    """Let one reading pass."""
+    loop.start(is_watch=False)
+    await asyncio.sleep(0)
+    await loop._runner
+
+
+@pytest.mark.asyncio
+class TestPlatformLoop:
+    """``PlatformLoop``."""
+
+    async def test_log_per_change(self, caplog):
+        """An outage is logged when it begins and when it ends."""
+        reader = Reader()
+        loop = PlatformLoop(reader, lambda event: None)
+        with caplog.at_level(logging.INFO):
+            for is_out in (True, True, True, False, False, True):
+                reader.is_out = is_out
+                await turn(loop)
+        by_level = [record.levelname for record in caplog.records]
+
+        # Two values are read: the list of VMs, and the rules.
+        assert by_level == [
+            'WARNING',
+            'WARNING',
+            'INFO',
+            'INFO',
+            'WARNING',
+            'WARNING',
+        ]
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -40,6 +40,16 @@
         assert line['reason'] == 'overload'
         assert line['message'] == 'refused'
 
+    def test_server_is_quiet(self, stream):
+        """Of the server's own lines only warnings and worse are written."""
+        configure_logs('INFO', 100, stream)
+        server = logging.getLogger('uvicorn.error')
+
+        server.info('Started server process')
+        assert not stream.getvalue()
+        server.warning('Invalid HTTP request received.')
+        assert orjson.loads(stream.getvalue())['levelname'] == 'WARNING'
+
     def test_level_is_kept(self, stream):
         """Records below the level are not written."""
         configure_logs('WARNING', 100, stream)
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -181,6 +181,38 @@
     world.run(stop())
 
 
+@when(
+    parsers.parse(
+        'purchase "{name}" is sent to {node} as attempt 1 and {stopped} '
+        'is signalled twice',
+    ),
+)
+def sent_and_signalled_twice(world, name, node, stopped):
+    """Stop a node at once while its target runs the purchase."""
+
+    async def stop():
+        sending = asyncio.create_task(world.send(node, name))
+        while not world.runs(name):
+            await asyncio.sleep(0.02)
+        stopping = asyncio.create_task(world.fleet.stop_node(stopped))
+        await asyncio.sleep(0.3)
+        world.fleet.signal_node(stopped)
+        world.exit_code = await stopping
+        told = await sending
+        # It ran, so nothing else may be said of it.
+        assert told is None or told.outcome == 'unknown'
+
+    world.run(stop())
+
+
+@then(parsers.parse('the log of {node} names "{name}" as cut off'))
+def named_in_log(world, node, name):
+    """Look into the log of the node's process."""
+    log = world.fleet.folder / f'{node}.node.log'
+    lines = log.read_text(encoding='utf-8').splitlines()
+    assert any('cuts off' in line and name in line for line in lines)
+
+
 @when(parsers.parse('{node} is stopped and gone'))
 def stopped_and_gone(world, node):
     """Stop a node in order and wait until it has ended."""
--- a/tests/scenarios/leaving.feature
+++ b/tests/scenarios/leaving.feature
@@ -20,3 +20,9 @@
   Scenario: A VM that is merely listed as leaving gets no new work
     When the platform lists payments-2 as leaving
     Then payments-2 refuses new calls as not run within 3 s
+
+  Scenario: A second signal ends a stop at once and says what it cuts off
+    Given the targets of payments take 3000 ms
+    When purchase "l-cut" is sent to payments-1 as attempt 1 and payments-1 is signalled twice
+    Then the node of payments-1 ended with exit code 1
+    And the log of payments-1 names "l-cut" as cut off
