Measure the start of a whole fleet apart from the first publication

The row called cold was neither: it published the first document to a fleet that had run without rules for 6 s, and only 12 readers read it.

nodes case have median all mean B/s most B/s 200 first 200 1.83 10.56 884 1755 200 start 200 1.94 3.18 694 1492 800 first 797 19.17 47.92 1380 2095 800 start 800 1.84 3.60 789 1572

So a start keeps to 9 s and to 2 KB a second; the first publication does not, because all parts of all nodes pass through the budgets of the readers.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -41,12 +41,17 @@
 _LEAST_DELAY: Final = 0.001
 _MEAN_DELAY: Final = 0.01
 _HEADER: Final = (
-    ' nodes  loss  readers  cold   have   median      all  mean B/s  most B/s'
+    ' nodes  loss  readers   case   have   median      all  mean B/s  most B/s'
 )
 _SEED: Final = 1
+_CHANGE: Final = 'change'
+_FIRST: Final = 'first'
+_START: Final = 'start'
 _TICK_SECONDS: Final = 0.5
 _WARM_SECONDS: Final = 6
 _PERIOD_SECONDS: Final = 48
+#: Each node reads the platform once within this time of its start.
+_START_READ_SECONDS: Final = 4
 
 
 def document_of(generation: int, services: int) -> RulesDocument:
@@ -117,6 +122,16 @@
         for name in names:
             self._later(self._rng.random() / 2, name, event)
 
+    def read_all(self, document: RulesDocument) -> None:
+        """Let every node read a document once, as each does at its start."""
+        event = DocumentRead(
+            version=version_of(document, document.generation),
+            document=document,
+        )
+        for name in self.node_by_name:
+            delay = self._rng.random() * _START_READ_SECONDS
+            self._later(delay, name, event)
+
     def run(self, until: float) -> None:
         """Let everything happen that does before a time."""
         while self._queue[0][0] < until:
@@ -195,22 +210,31 @@
     loss: float,
     readers: int,
     *,
-    is_cold: bool = False,
+    case: str = _CHANGE,
 ) -> str:
-    """Return a table's row for one change, or for the first document."""
-    fleet = Fleet(size, loss, is_cold=is_cold)
-    fleet.run(_WARM_SECONDS)
+    """Return a table's row for one change, or for the first document.
+
+    In the case ``first`` it is published to a fleet that runs without rules;
+    in ``start`` it is published already when every node starts at once.
+    """
+    fleet = Fleet(size, loss, is_cold=case != _CHANGE)
+    begun_at = 0 if case == _START else _WARM_SECONDS
+    fleet.run(begun_at)
     fleet.in_force_at.clear()
     before = fleet.sent_bytes()
-    fleet.read(document_of(2, fleet.services), readers)
-    fleet.run(_WARM_SECONDS + _PERIOD_SECONDS)
-    times = sorted(at - _WARM_SECONDS for at in fleet.in_force_at.values())
+    document = document_of(2, fleet.services)
+    if case == _START:
+        fleet.read_all(document)
+    else:
+        fleet.read(document, readers)
+    fleet.run(begun_at + _PERIOD_SECONDS)
+    times = sorted(at - begun_at for at in fleet.in_force_at.values())
     rates = [
         (after - earlier) / _PERIOD_SECONDS
         for after, earlier in zip(fleet.sent_bytes(), before, strict=True)
     ]
     cells = (
-        f'{size:6} {loss:5.0%} {readers:8} {is_cold!s:>5} {len(times):6}',
+        f'{size:6} {loss:5.0%} {readers:8} {case:>6} {len(times):6}',
         f'{times[len(times) // 2]:8.2f} {times[-1]:8.2f}',
         f'{sum(rates) / size:9.0f} {max(rates):9.0f}',
     )
@@ -225,7 +249,8 @@
         lines.extend(measure(size, loss, _READERS) for loss in _LOSSES)
         lines.append(measure(size, 0, readers=1))
         if size <= _MOST_COLD:
-            lines.append(measure(size, 0, _READERS, is_cold=True))
+            lines.append(measure(size, 0, _READERS, case=_FIRST))
+        lines.append(measure(size, 0, _READERS, case=_START))
     for line in lines:
         sys.stdout.write(f'{line}\n')
 
