Part settling from the runtime; tell admission what the target shed

Admission lowers its limit when the target itself refuses for load, and learns nothing from a call without a whole answer.

--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -34,6 +34,7 @@
     read_token,
 )
 from lovageshunt.node._servers import EmbeddedServer, ServerTls, make_server
+from lovageshunt.node._settler import Settler
 from lovageshunt.node._settling import Settling
 from lovageshunt.node._target import TargetLink
 from lovageshunt.observability import Metrics, Traces
@@ -258,6 +259,7 @@
         )
 
     def _runtime(self) -> Runtime:
+        limits = self._settings.limits
         return Runtime(
             identity=self._identity,
             control=self._control,
@@ -267,12 +269,16 @@
             target=self._target,
             keeping=self._keeping,
             pauses=self._metrics.cell('lovageshunt_pauses_total'),
-            settling=Settling(self._control, self._outbox, self._link),
+            settler=Settler(
+                Settling(self._control, self._outbox, self._link),
+                self._life,
+                tell=self._calls.handle,
+                settle_seconds=limits.settle_seconds,
+                transit_seconds=limits.transit_seconds,
+            ),
             life=self._life,
-            settle_seconds=self._settings.limits.settle_seconds,
-            transit_seconds=self._settings.limits.transit_seconds,
-            leave_seconds=self._settings.limits.leave_seconds,
-            drain_seconds=self._settings.limits.drain_seconds,
+            leave_seconds=limits.leave_seconds,
+            drain_seconds=limits.drain_seconds,
         )
 
 
--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -5,7 +5,7 @@
 from functools import singledispatchmethod
 from itertools import count
 from logging import getLogger
-from typing import Any, Final
+from typing import Any
 
 from lovageshunt._record import Record
 from lovageshunt.calls import (
@@ -50,14 +50,6 @@
 from lovageshunt.retries import TellPeers
 
 _log = getLogger(__name__)
-#: Reasons of a failure that say nothing about the target itself.
-_NOT_ITS_FAULT: Final = frozenset(
-    (
-        RefusalReason.OVERLOAD,
-        RefusalReason.QUEUE_FULL,
-        RefusalReason.CANCELLED,
-    )
-)
 
 
 class Calls:
@@ -254,7 +246,6 @@
 
 def _ended(call: CallInProgress, reply: TargetReply) -> CallEnded:
     below = {} if reply.info is None else reply.info.threshold_by_service
-    is_good = reply.outcome is Outcome.ANSWERED
     return CallEnded(
         ticket=call.ticket,
         ending=Ending(
@@ -263,7 +254,7 @@
             answer=_stored(reply),
         ),
         is_complete=reply.whole is not None,
-        was_good=is_good or reply.reason in _NOT_ITS_FAULT,
+        was_shed=reply.was_shed,
         retry_after_ms=reply.retry_after_ms,
         threshold_by_service=below,
     )
--- a/src/lovageshunt/node/_gate_events.py
+++ b/src/lovageshunt/node/_gate_events.py
@@ -83,7 +83,11 @@
     _learn(arrival, event, state, now)
     ended = FlightEnded(call_id=event.ticket, is_complete=event.is_complete)
     out.extend(state.quarantine.handle(ended, now))
-    finished = Finished(event.ticket, was_good=event.was_good)
+    finished = Finished(
+        event.ticket,
+        was_good=event.is_complete,
+        was_shed=event.was_shed,
+    )
     freed = state.admission.handle(finished, now)
     if not arrival.event.is_repeatable:
         completed = Completed(
--- a/src/lovageshunt/node/_gate_messages.py
+++ b/src/lovageshunt/node/_gate_messages.py
@@ -49,15 +49,15 @@
     """A forwarded call left the target.
 
     ``is_complete`` says that the target answered, with whatever status, and
-    ``was_good`` that it did as it should. ``threshold_by_service`` is what
-    the target's answer told of the services below it.
+    ``was_shed`` that it refused the call for its own load.
+    ``threshold_by_service`` is what its answer told of the services below.
     """
 
     __slots__ = (
         'ticket',
         'ending',
         'is_complete',
-        'was_good',
+        'was_shed',
         'retry_after_ms',
         'threshold_by_service',
     )
@@ -68,15 +68,15 @@
         ticket: str,
         ending: Ending,
         is_complete: bool,
-        was_good: bool,
         retry_after_ms: int = 0,
+        was_shed: bool = False,
         threshold_by_service: dict[str, int] | None = None,
     ) -> None:
         """Take how the call ended."""
         self.ticket = ticket
         self.ending = ending
         self.is_complete = is_complete
-        self.was_good = was_good
+        self.was_shed = was_shed
         self.retry_after_ms = retry_after_ms
         self.threshold_by_service = threshold_by_service or {}
 
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -19,7 +19,6 @@
     Drained,
     Inquired,
     InquiryAnswer,
-    Settled,
     Woke,
 )
 from lovageshunt.membership import EpochClock, PauseEnded
@@ -31,7 +30,7 @@
 from lovageshunt.node._identity import Identity
 from lovageshunt.node._inquiries import Inquiries, wait_for_answer
 from lovageshunt.node._life import NodeLife
-from lovageshunt.node._settling import Settling
+from lovageshunt.node._settler import Settler
 from lovageshunt.node._target import TargetLink
 from lovageshunt.observability import Cell
 from lovageshunt.retries import PeerReported
@@ -59,10 +58,8 @@
         target: TargetLink,
         keeping: AccountKeeping,
         pauses: Cell,
-        settling: Settling,
+        settler: Settler,
         life: NodeLife,
-        settle_seconds: float,
-        transit_seconds: float,
         leave_seconds: float,
         drain_seconds: float,
     ) -> None:
@@ -75,7 +72,7 @@
         self._target = target
         self._keeping = keeping
         self._pauses = pauses
-        self._settling = settling
+        self._settler = settler
         self._life = life
         self._leave_seconds = leave_seconds
         self._drain_seconds = drain_seconds
@@ -89,10 +86,6 @@
         self._accounts_at = now()
         self._leaving = Event()
         self._drained_by: float | None = None
-        self._is_settled = False
-        self._transit_seconds = transit_seconds
-        self._settle_seconds = settle_seconds
-        self._serves_from = now() + settle_seconds
         control.fleet.leave = self.begin_leave
 
     @property
@@ -132,7 +125,7 @@
             _log.warning('the process was paused for %.1f s', gap)
             self._calls.handle(Woke(gap_seconds=gap))
             self._control.tell(PauseEnded())
-            self._unsettle()
+            self._settler.restart()
 
     def handle(self, event: Record) -> None:
         """Take an event about single calls."""
@@ -188,35 +181,12 @@
         self.observe()
         self._calls.handle(TimePassed())
         self._control.tick()
-        await self._settle()
+        if self._has_list:
+            await self._settler.turn()
         await self._read_load()
         self._send_accounts()
         await sleep(TICK_SECONDS)
 
-    async def _settle(self) -> None:
-        if self._life.state != 'settling' or not self._has_list:
-            return
-        if not self._is_settled:
-            self._is_settled = await self._settling.is_known_to_all(now())
-            if self._is_settled:
-                self._calls.handle(Settled())
-                settled_at = max(now(), self._serves_from)
-                self._serves_from = settled_at + self._transit_seconds
-        if self._is_settled and now() >= self._serves_from:
-            self._life.step('serve')
-            _log.info('serving')
-
-    def _unsettle(self) -> None:
-        """Have every peer confirm this node anew.
-
-        During a long pause peers may have forgotten it; until they confirm
-        it, it takes no first attempts of calls that must not repeat.
-        """
-        if self._life.step('settle'):
-            self._is_settled = False
-            self._settling.forget()
-            self._serves_from = now() + self._settle_seconds
-
     @property
     def _has_list(self) -> bool:
         return self._control.fleet.peers.peers is not None
--- a/src/lovageshunt/node/_target.py
+++ b/src/lovageshunt/node/_target.py
@@ -26,6 +26,7 @@
 #: A target that answers with this header states that it ran nothing.
 NOT_RUN_HEADER: Final = 'lovageshunt-not-run'
 _FIRST_FAILURE_STATUS: Final = 500
+_SHED_STATUSES: Final = frozenset((429, 503))
 _LOAD_TIMEOUT_SECONDS: Final = 1.0
 _MS_PER_SECOND: Final = 1000
 _RETRY_AFTER: Final = 'retry-after'
@@ -73,6 +74,14 @@
         self.info = info
         self.was_cut = was_cut
 
+    @property
+    def was_shed(self) -> bool:
+        """Return whether the target itself refused the call for its load."""
+        if self.whole is None or self.info is not None:
+            return False
+        is_stated = NOT_RUN_HEADER in self.whole.headers
+        return is_stated or self.whole.status in _SHED_STATUSES
+
     @property
     def retry_after_ms(self) -> int:
         """Return when the target asked its caller to come back, or 0."""
--- a/tests/node/test_gate.py
+++ b/tests/node/test_gate.py
@@ -153,7 +153,6 @@
                     answer=StoredAnswer(status=200, headers=(), body=b'x'),
                 ),
                 is_complete=is_good,
-                was_good=is_good,
             ),
         )
 
@@ -182,7 +181,6 @@
                     reason=RefusalReason.CONNECTION_LOST,
                 ),
                 is_complete=False,
-                was_good=False,
             ),
         )
 
@@ -273,7 +271,6 @@
                     ticket=again,
                     ending=Ending(outcome=Outcome.ANSWERED),
                     is_complete=True,
-                    was_good=True,
                     threshold_by_service={'records': 0},
                 ),
             )
