--- a/bench/spread.py
+++ b/bench/spread.py
@@ -39,7 +39,10 @@
 #: One way between two nodes, in seconds: the least, and the mean above it.
 _LEAST_DELAY: Final = 0.001
 _MEAN_DELAY: Final = 0.01
-_HEADER: Final = ' nodes  loss  readers   case   have   median      all  mean B/s  most B/s  reads'
+_HEADER: Final = (
+    ' nodes  loss  readers   case   have   median      all'
+    '  mean B/s  most B/s  reads'
+)
 _SEED: Final = 1
 _CHANGE: Final = 'change'
 _FIRST: Final = 'first'
