--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -3,7 +3,7 @@
 It is a bare ASGI application, because every layer here is paid by each call.
 """
 
-from asyncio import wait
+from asyncio import get_running_loop
 from collections.abc import Callable
 from typing import Final
 
@@ -139,12 +139,12 @@
             )
             return
         call = self._begin(inbound, admissible.ok)
-        if not call.reply.done():
+        if call.reply is None:
             waiting = self._wait(call)
             if await until_disconnect(receive, waiting) is None:
                 self._calls.abandon(call, RefusalReason.CANCELLED)
                 return
-        await self._answer(call, call.reply.result(), send)
+        await self._answer(call, _reply_of(call), send)
 
     def _rule_of(self, method: str, path: str) -> KindRule:
         return self._control.rules.kind_for(self._service, method, path)
@@ -191,19 +191,24 @@
             ticket=call.ticket,
             context=call.admissible.context,
             is_repeatable=call.admissible.rule.is_repeatable,
-            fingerprint=fingerprint_of(call.inbound),
+            fingerprint=fingerprint_of(call.inbound, call.admissible),
             deadline=call.deadline,
             peers=peers.peers,
             gone=peers.gone(call.arrived_at),
         )
 
-    async def _wait(self, call: CallInProgress) -> Reply:
-        # Unlike a timeout around the future, wait() never cancels it.
-        left = max(0, call.deadline - now())
-        done, _ = await wait((call.reply,), timeout=left)
-        if not done:
-            self._calls.abandon(call, RefusalReason.DEADLINE)
-        return call.reply.result()
+    async def _wait(self, call: CallInProgress) -> bool:
+        timer = get_running_loop().call_later(
+            max(0, call.deadline - now()),
+            self._calls.abandon,
+            call,
+            RefusalReason.DEADLINE,
+        )
+        try:
+            await call.replied
+        finally:
+            timer.cancel()
+        return True
 
     async def _answer(
         self,
@@ -280,6 +285,12 @@
     return all(name != _CONTEXT_NAME for name, _ in scope['headers'])
 
 
+def _reply_of(call: CallInProgress) -> Reply:
+    if call.reply is None:
+        raise RuntimeError('the gate replies to each call before it ends')
+    return call.reply
+
+
 def _unspent(call: CallInProgress) -> int:
     reply = call.target_reply
     if reply is None:
--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/_inquiries.py
@@ -46,7 +46,7 @@
     INQUIRY_PATH,
     PeerLink,
 )
-from lovageshunt.node._target import forwardable
+from lovageshunt.node._target import forwardable, passing_headers
 from lovageshunt.retries import SuspectReport
 
 _ANSWER_SECONDS: Final = 1.0
@@ -150,8 +150,12 @@
         action: Redirect,
         *,
         seconds_left: float,
+        held_seconds: float,
     ) -> Ending:
-        """Send a call to its home and return how it ended there."""
+        """Send a call to its home and return how it ended there.
+
+        ``held_seconds`` is how long it was held here, and so adds to its age.
+        """
         address = self._control.fleet.ingress_address(action.home.node)
         if address is None:
             return _in_doubt()
@@ -159,7 +163,7 @@
             admissible.context,
             home=action.stamp,
             seconds_left=seconds_left,
-            elapsed_seconds=0,
+            elapsed_seconds=held_seconds,
             trace_parent=admissible.context.trace_parent,
         )
         context.attempt = action.attempt
@@ -200,7 +204,7 @@
         reason=said.reason,
         answer=StoredAnswer(
             status=whole.status,
-            headers=tuple(forwardable(whole.headers).items()),
+            headers=passing_headers(whole.headers),
             body=whole.body,
         ),
     )
