--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -84,6 +84,11 @@
         document = self._control.rules.current
         return 0 if document is None else document.generation
 
+    @property
+    def request_ids(self) -> list[str]:
+        """Return the requests whose calls are in progress."""
+        return self._calls.request_ids
+
     def servers(self) -> tuple[EmbeddedServer, ...]:
         """Return the servers of calls, of the admin side and of egress."""
         ingress = Ingress(
--- a/src/lovageshunt/node/_daemon.py
+++ b/src/lovageshunt/node/_daemon.py
@@ -62,7 +62,7 @@
 
     def _log_cut(self) -> bool:
         """Name the requests that are cut off; say whether there are any."""
-        request_ids = self._parts.runtime.request_ids
+        request_ids = self._parts.request_ids
         if request_ids:
             _log.error(
                 'the stop cuts off %d calls, of requests %s',
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -117,11 +117,6 @@
             return 0
         return max(0, self._drained_by - now())
 
-    @property
-    def request_ids(self) -> list[str]:
-        """Return the requests whose calls are in progress."""
-        return self._calls.request_ids
-
     def observe(self) -> None:
         """Notice a pause before the next decision is made."""
         at = now()
