--- a/src/lovageshunt/node/_daemon.py
+++ b/src/lovageshunt/node/_daemon.py
@@ -54,11 +54,10 @@
         self._end_servers()
         await gather(*serving, return_exceptions=True)
         await self._parts.close()
-        if has_cut or self._is_hurried:
-            return 1
-        # An error of the runtime is raised here, after all was closed.
-        running.result()
-        return 0
+        if not running.cancelled():
+            # An error of the runtime is raised here, after all was closed.
+            running.result()
+        return int(has_cut or self._is_hurried)
 
     def _log_cut(self) -> bool:
         """Name the requests that are cut off; say whether there are any."""
