Tell of the target's crash although a call cut by it is abandoned

Cause: calls that are cut together share one question to the target's health, asked in the task of the first. When that call was abandoned before the answer, its cancellation ended the shared question: the crash was never told to the quarantine, so the call that caused it was not recorded, and the other calls were taken for cancelled. The question now tells the crash itself, and each call waits for it shielded.

--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -1,6 +1,6 @@
 """The calls in progress at this node, and what is done for them."""
 
-from asyncio import CancelledError, Task, create_task
+from asyncio import CancelledError, Task, create_task, shield
 from collections.abc import Coroutine
 from functools import singledispatchmethod
 from itertools import count
@@ -80,7 +80,7 @@
         self._by_ticket: dict[str, CallInProgress] = {}
         self._numbers = count(1)
         self._tasks: set[Task[None]] = set()
-        self._crash_check: Task[bool] | None = None
+        self._crash_check: Task[None] | None = None
 
     def begin(
         self,
@@ -210,13 +210,15 @@
     async def _check_target(self) -> None:
         """Find out once for all calls cut together whether it went down."""
         if self._crash_check is None or self._crash_check.done():
-            self._crash_check = create_task(self._target.is_healthy())
-            is_healthy = await self._crash_check
-            if not is_healthy:
-                _log.error('the target went down with calls in flight')
-                self.handle(TargetDown())
-            return
-        await self._crash_check
+            self._crash_check = create_task(self._tell_crash())
+        # A call that is cancelled meanwhile leaves the check to the others.
+        await shield(self._crash_check)
+
+    async def _tell_crash(self) -> None:
+        is_healthy = await self._target.is_healthy()
+        if not is_healthy:
+            _log.error('the target went down with calls in flight')
+            self.handle(TargetDown())
 
     async def _redirect(self, call: CallInProgress, action: Redirect) -> None:
         ending = await self._inquiries.redirect(
