--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -10,6 +10,7 @@
 from lovageshunt._record import Record
 from lovageshunt.calls import (
     CONTEXT_HEADER,
+    ContextKey,
     Outcome,
     RefusalReason,
     encode_context,
@@ -69,9 +70,11 @@
         gate: Gate,
         target: TargetLink,
         inquiries: Inquiries,
+        key: ContextKey | None,
         meter: CallMeter,
     ) -> None:
         """Begin with no calls."""
+        self._key = key
         self._identity = identity
         self._gate = gate
         self._target = target
@@ -82,6 +85,14 @@
         self._tasks: set[Task[None]] = set()
         self._crash_check: Task[None] | None = None
 
+    @property
+    def request_ids(self) -> list[str]:
+        """Return the requests whose calls are in progress."""
+        return sorted(
+            call.admissible.context.request_id
+            for call in self._by_ticket.values()
+        )
+
     def begin(
         self,
         inbound: Inbound,
@@ -195,7 +206,7 @@
             trace_parent=call.span.trace_parent,
         )
         headers = forwardable(call.inbound.headers)
-        headers[CONTEXT_HEADER] = encode_context(sent)
+        headers[CONTEXT_HEADER] = encode_context(sent, self._key)
         reply = await self._target.dispatch(
             call.inbound,
             call_id=context.call_id,
@@ -226,6 +237,7 @@
             call.admissible,
             action,
             seconds_left=call.deadline - now(),
+            held_seconds=now() - call.arrived_at,
         )
         self.handle(CallRedirected(ticket=call.ticket, ending=ending))
         self._by_ticket.pop(call.ticket, None)
--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/_inquiries.py
@@ -14,6 +14,7 @@
 from lovageshunt.calls import (
     ANSWER_HEADER,
     CONTEXT_HEADER,
+    ContextKey,
     HomeStamp,
     Outcome,
     RefusalReason,
@@ -63,8 +64,10 @@
         control: Control,
         link: PeerLink,
         transport: Transport,
+        key: ContextKey | None,
     ) -> None:
         """Begin with no question open."""
+        self._key = key
         self._control = control
         self._link = link
         self._transport = transport
@@ -147,8 +150,12 @@
         action: Redirect,
         *,
         seconds_left: float,
+        held_seconds: float,
     ) -> Ending:
-        """Send a call to its home and return how it ended there."""
+        """Send a call to its home and return how it ended there.
+
+        ``held_seconds`` is how long it was held here, and so adds to its age.
+        """
         address = self._control.fleet.ingress_address(action.home.node)
         if address is None:
             return _in_doubt()
@@ -156,12 +163,12 @@
             admissible.context,
             home=action.stamp,
             seconds_left=seconds_left,
-            elapsed_seconds=0,
+            elapsed_seconds=held_seconds,
             trace_parent=admissible.context.trace_parent,
         )
         context.attempt = action.attempt
         headers = forwardable(inbound.headers)
-        headers[CONTEXT_HEADER] = encode_context(context)
+        headers[CONTEXT_HEADER] = encode_context(context, self._key)
         exchange = await self._transport.send(
             address=address,
             method=inbound.method,
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -88,8 +88,10 @@
         self._load_at = now()
         self._accounts_at = now()
         self._leaving = Event()
+        self._drained_by: float | None = None
         self._is_settled = False
         self._transit_seconds = transit_seconds
+        self._settle_seconds = settle_seconds
         self._serves_from = now() + settle_seconds
         control.fleet.leave = self.begin_leave
 
@@ -108,6 +110,18 @@
         """Return whether the node takes calls of every kind."""
         return self._life.is_serving
 
+    @property
+    def drain_seconds_left(self) -> float:
+        """Return how long a planned stop may still wait for answers."""
+        if self._drained_by is None:
+            return 0
+        return max(0, self._drained_by - now())
+
+    @property
+    def request_ids(self) -> list[str]:
+        """Return the requests whose calls are in progress."""
+        return self._calls.request_ids
+
     def observe(self) -> None:
         """Notice a pause before the next decision is made."""
         at = now()
@@ -118,6 +132,7 @@
             _log.warning('the process was paused for %.1f s', gap)
             self._calls.handle(Woke(gap_seconds=gap))
             self._control.tell(PauseEnded())
+            self._unsettle()
 
     def handle(self, event: Record) -> None:
         """Take an event about single calls."""
@@ -191,6 +206,17 @@
             self._life.step('serve')
             _log.info('serving')
 
+    def _unsettle(self) -> None:
+        """Have every peer confirm this node anew.
+
+        During a long pause peers may have forgotten it; until they confirm
+        it, it takes no first attempts of calls that must not repeat.
+        """
+        if self._life.step('settle'):
+            self._is_settled = False
+            self._settling.forget()
+            self._serves_from = now() + self._settle_seconds
+
     @property
     def _has_list(self) -> bool:
         return self._control.fleet.peers.peers is not None
@@ -224,6 +250,7 @@
 
     async def _leave(self) -> None:
         left_at = now()
+        self._drained_by = left_at + self._drain_seconds
         while self._must_stay(now() - left_at):
             await self._leaving_turn()
         self._calls.handle(Drained())
