--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -181,7 +181,7 @@
 
     async def _forward(self, call: CallInProgress) -> None:
         reply = TargetReply(
-            outcome=self._outcome_if_cancelled(call),
+            outcome=_outcome_if_cancelled(call),
             reason=RefusalReason.CANCELLED,
         )
         try:
@@ -242,11 +242,6 @@
         self.handle(CallRedirected(ticket=call.ticket, ending=ending))
         self._by_ticket.pop(call.ticket, None)
 
-    def _outcome_if_cancelled(self, call: CallInProgress) -> Outcome:
-        if call.admissible.rule.is_repeatable:
-            return Outcome.FAILED
-        return Outcome.UNKNOWN
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> Task[None]:
         task = create_task(work)
         self._tasks.add(task)
@@ -254,6 +249,11 @@
         return task
 
 
+def _outcome_if_cancelled(call: CallInProgress) -> Outcome:
+    is_repeatable = call.admissible.rule.is_repeatable
+    return Outcome.FAILED if is_repeatable else Outcome.UNKNOWN
+
+
 def _ended(call: CallInProgress, reply: TargetReply) -> CallEnded:
     below = {} if reply.info is None else reply.info.threshold_by_service
     is_good = reply.outcome is Outcome.ANSWERED
--- a/tests/node/test_calls.py
+++ b/tests/node/test_calls.py
@@ -93,6 +93,7 @@
             target=target,
             inquiries=None,
             meter=None,
+            key=None,
         )
         first, second = begin(calls, 1), begin(calls, 2)
         await target.asked.wait()
