--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -1,6 +1,6 @@
 """The calls in progress at this node, and what is done for them."""
 
-from asyncio import CancelledError, Task, create_task
+from asyncio import CancelledError, Task, create_task, shield
 from collections.abc import Coroutine
 from functools import singledispatchmethod
 from itertools import count
@@ -75,7 +75,7 @@
         self._by_ticket: dict[str, CallInProgress] = {}
         self._numbers = count(1)
         self._tasks: set[Task[None]] = set()
-        self._crash_check: Task[bool] | None = None
+        self._crash_check: Task[None] | None = None
 
     @property
     def request_ids(self) -> list[str]:
@@ -173,7 +173,7 @@
 
     async def _forward(self, call: CallInProgress) -> None:
         reply = TargetReply(
-            outcome=self._outcome_if_cancelled(call),
+            outcome=_outcome_if_cancelled(call),
             reason=RefusalReason.CANCELLED,
         )
         try:
@@ -213,13 +213,15 @@
     async def _check_target(self) -> None:
         """Find out once for all calls cut together whether it went down."""
         if self._crash_check is None or self._crash_check.done():
-            self._crash_check = create_task(self._target.is_healthy())
-            is_healthy = await self._crash_check
-            if not is_healthy:
-                _log.error('the target went down with calls in flight')
-                self.handle(TargetDown())
-            return
-        await self._crash_check
+            self._crash_check = create_task(self._tell_crash())
+        # A call that is cancelled meanwhile leaves the check to the others.
+        await shield(self._crash_check)
+
+    async def _tell_crash(self) -> None:
+        is_healthy = await self._target.is_healthy()
+        if not is_healthy:
+            _log.error('the target went down with calls in flight')
+            self.handle(TargetDown())
 
     async def _redirect(self, call: CallInProgress, action: Redirect) -> None:
         ending = await self._inquiries.redirect(
@@ -232,11 +234,6 @@
         self.handle(CallRedirected(ticket=call.ticket, ending=ending))
         self._by_ticket.pop(call.ticket, None)
 
-    def _outcome_if_cancelled(self, call: CallInProgress) -> Outcome:
-        if call.admissible.rule.is_repeatable:
-            return Outcome.FAILED
-        return Outcome.UNKNOWN
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> Task[None]:
         task = create_task(work)
         self._tasks.add(task)
@@ -244,6 +241,11 @@
         return task
 
 
+def _outcome_if_cancelled(call: CallInProgress) -> Outcome:
+    is_repeatable = call.admissible.rule.is_repeatable
+    return Outcome.FAILED if is_repeatable else Outcome.UNKNOWN
+
+
 def _ended(call: CallInProgress, reply: TargetReply) -> CallEnded:
     below = {} if reply.info is None else reply.info.threshold_by_service
     return CallEnded(
