--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(BIN)/ruff check --fix .
 
 bench: $(ENV)/ready
-	$(BIN)/python -m bench
+	$(BIN)/python -m bench overload
 
 $(ENV)/ready: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(ENV)
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,24 +1,29 @@
-"""Runs a benchmark: ``python -m bench NAME``."""
+"""Runs a benchmark: ``python -m bench NAME [ARGUMENT ...]``."""
 
 import sys
+from runpy import run_module
 
-from bench.cost import main as run_cost
-from bench.overload import run
-
-_USAGE = (
-    'usage: python -m bench overload [DEPLOYMENT] [WORKLOAD]\n'
-    '       python -m bench cost [latency] [control]\n'
+_NAMES = (
+    'charts',
+    'cost',
+    'live',
+    'membership',
+    'observability',
+    'overload',
+    'retry_shares',
+    'run_once',
+    'spread',
 )
 
 
 def main(arguments: list[str]) -> int:
     """Run the named benchmark; return 2 when there is none of the name."""
-    if arguments[:1] == ['cost']:
-        return run_cost(arguments[1:])
-    if arguments[:1] != ['overload']:
-        sys.stderr.write(_USAGE)
+    if not arguments or arguments[0] not in _NAMES:
+        names = ', '.join(_NAMES)
+        sys.stderr.write(f'usage: python -m bench NAME ..., of {names}\n')
         return 2
-    run(arguments[1:])
+    name, *sys.argv[1:] = arguments
+    run_module(f'bench.{name}', run_name='__main__', alter_sys=True)
     return 0
 
 
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -84,3 +84,7 @@
 
 def _named(known: dict[str, object], arguments: list[str]) -> list[str]:
     return [name for name in known if name in arguments] or list(known)
+
+
+if __name__ == '__main__':
+    run(sys.argv[1:])
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -13,16 +13,18 @@
     _ROOT / 'CONTRIBUTING.md',
     *sorted((_ROOT / 'docs').rglob('*.md')),
 ]
-_COMMAND = re.compile(r'(?:^    |`)lovageshunt ((?:[a-z]+ ?)+)', re.MULTILINE)
-_MODULE = re.compile(r'python -m (bench[.a-z_]*|demo)')
-_TARGET = re.compile(r'(?:^    |`)make ([a-z]+)', re.MULTILINE)
+_CODE = re.compile(r'```.*?```|`[^`\n]+`|^    [^\n]*', re.MULTILINE | re.DOTALL)
+_COMMAND = re.compile(r'^[ `]*lovageshunt ((?:[a-z]+ ?)+)', re.MULTILINE)
+_MODULE = re.compile(r'python -m (bench\.[.a-z_]+|bench [a-z_]+|demo)')
+_TARGET = re.compile(r'^[ `]*make ([a-z]+)', re.MULTILINE)
 _GROUPED = frozenset(('rules',))
 
 
 def found(pattern):
-    """Return what the pages name, each once."""
+    """Return what the code on the pages names, each once."""
     texts = (page.read_text(encoding='utf-8') for page in _PAGES)
-    named = {match for text in texts for match in pattern.findall(text)}
+    codes = [code for text in texts for code in _CODE.findall(text)]
+    named = {match for code in codes for match in pattern.findall(code)}
     return sorted(name.strip() for name in named)
 
 
@@ -40,7 +42,7 @@
     @pytest.mark.parametrize('module', found(_MODULE))
     def test_module_exists(self, module):
         """Each module that a page runs exists."""
-        path = _ROOT / module.replace('.', '/')
+        path = _ROOT / re.sub('[. ]', '/', module)
 
         assert path.with_suffix('.py').exists() or path.is_dir()
 
