--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,8 +22,9 @@
         names = ', '.join(_NAMES)
         sys.stderr.write(f'usage: python -m bench NAME ..., of {names}\n')
         return 2
-    name, *sys.argv[1:] = arguments
-    run_module(f'bench.{name}', run_name='__main__', alter_sys=True)
+    sys.argv = [sys.argv[0], *arguments[1:]]
+    module = f'bench.{arguments[0]}'
+    run_module(module, run_name='__main__', alter_sys=True)
     return 0
 
 
