Claim no more than is known for an attempt beyond the retry bound

The library refused that attempt for the retry bound and called it not run, though earlier ones had been told unknown. Ruled out: the run-once table, which never saw the attempt. A lookup is now told failed; a purchase is sent without retries, since it cannot run again and its caller may learn how it ended.

--- a/src/lovageshunt/client/_scope.py
+++ b/src/lovageshunt/client/_scope.py
@@ -180,6 +180,9 @@
             share = allowance_for(rule.retry_bound, self._context.attempt)
             if share is not None:
                 self._pool = AllowancePool(share.retries)
+            elif not rule.is_repeatable:
+                # It cannot run again, so this attempt only asks how it ended.
+                self._pool = AllowancePool(0)
         return self._pool
 
     def _rule_for(self, call: Call) -> KindRule:
@@ -207,9 +210,10 @@
         )
 
     def _beyond_bound(self) -> CallError:
+        # Only a repeated request gets here, and what was tried may have run.
         return call_error(
             self.request_id,
-            Outcome.NOT_RUN,
+            Outcome.FAILED,
             RefusalReason.RETRY_BOUND,
             _BOUND_RETRY_MS,
         )
--- a/tests/client/test_scope.py
+++ b/tests/client/test_scope.py
@@ -4,6 +4,7 @@
 
 from lovageshunt.calls import CallContext, Outcome, RefusalReason
 from lovageshunt.client import Call
+from lovageshunt.errors import CallFailedError
 from tests.client.fakes import FakeNodes, client_of
 
 
@@ -116,3 +117,34 @@
         async with client_of(nodes) as client:
             await inner(client).call_all(calls(4))
         assert 4 <= len(nodes.arrivals) <= 4 + 5
+
+
+class TestAttemptsBeyondTheBound:
+    """A request that its caller repeats more often than the rules allow."""
+
+    async def test_lookup_is_not_claimed_as_not_run(self):
+        """An earlier attempt of it may have run, so it is failed."""
+        async with client_of(FakeNodes(), retry_bound=3) as client:
+            scope = client.request(request_id='r', attempt=9)
+            reply = await scope.call('payments', 'GET', '/')
+
+        assert isinstance(reply.error, CallFailedError)
+        assert reply.error.reason is RefusalReason.RETRY_BOUND
+
+    async def test_purchase_may_still_learn_its_outcome(self):
+        """It is sent without retries; the run-once table never reruns it."""
+
+        async def serve(arrival):
+            await arrival.answer()
+
+        nodes = FakeNodes(serve)
+        async with client_of(
+            nodes,
+            retry_bound=3,
+            is_repeatable=False,
+        ) as client:
+            scope = client.request(request_id='r', attempt=9)
+            reply = await scope.call('payments', 'POST', '/')
+
+        assert reply.is_ok()
+        assert nodes.arrivals[0].context.retries_left == 0
