Show on real processes that an abandoned screen stops the lookups below it

A screen's lookup of 3 s is cancelled within 1 s of its caller's leaving, two hops down. A deployment that does not come up ends the processes it had started.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -219,14 +219,20 @@
         async with self._client().get(url) as response:
             return orjson.loads(await response.read())
 
+    def witnessed(self, service: str) -> list[tuple[str, str, str]]:
+        """Return what targets of a service wrote: what, request and call."""
+        lines = [
+            line.split(' ')
+            for path in self.folder.glob(f'{service}-*.witness')
+            for line in path.read_text(encoding='utf-8').splitlines()
+        ]
+        return [(what, request, call) for what, _, request, call in lines]
+
     def executions(self, service: str) -> Counter[str]:
         """Return how often each call of a service ran, on any target."""
-        ran: Counter[str] = Counter()
-        for path in self.folder.glob(f'{service}-*.witness'):
-            for line in path.read_text(encoding='utf-8').splitlines():
-                what, _, _, call_id = line.split(' ')
-                ran[call_id] += what == 'ran'
-        return ran
+        return Counter(
+            call for what, _, call in self.witnessed(service) if what == 'ran'
+        )
 
     def _node(self, name: str) -> asyncio.subprocess.Process:
         process = self.by_name[name].node_process
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -33,11 +33,45 @@
     """Take the deployment."""
 
 
-@given(parsers.parse('the targets of payments take {service_ms:d} ms'))
-def slow_targets(world, service_ms):
-    """Make all targets slow."""
-    for node in _NODES:
-        world.run(world.fleet.control_target(node, service_ms=service_ms))
+@given(parsers.parse('the targets of {service} take {service_ms:d} ms'))
+def slow_targets(world, service, service_ms):
+    """Make all targets of a service slow."""
+    for vm in world.fleet.vms:
+        if vm.plan.name == service:
+            world.run(
+                world.fleet.control_target(vm.name, service_ms=service_ms),
+            )
+
+
+@when('a screen is asked for and its caller goes away')
+def abandoned_screen(world):
+    """Leave while the lookup below the screen runs."""
+
+    async def leave():
+        asking = asyncio.create_task(
+            world.send('screens-1', 'abandoned', method='GET', path='/screen'),
+        )
+        while not world.lines('records', 'ran', 'abandoned'):
+            await asyncio.sleep(0.02)
+        asking.cancel()
+
+    world.run(leave())
+
+
+@then(parsers.parse('no call runs at {node} after {seconds:d} s'))
+def nothing_runs(world, node, seconds):
+    """Ask the node's admin side."""
+    world.run(asyncio.sleep(seconds))
+    status = world.run(world.fleet.admin(node, '/v1/status'))
+    assert status['running'] == 0
+
+
+@then('no lookup of the screen was finished')
+def nothing_finished(world):
+    """Wait as long as the lookup would have taken."""
+    world.run(asyncio.sleep(3))
+    assert world.lines('records', 'ran', 'abandoned') == 1
+    assert world.lines('records', 'finished', 'abandoned') == 0
 
 
 @given(parsers.parse('{node} is frozen'))
--- a/tests/scenarios/world.py
+++ b/tests/scenarios/world.py
@@ -17,6 +17,8 @@
 service;kind;method;path;importance;repeatable;timeout_seconds;retry_bound
 payments;purchase;POST;/tokens;0;no;5;6
 payments;history;GET;/tokens;4;yes;{timeout};6
+screens;screen;GET;/screen;4;yes;5;6
+records;record;GET;/records;5;yes;4;6
 """
 _FIELD_BY_OUTCOME = 'outcome'
 
@@ -46,7 +48,17 @@
         self.loop = asyncio.new_event_loop()
         self.fleet = Fleet(
             folder,
-            [ServicePlan('payments', instances=3, slots=20, service_ms=5)],
+            [
+                ServicePlan('payments', instances=3, slots=20, service_ms=5),
+                ServicePlan(
+                    'screens',
+                    instances=1,
+                    slots=20,
+                    service_ms=5,
+                    calls=(('records', '/records'),),
+                ),
+                ServicePlan('records', instances=1, slots=20, service_ms=5),
+            ],
         )
         self.generation = 1
         self.began_by_id: dict[str, float] = {}
@@ -64,7 +76,11 @@
     async def start(self) -> None:
         """Bring up the deployment and two kinds of callers."""
         self.session = aiohttp.ClientSession()
-        await self.fleet.start(self.document(1))
+        try:
+            await self.fleet.start(self.document(1))
+        except BaseException:
+            await self.fleet.stop()
+            raise
         self.client = Client(
             ClientOptions(
                 name='phone',
@@ -148,12 +164,14 @@
         return int(1000 * (time.monotonic() - began_at))
 
     def runs(self, request_id: str) -> int:
-        """Return how often a request ran on any target."""
-        ran = self.fleet.executions('payments')
+        """Return how often a request ran on any target of payments."""
+        return self.lines('payments', 'ran', request_id)
+
+    def lines(self, service: str, what: str, request_id: str) -> int:
+        """Return how often targets witnessed something of a request."""
+        witnessed = self.fleet.witnessed(service)
         return sum(
-            times
-            for call_id, times in ran.items()
-            if call_id.split('.')[0] == request_id
+            line[0] == what and line[1] == request_id for line in witnessed
         )
 
     async def restart_crashed(self) -> None:
