--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 _NAMES = (
     'charts',
     'cost',
+    'decisions',
     'live',
     'membership',
     'observability',
