Keep the timer turning while target and peers are silent; give back slots

Found by reading. The timer waited for the target's load report and for peers' confirmations, a second each at worst: deadlines were kept late, and the gap passed for a pause of the process, after which a node refuses purchases until it has settled again. Both now run beside the timer. A call whose caller left in the turn in which it was forwarded was cancelled before its task had begun, so its end was never told and its slot was lost.

--- a/src/lovageshunt/node/_call.py
+++ b/src/lovageshunt/node/_call.py
@@ -24,6 +24,8 @@
         'replied',
         'target_reply',
         'forwarding',
+        'has_begun',
+        'is_cancelled',
     )
 
     def __init__(
@@ -49,3 +51,7 @@
         self.replied: Future[None] = get_running_loop().create_future()
         self.target_reply: TargetReply | None = None
         self.forwarding: Task[None] | None = None
+        #: A task that is cancelled before its first turn runs none of its
+        #: code, so one that has not begun is only told so.
+        self.has_begun = False
+        self.is_cancelled = False
--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/_calls.py
@@ -144,7 +144,10 @@
     @_act.register
     def _on_cancel(self, action: CancelForward) -> None:
         call = self._by_ticket.get(action.ticket)
-        if call is not None and call.forwarding is not None:
+        if call is None or call.forwarding is None:
+            return
+        call.is_cancelled = True
+        if call.has_begun:
             call.forwarding.cancel()
 
     @_act.register
@@ -176,8 +179,10 @@
             outcome=_outcome_if_cancelled(call),
             reason=RefusalReason.CANCELLED,
         )
+        call.has_begun = True
         try:
-            reply = await self._dispatch(call)
+            if not call.is_cancelled:
+                reply = await self._dispatch(call)
         except CancelledError:
             _log.debug('call %s was cancelled', call.ticket)
         except Exception:
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -25,6 +25,7 @@
 from lovageshunt.node._calls import Calls
 from lovageshunt.node._control import Control
 from lovageshunt.node._envelope import Envelope
+from lovageshunt.node._errands import Errands
 from lovageshunt.node._gate import Gate
 from lovageshunt.node._gate_messages import LeaveBegun, TimePassed
 from lovageshunt.node._identity import Identity
@@ -85,6 +86,7 @@
         self._load_at = now()
         self._accounts_at = now()
         self._leaving = Event()
+        self._errands = Errands()
         self._drained_by: float | None = None
         control.fleet.leave = self.begin_leave
 
@@ -169,6 +171,7 @@
         self._life.step('settle')
         while not self._leaving.is_set():
             await self._turn()
+        self._errands.cancel()
         await self._leave()
         self._life.step('stop')
 
@@ -177,8 +180,10 @@
         self._calls.handle(TimePassed())
         self._control.tick()
         if self._has_list:
-            await self._settler.turn()
-        await self._read_load()
+            self._errands.begin('settle', self._settler.turn)
+        if now() >= self._load_at:
+            self._load_at = now() + _LOAD_SECONDS
+            self._errands.begin('load', self._read_load)
         self._send_accounts()
         await sleep(TICK_SECONDS)
 
@@ -187,9 +192,6 @@
         return self._control.fleet.peers.peers is not None
 
     async def _read_load(self) -> None:
-        if now() < self._load_at:
-            return
-        self._load_at = now() + _LOAD_SECONDS
         load = await self._target.load()
         if load.is_ok():
             reported = LoadReported(
--- a/tests/node/test_calls.py
+++ b/tests/node/test_calls.py
@@ -108,3 +108,29 @@
             if isinstance(event, CallEnded)
         }
         assert ended[second.ticket] is RefusalReason.CONNECTION_LOST
+
+
+class TestCancelBeforeTheFirstTurn:
+    """A call whose caller leaves in the same turn in which it is forwarded."""
+
+    async def test_its_slot_comes_back(self):
+        """The gate is told that the call ended, and the target never called.
+
+        A task that is cancelled before its first turn runs none of its code.
+        """
+        gate, target = ForwardingGate(), CrashedTarget()
+        calls = Calls(
+            identity=None,
+            gate=gate,
+            target=target,
+            inquiries=None,
+            meter=None,
+            key=None,
+        )
+        call = begin(calls, 1)
+        calls.abandon(call, RefusalReason.CANCELLED)
+        await asyncio.wait((call.forwarding,))
+        ended = [event for event in gate.events if isinstance(event, CallEnded)]
+
+        assert [event.ticket for event in ended] == [call.ticket]
+        assert not target.asked.is_set()
