--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -41,6 +41,7 @@
 #: A turn that is later than this was a pause.
 PAUSE_SLACK_SECONDS: Final = 1.0
 _LOAD_SECONDS: Final = 1.0
+_CONTROL_SECONDS: Final = 0.5
 _ACCOUNTS_SECONDS: Final = 1.0
 _log = getLogger(__name__)
 
@@ -84,6 +85,7 @@
         )
         self._seen_at = now()
         self._load_at = now()
+        self._control_at = now()
         self._accounts_at = now()
         self._leaving = Event()
         self._errands = Errands()
@@ -178,7 +180,7 @@
     async def _turn(self) -> None:
         self.observe()
         self._calls.handle(TimePassed())
-        self._control.tick()
+        self._tick_control()
         if self._has_list:
             self._errands.begin('settle', self._settler.turn)
         if now() >= self._load_at:
@@ -191,6 +193,13 @@
     def _has_list(self) -> bool:
         return self._control.fleet.peers.peers is not None
 
+    def _tick_control(self) -> None:
+        # Less often than calls need it: each turn costs the calls beside it.
+        if now() < self._control_at:
+            return
+        self._control_at = now() + _CONTROL_SECONDS
+        self._control.tick()
+
     async def _read_load(self) -> None:
         load = await self._target.load()
         if load.is_ok():
@@ -233,7 +242,7 @@
     async def _leaving_turn(self) -> None:
         self.observe()
         self._calls.handle(TimePassed())
-        self._control.tick()
+        self._tick_control()
         await sleep(TICK_SECONDS)
 
     def _must_stay(self, seconds: float) -> bool:
