--- a/src/lovageshunt/settings/_keys.py
+++ b/src/lovageshunt/settings/_keys.py
@@ -279,7 +279,7 @@
         Key(
             name='table_entries',
             kind=whole_number(100, 10_000_000),
-            default='20000',
+            default='12000',
             unit='calls',
             meaning='How many calls that run at most once are remembered.',
         ),
