--- a/src/lovageshunt/idempotency/_actions.py
+++ b/src/lovageshunt/idempotency/_actions.py
@@ -1,8 +1,13 @@
 """What the decision to run a call at most once asks of its node."""
 
 from lovageshunt._record import Record
-from lovageshunt.calls import HomeStamp, RefusalReason
-from lovageshunt.idempotency._records import Ending, HandedEntry, InquiryAnswer
+from lovageshunt.calls import HomeStamp
+from lovageshunt.idempotency._records import (
+    Ending,
+    HandedEntry,
+    InquiryAnswer,
+    RefusedCall,
+)
 
 
 class Run(Record):
@@ -47,43 +52,19 @@
         self.ending = ending
 
 
-class AnswerUnknown(Record):
+class AnswerUnknown(RefusedCall):
     """Answer *unknown*, with when to come back."""
 
-    __slots__ = ('call_id', 'reason', 'retry_after_ms')
-
-    def __init__(
-        self,
-        *,
-        call_id: str,
-        reason: RefusalReason,
-        retry_after_ms: int,
-    ) -> None:
-        """Name the arrival, why, and when to come back."""
-        self.call_id = call_id
-        self.reason = reason
-        self.retry_after_ms = retry_after_ms
+    __slots__ = ()
 
 
-class AnswerNotRun(Record):
+class AnswerNotRun(RefusedCall):
     """Answer *not run*, with when to come back.
 
     It holds for this attempt and for all before it, here and elsewhere.
     """
 
-    __slots__ = ('call_id', 'reason', 'retry_after_ms')
-
-    def __init__(
-        self,
-        *,
-        call_id: str,
-        reason: RefusalReason,
-        retry_after_ms: int,
-    ) -> None:
-        """Name the arrival, why, and when to come back."""
-        self.call_id = call_id
-        self.reason = reason
-        self.retry_after_ms = retry_after_ms
+    __slots__ = ()
 
 
 class Redirect(Record):
--- a/src/lovageshunt/idempotency/_events.py
+++ b/src/lovageshunt/idempotency/_events.py
@@ -1,12 +1,13 @@
 """What is told to the decision to run a call at most once."""
 
 from lovageshunt._record import Record
-from lovageshunt.calls import HomeStamp, RefusalReason
+from lovageshunt.calls import HomeStamp
 from lovageshunt.idempotency._records import (
     Departed,
     Ending,
     HandedEntry,
     InquiryAnswer,
+    RefusedCall,
 )
 
 
@@ -65,22 +66,10 @@
         self.call_id = call_id
 
 
-class Refused(Record):
+class Refused(RefusedCall):
     """Admission or another part of the node refused a call."""
 
-    __slots__ = ('call_id', 'reason', 'retry_after_ms')
-
-    def __init__(
-        self,
-        *,
-        call_id: str,
-        reason: RefusalReason,
-        retry_after_ms: int,
-    ) -> None:
-        """Name the arrival, why, and when to come back."""
-        self.call_id = call_id
-        self.reason = reason
-        self.retry_after_ms = retry_after_ms
+    __slots__ = ()
 
 
 class Completed(Record):
--- a/src/lovageshunt/idempotency/_records.py
+++ b/src/lovageshunt/idempotency/_records.py
@@ -167,3 +167,21 @@
         self.key = key
         self.ending = ending
         self.refused_through = refused_through
+
+
+class RefusedCall(Record):
+    """One arrival that is not run now: why, and when to come back."""
+
+    __slots__ = ('call_id', 'reason', 'retry_after_ms')
+
+    def __init__(
+        self,
+        *,
+        call_id: str,
+        reason: RefusalReason,
+        retry_after_ms: int,
+    ) -> None:
+        """Name the arrival, why, and when to come back."""
+        self.call_id = call_id
+        self.reason = reason
+        self.retry_after_ms = retry_after_ms
