--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -167,8 +167,13 @@
             reason,
             is_external=is_external,
         )
-        body = refusal_body('', ending, _REFUSED_RETRY_MS)
-        await respond(send, status=status, headers=[_JSON], body=body)
+        seconds = str(_REFUSED_RETRY_MS // _MS_PER_SECOND).encode()
+        await respond(
+            send,
+            status=status,
+            headers=[_JSON, (b'retry-after', seconds)],
+            body=refusal_body('', ending, _REFUSED_RETRY_MS),
+        )
 
     def _begin(
         self, inbound: Inbound, admissible: Admissible
--- a/tests/node/test_ingress.py
+++ b/tests/node/test_ingress.py
@@ -56,7 +56,7 @@
         ],
     )
     async def test_is_counted(self, node, headers, body, status, end):
-        """It stands in the account as arrived and ended."""
+        """It stands in the account, and is told when to come back."""
         async with aiohttp.ClientSession() as session:
             before = await counts(session, node)
             async with session.get(
@@ -65,6 +65,7 @@
                 data=body,
             ) as reply:
                 assert reply.status == status
+                assert int(reply.headers['retry-after']) > 0
             after = await counts(session, node)
 
         changed = {
