Ask who is gone only for calls that run at most once; drop dead names

Every arrival listed the nodes that lately left, and only the run-once table reads them. A constant and a one-line function were left without use. Tried and not kept: letting the news of the list share the fields of a listed VM, because its constructor then lost its types and its required state.

--- a/src/lovageshunt/node/_admin.py
+++ b/src/lovageshunt/node/_admin.py
@@ -31,7 +31,6 @@
 _UNAUTHORIZED: Final = 401
 _FORBIDDEN: Final = 403
 _BAD_REQUEST: Final = 400
-_TOO_LARGE: Final = 413
 _UNAVAILABLE: Final = 503
 _ACCEPTED: Final = 202
 
--- a/src/lovageshunt/node/_border.py
+++ b/src/lovageshunt/node/_border.py
@@ -129,7 +129,8 @@
     is_first = admissible.context.attempt == 1
     if is_first or not admissible.is_external:
         return ending
-    if ending.outcome is not Outcome.NOT_RUN or not _is_safe(admissible):
+    is_repeatable = admissible.rule.is_repeatable
+    if ending.outcome is not Outcome.NOT_RUN or not is_repeatable:
         return ending
     return Ending(outcome=Outcome.FAILED, reason=ending.reason)
 
@@ -206,10 +207,6 @@
     return CallContext(**fields)
 
 
-def _is_safe(admissible: Admissible) -> bool:
-    return admissible.rule.is_repeatable
-
-
 def _outside(
     context: CallContext,
     rule: KindRule,
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/_ingress.py
@@ -192,14 +192,17 @@
 
     def _arrival(self, call: CallInProgress) -> CallArrived:
         peers = self._control.fleet.peers
+        is_repeatable = call.admissible.rule.is_repeatable
+        # Only the run-once table asks who is gone.
+        gone = () if is_repeatable else peers.gone(call.arrived_at)
         return CallArrived(
             ticket=call.ticket,
             context=call.admissible.context,
-            is_repeatable=call.admissible.rule.is_repeatable,
+            is_repeatable=is_repeatable,
             fingerprint=fingerprint_of(call.inbound, call.admissible),
             deadline=call.deadline,
             peers=peers.peers,
-            gone=peers.gone(call.arrived_at),
+            gone=gone,
         )
 
     async def _wait(self, call: CallInProgress) -> bool:
