--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -30,9 +30,9 @@
 _SERVICE_WEIGHT: Final = 0.05
 #: The service time assumed before the first call ended, in seconds.
 _FIRST_SERVICE_SECONDS: Final = 0.05
-#: Calls beyond its slots that a target is given, as a share of them, so that
-#: a slot that falls free finds its next call there.
-_AHEAD_SHARE: Final = 0.05
+#: The share of its slots that is left free: targets slow down when they are
+#: nearly full, and a full one refuses what its node has let through.
+_SPARE_SHARE: Final = 0.06
 _MS_PER_SECOND: Final = 1000
 
 
@@ -67,13 +67,18 @@
     @property
     def limit(self) -> int:
         """Return how many calls may be at the target at once."""
-        return self._slots + 1 + int(self._slots * _AHEAD_SHARE)
+        return max(1, int(self._slots * (1 - _SPARE_SHARE)))
 
     @property
     def is_empty(self) -> bool:
         """Tell whether no call runs or waits."""
         return not self._running and not self._queue
 
+    @property
+    def backlog_slot_seconds(self) -> float:
+        """Return the work that waits, in seconds of one slot."""
+        return len(self._queue) * self._service_seconds
+
     @property
     def service_seconds(self) -> float:
         """Return the mean time of a call at the target."""
--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -4,7 +4,8 @@
 from collections import deque
 from logging import getLogger
 from time import monotonic
-from typing import Any, Final, Protocol as Interface, cast
+from typing import Any, Final, cast
+from typing import Protocol as Interface
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
@@ -55,6 +56,7 @@
         '_is_reading',
         '_since',
         'closes_next',
+        'peer_host',
     )
 
     def __init__(
@@ -77,6 +79,8 @@
         self._since = monotonic()
         #: The next answer announces that the connection closes.
         self.closes_next = False
+        #: The address of the other side, without its port.
+        self.peer_host = ''
         self._begin_message()
 
     # What asyncio calls.
@@ -84,6 +88,8 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Join the open connections."""
         self._transport = cast(Transport, transport)
+        peer = transport.get_extra_info('peername')
+        self.peer_host = peer[0] if peer else ''
         self._open.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/lovageshunt/links/_codec.py
+++ b/src/lovageshunt/links/_codec.py
@@ -6,7 +6,7 @@
 
 from lovageshunt._record import Record
 from lovageshunt.errors import MalformedFrameError
-from lovageshunt.links._messages import Advice, Greeting
+from lovageshunt.links._messages import Greeting, NeedsNews
 
 
 def encode_message(message: Record) -> bytes:
@@ -23,11 +23,11 @@
         raise MalformedFrameError(str(error)) from error
 
 
-def decode_advice(payload: bytes) -> Advice:
-    """Read advice; raises ``MalformedFrameError`` when it is none."""
+def decode_needs(payload: bytes) -> NeedsNews:
+    """Read needs; raises ``MalformedFrameError`` when it is none."""
     fields = _object(payload)
     try:
-        return Advice(**fields)
+        return NeedsNews(**fields)
     except TypeError as error:
         raise MalformedFrameError(str(error)) from error
 
--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -233,9 +233,7 @@
                         self._port,
                     )
                     hello = encode_message(self._greeting)
-                    connection.write(
-                        encode_frame(FrameKind.GREETING, 0, hello)
-                    )
+                    connection.write(encode_frame(FrameKind.GREETING, 0, hello))
                     await connection.greeting
             except OSError as error:
                 connection.drop()
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -5,13 +5,14 @@
 """
 
 from enum import IntEnum
-from struct import Struct, error as StructError
+from struct import Struct
+from struct import error as StructError
 from typing import Final
 
 from lovageshunt._record import Record
 from lovageshunt.calls import LoadReport, Outcome, RefusalReason
 from lovageshunt.errors import MalformedFrameError
-from lovageshunt.links._messages import RunAnswer, RunOrder
+from lovageshunt.links._messages import LoadNews, RunAnswer, RunOrder
 
 _PREFIX: Final = Struct('!IBI')
 _LENGTH_SIZE: Final = 4
@@ -22,6 +23,8 @@
 #: Answer: outcome, reason, ms to come back, status, length of the fields,
 #: whether a load follows, running, waiting, limit, ms of service.
 _ANSWER: Final = Struct('!BBIHI?IIIf')
+#: Load: running, waiting, limit, ms of service, share; the id follows.
+_LOAD: Final = Struct('!IIIff')
 _OUTCOMES: Final = tuple(Outcome)
 _REASONS: Final = (None, *RefusalReason)
 _OUTCOME_NUMBERS: Final = {each: at for at, each in enumerate(_OUTCOMES)}
@@ -39,9 +42,11 @@
     CANCEL = 4
     PING = 5
     PONG = 6
-    ADVICE = 7
-    PICTURE_WANTED = 8
-    PICTURE = 9
+    LOAD = 7
+    NEEDS = 8
+    LEAVING = 9
+    PICTURE_WANTED = 10
+    PICTURE = 11
 
 
 class Frame(Record):
@@ -188,6 +193,31 @@
     )
 
 
+def encode_load(news: LoadNews) -> bytes:
+    """Write a target's load."""
+    head = _LOAD.pack(
+        news.load.running,
+        news.load.waiting,
+        news.load.limit,
+        news.load.service_ms,
+        news.share,
+    )
+    return head + news.target_id.encode()
+
+
+def decode_load(payload: bytes) -> LoadNews:
+    """Read a target's load; raises ``MalformedFrameError`` if it is none."""
+    try:
+        *load, share = _LOAD.unpack_from(payload)
+    except StructError as error:
+        raise MalformedFrameError(str(error)) from error
+    return LoadNews(
+        target_id=payload[_LOAD.size :].decode(),
+        load=_load_of(load),
+        share=share,
+    )
+
+
 _NO_LOAD: Final = LoadReport(running=0, waiting=0, limit=0, service_ms=0)
 
 
--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from functools import partial
 from logging import getLogger
-from typing import Any, Final, Protocol as Interface, cast
+from typing import Any, Final, cast
+from typing import Protocol as Interface
 
 from lovageshunt.clock import now as clock_now
 from lovageshunt.errors import MalformedFrameError
@@ -157,6 +158,7 @@
             self.tell(FrameKind.PONG)
         elif frame.kind == FrameKind.GREETING:
             self.peer = decode_greeting(frame.payload)
+            self._heard(self, frame)
         else:
             self._heard(self, frame)
 
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -8,7 +8,9 @@
     """A call to be run at the target beside the other node.
 
     ``attempt_id`` is the id that the client gave it, ``target_id`` the only
-    target that may run it. ``kind`` names the route. ``deadline`` is in
+    target that may run it. ``kind`` names the route. ``importance`` is 0 for
+    calls that targets make, which go first, and one more than the route's
+    for requests of clients. ``deadline`` is in
     seconds on the clock of the node that holds the order; on the wire stands
     the time that is left. ``fields`` are whole header lines.
     """
@@ -98,44 +100,80 @@
 class Greeting(Record):
     """The first message on a link, from each side.
 
-    ``incarnation`` differs between two lives of a node's process.
+    ``incarnation`` differs between two lives of a node's process,
+    ``revision`` and ``version`` tell how new its picture of the fleet and its
+    configuration are; both are 0 without one.
     """
 
-    __slots__ = ('node', 'service', 'incarnation')
+    __slots__ = ('node', 'service', 'incarnation', 'revision', 'version')
 
-    def __init__(self, *, node: str, service: str, incarnation: str) -> None:
+    def __init__(
+        self,
+        *,
+        node: str,
+        service: str,
+        incarnation: str,
+        revision: int = 0,
+        version: int = 0,
+    ) -> None:
         """Take every field by name."""
+        self.revision = revision
+        self.version = version
         self.node = node
         self.service = service
         self.incarnation = incarnation
 
 
-class Advice(Record):
-    """What a node tells those who send it calls, from time to time.
+class LoadNews(Record):
+    """A target's load, told to every node several times a second.
 
-    ``is_leaving`` asks to be avoided. ``share_by_service`` tells which share
-    of their demand the services at and below the node have room for,
-    ``work_by_service_by_kind`` the slot-seconds that one call of a kind takes
-    at each of them.
+    ``share`` is the share of its demand that the target has room for.
+    """
+
+    __slots__ = ('target_id', 'load', 'share')
+
+    def __init__(
+        self,
+        *,
+        target_id: str,
+        load: LoadReport,
+        share: float,
+    ) -> None:
+        """Take every field by name."""
+        self.target_id = target_id
+        self.load = load
+        self.share = share
+
+
+class NeedsNews(Record):
+    """What runs at one target take, told to every node now and then.
+
+    ``seconds_by_kind`` is how long a run of each kind holds a slot,
+    ``calls_by_kind_by_kind`` the calls that it makes, by the kind that runs
+    and then the kind that is called. ``revision`` and ``version`` are those
+    of a greeting.
     """
 
     __slots__ = (
-        'is_leaving',
-        'share_by_service',
-        'work_by_service_by_kind',
+        'service',
+        'seconds_by_kind',
+        'calls_by_kind_by_kind',
+        'revision',
         'version',
     )
 
     def __init__(
         self,
         *,
-        is_leaving: bool,
-        share_by_service: dict[str, float],
-        work_by_service_by_kind: dict[str, dict[str, float]],
+        service: str,
+        seconds_by_kind: dict[str, float],
+        calls_by_kind_by_kind: dict[str, dict[str, float]],
+        revision: int,
         version: int,
     ) -> None:
-        """Take every field by name; ``version`` is the configuration's."""
-        self.is_leaving = is_leaving
-        self.share_by_service = share_by_service
-        self.work_by_service_by_kind = work_by_service_by_kind
+        """Take every field by name."""
+        self.revision = revision
         self.version = version
+        self.service = service
+        self.seconds_by_kind = seconds_by_kind
+        self.calls_by_kind_by_kind = calls_by_kind_by_kind
--- /dev/null
+++ b/src/lovageshunt/pressure/__init__.py
@@ -0,0 +1,25 @@
+"""How much of their demand the services of a call graph have room for.
+
+The calls that targets make tell nothing of the request above them. So nodes
+learn which kinds of requests lead to which calls, targets tell how much of
+what is asked of them they have room for, and the first hop refuses the
+requests whose work would be lost further down.
+"""
+
+from lovageshunt.pressure._call_graph import CallCounts, CallGraph
+from lovageshunt.pressure._call_watch import CallWatch
+from lovageshunt.pressure._demand import DemandMeter, DemandSettings
+from lovageshunt.pressure._needs import KindNeeds, NeedsBook
+from lovageshunt.pressure._root_gate import RootGate, RootVerdict
+
+__all__ = [
+    'CallCounts',
+    'CallGraph',
+    'CallWatch',
+    'DemandMeter',
+    'DemandSettings',
+    'KindNeeds',
+    'NeedsBook',
+    'RootGate',
+    'RootVerdict',
+]
--- a/src/lovageshunt/settings/_sidecar_keys.py
+++ b/src/lovageshunt/settings/_sidecar_keys.py
@@ -16,7 +16,7 @@
         meaning='Who this node is.',
         keys=(
             Key(name='name', kind=TEXT, meaning='The name of its VM.'),
-            Key(name='service', kind=TEXT, meaning='Its target\'s service.'),
+            Key(name='service', kind=TEXT, meaning="Its target's service."),
             Key(
                 name='failure_domain',
                 kind=TEXT,
--- a/src/lovageshunt/sidecar/__init__.py
+++ b/src/lovageshunt/sidecar/__init__.py
@@ -2,7 +2,8 @@
 
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._fleet import TargetEntry
+from lovageshunt.sidecar._knowledge import Knowledge
 from lovageshunt.sidecar._sidecar import Sidecar
 from lovageshunt.sidecar._target_list import TargetList
 
-__all__ = ['Dialect', 'Sidecar', 'TargetEntry', 'TargetList']
+__all__ = ['Dialect', 'Knowledge', 'Sidecar', 'TargetEntry', 'TargetList']
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -12,6 +12,7 @@
     Arrived,
     Cancelled,
     Dispatch,
+    DrainStarted,
     Event,
     Finished,
     Refuse,
@@ -30,6 +31,7 @@
     forwarded_fields,
 )
 from lovageshunt.links import RunAnswer, RunOrder
+from lovageshunt.pressure import CallWatch, DemandMeter, DemandSettings
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._reading import ReadAnswer, read_response
 
@@ -50,7 +52,15 @@
 class Run:
     """One order at this node."""
 
-    __slots__ = ('call_id', 'order', 'ended', 'sending', 'overdue', 'resent')
+    __slots__ = (
+        'call_id',
+        'order',
+        'ended',
+        'sending',
+        'sent_at',
+        'overdue',
+        'resent',
+    )
 
     def __init__(self, call_id: str, order: RunOrder, ended: Ended) -> None:
         """Begin in the queue."""
@@ -58,6 +68,7 @@
         self.order = order
         self.ended: Ended | None = ended
         self.sending: Sending | None = None
+        self.sent_at = float(0)
         self.overdue: TimerHandle | None = None
         self.resent = False
 
@@ -77,6 +88,9 @@
         self._dialect = dialect
         self._pool = ConnectionPool(host, port, _FIRST_CONNECTIONS)
         self._queue = TargetQueue(slots=slots)
+        #: What is asked of the target, and what runs in it.
+        self.demand = DemandMeter(DemandSettings(), clock_now())
+        self.watch = CallWatch(clock_now())
         self._run_by_call_id: dict[str, Run] = {}
         self._next_number = 0
         self._tick: TimerHandle | None = None
@@ -100,6 +114,7 @@
         self._next_number += 1
         run = Run(str(self._next_number), order, ended)
         self._run_by_call_id[run.call_id] = run
+        self.demand.asked(order.kind)
         self._tell(
             Arrived(
                 call_id=run.call_id,
@@ -120,6 +135,18 @@
             self._run_by_call_id.pop(run.call_id, None)
         self._tell(Cancelled(run.call_id))
 
+    def advance(self, now: float) -> bool:
+        """Close a window of the demand that is over; tell whether one was."""
+        return self.demand.advance(
+            now,
+            slots=self._queue.limit,
+            backlog_slot_seconds=self._queue.backlog_slot_seconds,
+        )
+
+    def drain(self) -> None:
+        """Refuse new orders, which then go elsewhere."""
+        self._tell(DrainStarted())
+
     def close_stale(self) -> None:
         """Close connections to the target that were idle for too long."""
         self._pool.close_stale()
@@ -147,6 +174,8 @@
     @_do.register
     def _dispatch(self, action: Dispatch) -> None:
         run = self._run_by_call_id[action.call_id]
+        run.sent_at = clock_now()
+        self.watch.started(run.order.kind, run.sent_at)
         self._send(run)
         delay = max(0, run.order.deadline - clock_now()) + _OVERDUE_SECONDS
         loop = get_running_loop()
@@ -221,6 +250,7 @@
             run.overdue.cancel()
         self._run_by_call_id.pop(run.call_id, None)
         read = read_response(end, response, self._dialect)
+        self._measure(run, read)
         if read.reported is not None:
             self._queue.handle(read.reported, clock_now())
         self._tell(
@@ -232,6 +262,12 @@
         )
         self._answer(run, self._answer_of(run, read, response))
 
+    def _measure(self, run: Run, read: ReadAnswer) -> None:
+        now = clock_now()
+        self.watch.ended(run.order.kind, now)
+        if read.outcome is Outcome.ANSWERED:
+            self.demand.ran(run.order.kind, now - run.sent_at)
+
     def _answer_of(
         self,
         run: Run,
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -2,12 +2,17 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Final
 
 from lovageshunt._record import Record
-from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
-from lovageshunt.links import Dialer, RunAnswer
-from lovageshunt.routing import RouteMember, Router
+from lovageshunt.links import Dialer, LoadNews, RunAnswer
+from lovageshunt.routing import Placement, RouteMember, Wanted
+
+#: Answers of a target from this status on are failures of its own, but for
+#: the one that says that time was short.
+_FIRST_ERROR: Final = 500
+_TIME_SHORT: Final = 504
 
 
 class TargetEntry(Record):
@@ -62,17 +67,20 @@
         self,
         *,
         own_host: str,
+        own_port: int,
         own_failure_domain: str,
         rng: Random,
         make_dialer: Callable[[str], Dialer],
     ) -> None:
         """Begin with no targets."""
         self._own_host = own_host
+        self._own_port = own_port
         self._own_failure_domain = own_failure_domain
         self._rng = rng
         self._make_dialer = make_dialer
-        self._router_by_service: dict[str, Router] = {}
+        self._placement_by_service: dict[str, Placement] = {}
         self._dialer_by_host: dict[str, Dialer] = {}
+        self._leaving_hosts: set[str] = set()
         self.entry_by_id: dict[str, TargetEntry] = {}
 
     @property
@@ -80,12 +88,13 @@
         """Return how many nodes the list names."""
         return len({entry.host for entry in self.entry_by_id.values()})
 
-    def entry_at(self, host: str, port: int) -> TargetEntry | None:
-        """Return the target that listens at an address, the latest first."""
+    @property
+    def own_entry(self) -> TargetEntry | None:
+        """Return the target beside this node, the latest first."""
         found = [
             entry
             for entry in self.entry_by_id.values()
-            if entry.host == host and entry.port == port
+            if entry.host == self._own_host and entry.port == self._own_port
         ]
         return max(found, key=lambda entry: entry.started_ms, default=None)
 
@@ -94,13 +103,16 @@
         now = clock_now()
         self.entry_by_id = {entry.target_id: entry for entry in entries}
         members_by_service: dict[str, list[RouteMember]] = {
-            service: [] for service in self._router_by_service
+            service: [] for service in self._placement_by_service
         }
         for entry in entries:
             members = members_by_service.setdefault(entry.service, [])
             members.append(_member_of(entry))
+        cold_until_by_id = {
+            entry.target_id: now + entry.cold_seconds for entry in entries
+        }
         for service, members in members_by_service.items():
-            self._router(service).set_members(members, now)
+            self._placement(service).set_members(members, cold_until_by_id)
         self._set_links({entry.host for entry in entries})
 
     def dialer(self, host: str) -> Dialer:
@@ -111,57 +123,63 @@
             self._dialer_by_host[host] = dialer
         return dialer
 
-    def choose(
-        self,
-        service: str,
-        excluded: frozenset[str],
-    ) -> TargetEntry | None:
+    def note_leaving(self, host: str) -> None:
+        """Note that a node stops; its target is used only as the last."""
+        self._leaving_hosts.add(host)
+
+    def note_greeted(self, host: str) -> None:
+        """Note that a node began to serve."""
+        self._leaving_hosts.discard(host)
+
+    def heard(self, news: LoadNews) -> TargetEntry | None:
+        """Take a target's load; return its entry, if it is listed."""
+        entry = self.entry_by_id.get(news.target_id)
+        if entry is not None:
+            placement = self._placement(entry.service)
+            placement.heard(entry.target_id, news.load, clock_now())
+        return entry
+
+    def choose(self, service: str, wanted: Wanted) -> TargetEntry | None:
         """Return the target for a call, or nothing if none may be used."""
-        router = self._router_by_service.get(service)
-        if router is None:
+        placement = self._placement_by_service.get(service)
+        if placement is None:
             return None
         unreachable = frozenset(
-            entry.target_id
-            for entry in self.entry_by_id.values()
-            if entry.service == service and self._is_down(entry.host)
+            candidate.member.node
+            for candidate in placement.candidates
+            if self._is_down(candidate.member.address)
         )
-        now = clock_now()
-        member = router.choose(now, excluded | unreachable)
-        if member is None:
-            member = router.choose(now, excluded)
+        member = placement.choose(wanted, clock_now(), unreachable)
         if member is None:
             return None
         return self.entry_by_id.get(member.node)
 
     def started(self, entry: TargetEntry) -> None:
         """Note that a call was sent to a target."""
-        self._router(entry.service).started(entry.target_id, clock_now())
+        self._placement(entry.service).started(entry.target_id)
 
     def ended(
         self,
         entry: TargetEntry,
+        kind: str,
         answer: RunAnswer,
         seconds: float,
     ) -> None:
         """Note how a call ended."""
-        self._router(entry.service).answered(
+        is_error = answer.status >= _FIRST_ERROR
+        self._placement(entry.service).ended(
             entry.target_id,
-            clock_now(),
+            kind,
             seconds=seconds,
             outcome=answer.outcome,
             reason=answer.reason,
-            load=answer.load,
+            was_error=is_error and answer.status != _TIME_SHORT,
+            now=clock_now(),
         )
 
     def abandoned(self, entry: TargetEntry) -> None:
         """Note that a call was given up, which says nothing of its target."""
-        self._router(entry.service).answered(
-            entry.target_id,
-            clock_now(),
-            seconds=0,
-            outcome=Outcome.NOT_RUN,
-            reason=RefusalReason.CANCELLED,
-        )
+        self._placement(entry.service).abandoned(entry.target_id)
 
     def close(self) -> None:
         """Close every link."""
@@ -175,19 +193,16 @@
             self.dialer(host).open()
 
     def _is_down(self, host: str) -> bool:
-        return host != self._own_host and self.dialer(host).is_down
+        if host == self._own_host:
+            return False
+        return host in self._leaving_hosts or self.dialer(host).is_down
 
-    def _router(self, service: str) -> Router:
-        router = self._router_by_service.get(service)
-        if router is None:
-            router = Router(
-                service=service,
-                own_failure_domain=self._own_failure_domain,
-                own_region='',
-                rng=self._rng,
-            )
-            self._router_by_service[service] = router
-        return router
+    def _placement(self, service: str) -> Placement:
+        placement = self._placement_by_service.get(service)
+        if placement is None:
+            placement = Placement(self._own_failure_domain, self._rng)
+            self._placement_by_service[service] = placement
+        return placement
 
 
 def _member_of(entry: TargetEntry) -> RouteMember:
@@ -200,5 +215,3 @@
         incarnation=str(entry.started_ms),
         is_leaving=entry.is_leaving,
     )
-
-
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -10,6 +10,7 @@
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection, forwarded_fields
 from lovageshunt.links import RunAnswer, RunOrder
+from lovageshunt.pressure import RootGate
 from lovageshunt.retries import (
     AllowancePool,
     Failure,
@@ -19,6 +20,7 @@
     may_retry,
 )
 from lovageshunt.routes import Configuration, Route, RouteTable, SplitCursor
+from lovageshunt.routing import Wanted
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
@@ -58,6 +60,7 @@
         'sent_at',
         'cancel',
         'overdue',
+        'is_inner',
         'is_over',
     )
 
@@ -81,6 +84,7 @@
         self.sent_at = float(0)
         self.cancel: Callable[[], None] | None = None
         self.overdue: TimerHandle | None = None
+        self.is_inner = False
         self.is_over = False
 
 
@@ -96,6 +100,7 @@
         executor: Executor,
         fleet: Fleet,
         budget: FleetBudgetSettings,
+        gate: RootGate,
         rng: Random,
     ) -> None:
         """Begin without a configuration."""
@@ -106,6 +111,7 @@
         self._executor = executor
         self._fleet = fleet
         self._budget_settings = budget
+        self._gate = gate
         self._rng = rng
         self._budget_by_service: dict[str, FleetRetryBudget] = {}
         self._table: RouteTable | None = None
@@ -137,6 +143,11 @@
         call.route = route
         call.service = self._cursor.choose(route)
         call.deadline = call.started_at + self._seconds_left(request, route)
+        call.is_inner = connection.peer_host == self._own_host
+        if call.is_inner:
+            self._executor.watch.called(route.name, call.started_at)
+        elif not self._is_let_in(call, route):
+            return call
         self._budget(call.service).requested(call.started_at)
         delay = call.deadline - call.started_at + _OVERDUE_SECONDS
         loop = get_running_loop()
@@ -154,6 +165,27 @@
             call.cancel()
         self._end(call)
 
+    def _is_let_in(self, call: OriginCall, route: Route) -> bool:
+        """Refuse a request whose work would be lost further down."""
+        verdict = self._gate.verdict(
+            route.name,
+            route.importance,
+            call.started_at,
+        )
+        if verdict.retry_seconds is None:
+            return True
+        retry_ms = round(verdict.retry_seconds * _MS_PER_SECOND)
+        self._refuse(call, f'no room at {verdict.service}', retry_ms)
+        return False
+
+    def _wanted(self, call: OriginCall, route: Route) -> Wanted:
+        return Wanted(
+            kind=route.name,
+            seconds=min(route.aim_seconds, route.timeout_seconds),
+            may_explore=route.is_repeatable,
+            excluded=call.tried,
+        )
+
     def _seconds_left(self, request: Request, route: Route) -> float:
         text = request.header(self._dialect.time_left)
         if not text.isdigit():
@@ -162,9 +194,11 @@
 
     def _try(self, call: OriginCall) -> None:
         """Send a call to a target, the next one if it was sent before."""
-        entry = self._fleet.choose(call.service, call.tried)
         route = call.route
-        if entry is None or route is None:
+        if route is None:
+            return
+        entry = self._fleet.choose(call.service, self._wanted(call, route))
+        if entry is None:
             self._refuse(call, 'no target', _NO_TARGET_MS)
             return
         call.tries += 1
@@ -176,7 +210,7 @@
             target_id=entry.target_id,
             kind=route.name,
             caller_service=self._own_service,
-            importance=route.importance,
+            importance=0 if call.is_inner else 1 + route.importance,
             is_repeatable=route.is_repeatable,
             deadline=call.deadline,
             method=call.request.method,
@@ -214,7 +248,8 @@
         if call.is_over:
             return
         now = clock_now()
-        self._fleet.ended(entry, answer, now - call.sent_at)
+        kind = call.route.name if call.route else ''
+        self._fleet.ended(entry, kind, answer, now - call.sent_at)
         call.entry = None
         call.cancel = None
         if answer.outcome is Outcome.ANSWERED:
@@ -235,7 +270,7 @@
         route = call.route
         if route is None:
             return RetryVerdict()
-        others = self._fleet.choose(call.service, call.tried)
+        others = self._fleet.choose(call.service, self._wanted(call, route))
         return may_retry(
             Failure(
                 outcome=answer.outcome,
--- /dev/null
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -0,0 +1,139 @@
+"""What a node tells others of its target's load, and hears of theirs."""
+
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+from typing import Final
+
+from lovageshunt.clock import now as clock_now
+from lovageshunt.links import (
+    FrameKind,
+    LoadNews,
+    NeedsNews,
+    encode_load,
+    encode_message,
+)
+from lovageshunt.pressure import CallGraph, KindNeeds, NeedsBook, RootGate
+from lovageshunt.sidecar._executor import Executor
+from lovageshunt.sidecar._fleet import Fleet
+from lovageshunt.sidecar._knowledge import Knowledge
+
+_log = getLogger(__name__)
+#: How often a load that has not changed is told all the same, in seconds.
+_LOAD_SECONDS: Final = 1.0
+#: The changes of use and of share that are told at once.
+_USE_STEP: Final = 0.06
+_SHARE_STEP: Final = 0.03
+#: How often nodes tell what runs at their targets take, in seconds.
+_NEEDS_SECONDS: Final = 2.0
+
+Broadcast = Callable[[FrameKind, bytes], None]
+
+
+class PressureReports:
+    """Tells loads and needs to every node, and keeps what they tell."""
+
+    __slots__ = (
+        'gate',
+        '_executor',
+        '_fleet',
+        '_knowledge',
+        '_broadcast',
+        '_graph',
+        '_needs',
+        '_told_use',
+        '_told_share',
+        '_told_at',
+        '_needs_told_at',
+    )
+
+    def __init__(
+        self,
+        *,
+        executor: Executor,
+        fleet: Fleet,
+        knowledge: Knowledge,
+        broadcast: Broadcast,
+        rng: Random,
+    ) -> None:
+        """Begin with nothing told."""
+        self._executor = executor
+        self._fleet = fleet
+        self._knowledge = knowledge
+        self._broadcast = broadcast
+        self._graph = CallGraph()
+        self._needs = NeedsBook()
+        #: Decides at the first hop by what was told.
+        self.gate = RootGate(self._needs, rng, clock_now())
+        self._told_use = float(0)
+        self._told_share = float(1)
+        self._told_at = float('-inf')
+        self._needs_told_at = float('-inf')
+
+    def take_load(self, news: LoadNews) -> None:
+        """Take a target's load."""
+        entry = self._fleet.heard(news)
+        if entry is None:
+            return
+        self.gate.heard(
+            entry.service,
+            entry.target_id,
+            share=news.share,
+            slots=news.load.limit,
+            now=clock_now(),
+        )
+
+    def take_needs(self, news: NeedsNews) -> None:
+        """Take what runs at a target need."""
+        for kind, seconds in news.seconds_by_kind.items():
+            told = KindNeeds(
+                service=news.service,
+                seconds=seconds,
+                calls_by_kind=news.calls_by_kind_by_kind.get(kind, {}),
+            )
+            self._needs.learn(kind, told)
+
+    def advance(self) -> None:
+        """Close the windows that are over, and tell nodes what changed."""
+        now = clock_now()
+        self._executor.advance(now)
+        for counts in self._executor.watch.take_windows(now):
+            self._graph.learn(counts)
+        self._tell_load(now)
+        if now - self._needs_told_at >= _NEEDS_SECONDS:
+            self._needs_told_at = now
+            self._tell_needs()
+
+    def _tell_load(self, now: float) -> None:
+        entry = self._fleet.own_entry
+        if entry is None:
+            return
+        load = self._executor.queue.load()
+        share = self._executor.demand.share
+        use = (load.running + load.waiting) / max(1, load.limit)
+        has_changed = (
+            abs(use - self._told_use) > _USE_STEP
+            or abs(share - self._told_share) > _SHARE_STEP
+        )
+        if not has_changed and now - self._told_at < _LOAD_SECONDS:
+            return
+        self._told_use = use
+        self._told_share = share
+        self._told_at = now
+        news = LoadNews(target_id=entry.target_id, load=load, share=share)
+        self.take_load(news)
+        self._broadcast(FrameKind.LOAD, encode_load(news))
+
+    def _tell_needs(self) -> None:
+        seconds_by_kind = self._executor.demand.seconds_by_kind
+        own = self._knowledge.greeting
+        news = NeedsNews(
+            service=own.service,
+            seconds_by_kind=dict(seconds_by_kind),
+            calls_by_kind_by_kind=self._graph.calls_by_kind(seconds_by_kind),
+            revision=own.revision,
+            version=own.version,
+        )
+        self.take_needs(news)
+        _log.debug('needs', extra={'needs': news.as_dict()})
+        self._broadcast(FrameKind.NEEDS, encode_message(news))
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -1,7 +1,15 @@
 """One sidecar: its listeners, its parts and its planned stop."""
 
 import gc
-from asyncio import Event, Server, get_running_loop, sleep, timeout
+from asyncio import (
+    BaseProtocol,
+    Event,
+    Server,
+    get_running_loop,
+    sleep,
+    timeout,
+)
+from collections.abc import Callable
 from logging import getLogger
 from random import Random
 from secrets import token_hex
@@ -10,23 +18,21 @@
 
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection, ServerLimits
-from lovageshunt.links import (
-    Dialer,
-    Frame,
-    Greeting,
-    IncomingLink,
-    LinkListener,
-    OrderBook,
-)
+from lovageshunt.links import FrameKind, Greeting, IncomingLink
 from lovageshunt.retries import FleetBudgetSettings
 from lovageshunt.routes import Configuration
-from lovageshunt.settings import SidecarSettings
+from lovageshunt.settings import Address, SidecarSettings
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
-from lovageshunt.sidecar._fleet import Fleet, TargetEntry
+from lovageshunt.sidecar._fleet import Fleet
+from lovageshunt.sidecar._knowledge import Knowledge
+from lovageshunt.sidecar._node_links import LinkFrames, NodeLinks
 from lovageshunt.sidecar._origin import Origin
+from lovageshunt.sidecar._pressure_reports import PressureReports
 
 _log = getLogger(__name__)
+#: How often windows are closed and loads told, in seconds.
+_TICK_SECONDS: Final = 0.1
 #: How often connections are looked over, in seconds.
 _SWEEP_SECONDS: Final = 0.5
 #: A planned stop serves so long at least, in seconds, so that those who send
@@ -34,8 +40,13 @@
 _LINGER_SECONDS: Final = 2.5
 #: What a planned stop leaves of its time for the last answers, in seconds.
 _LAST_SECONDS: Final = 0.5
+#: How often a planned stop looks whether it is over, in seconds.
+_STOP_TICK_SECONDS: Final = 0.05
 #: Connections that may wait to be accepted.
 _BACKLOG: Final = 1024
+#: Heads are allowed this many times their bound, as it is counted otherwise
+#: by those who set it.
+_HEAD_SLACK: Final = 2
 _READY: Final = 200
 _NOT_READY: Final = 503
 
@@ -46,109 +57,118 @@
     def __init__(self, settings: SidecarSettings, dialect: Dialect) -> None:
         """Build the parts; nothing is opened yet."""
         self._settings = settings
-        self._rng = Random()
         self._limits = ServerLimits()
         self._clients: set[ServerConnection] = set()
         self._probes: set[ServerConnection] = set()
-        self._links: set[IncomingLink] = set()
-        self._book = OrderBook()
         self._servers: list[Server] = []
         self._stop = Event()
-        self.configuration: Configuration | None = None
-        self._has_targets = False
-        self._greeting = Greeting(
+        self._swept_at = float(0)
+        rng = Random()
+        greeting = Greeting(
             node=settings.node.name,
             service=settings.node.service,
             incarnation=token_hex(8),
         )
+        own_host = settings.listen.nodes.host
         target = settings.target
-        self.executor = Executor(
+        self._links = NodeLinks(
+            port=settings.listen.nodes.port,
+            greeting=greeting,
+        )
+        self._executor = Executor(
             host=target.address.host,
             port=target.address.port,
             slots=target.slots,
             dialect=dialect,
         )
-        self.fleet = Fleet(
-            own_host=settings.listen.nodes.host,
+        self._fleet = Fleet(
+            own_host=own_host,
+            own_port=target.address.port,
             own_failure_domain=settings.node.failure_domain,
-            rng=self._rng,
-            make_dialer=self._make_dialer,
+            rng=rng,
+            make_dialer=self._links.make_dialer,
+        )
+        #: What is known of the fleet, for those who read it elsewhere.
+        self.knowledge = Knowledge(greeting, self._fleet, self._configure)
+        self._reports = PressureReports(
+            executor=self._executor,
+            fleet=self._fleet,
+            knowledge=self.knowledge,
+            broadcast=self._links.broadcast,
+            rng=rng,
         )
-        self.origin = Origin(
-            own_host=settings.listen.nodes.host,
+        self._links.frames = LinkFrames(
+            fleet=self._fleet,
+            knowledge=self.knowledge,
+            reports=self._reports,
+        )
+        self._origin = Origin(
+            own_host=own_host,
             own_service=settings.node.service,
             dialect=dialect,
-            executor=self.executor,
-            fleet=self.fleet,
+            executor=self._executor,
+            fleet=self._fleet,
             budget=FleetBudgetSettings(
                 ratio=settings.bounds.retry_ratio,
                 reserve=settings.bounds.retry_reserve,
                 window_seconds=settings.bounds.retry_window_seconds,
             ),
-            rng=self._rng,
+            gate=self._reports.gate,
+            rng=rng,
         )
 
     @property
     def is_ready(self) -> bool:
         """Tell whether requests can be served."""
-        is_known = self.configuration is not None and self._has_targets
-        return is_known and not self._stop.is_set()
-
-    def take_configuration(self, configuration: Configuration) -> None:
-        """Put a configuration into force, unless it is an older one."""
-        known = self.configuration
-        if known is not None and configuration.version <= known.version:
-            return
-        self.configuration = configuration
-        self.origin.take(configuration)
-        limits = self._limits
-        limits.head_bytes = configuration.head_bytes * 2
-        limits.body_bytes = configuration.body_bytes
-        limits.head_seconds = configuration.head_seconds
-        limits.idle_seconds = configuration.idle_seconds
-        own = configuration.limits_by_service.get(self._settings.node.service)
-        if own is not None:
-            self.executor.allow_connections(own.connections)
-        _log.info(
-            'configuration in force',
-            extra={'version': configuration.version},
-        )
-
-    def take_targets(self, entries: list[TargetEntry]) -> None:
-        """Replace the picture of the fleet's targets."""
-        self._has_targets = True
-        self.fleet.take(entries)
-
-    def stop(self) -> None:
-        """Begin a planned stop."""
-        if not self._stop.is_set():
-            _log.info('planned stop begins', extra=self._counts())
-            self._stop.set()
+        return self.knowledge.is_complete and not self._stop.is_set()
 
     async def run(self) -> None:
         """Serve until a planned stop is over."""
-        loop = get_running_loop()
         listen = self._settings.listen
-        for address, factory in (
-            (listen.clients, self._accept_client),
-            (listen.nodes, self._accept_link),
-            (listen.ready, self._accept_probe),
-        ):
-            server = await loop.create_server(
-                factory,
-                address.host,
-                address.port,
-                backlog=_BACKLOG,
-            )
-            self._servers.append(server)
+        await self._listen(listen.clients, self._accept_client)
+        await self._listen(listen.nodes, self._accept_link)
+        await self._listen(listen.ready, self._accept_probe)
+        # What exists by now stays, so the collector need not look at it.
         gc.collect()
         gc.freeze()
         _log.info('started', extra={'node': self._settings.node.name})
         while not self._stop.is_set():
-            await self._pause(_SWEEP_SECONDS)
-            self._sweep()
+            await self._pause(_TICK_SECONDS)
+            self._tick()
         await self._wind_down()
 
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        if self._stop.is_set():
+            return
+        _log.info('planned stop begins', extra=self._counts())
+        self._stop.set()
+        self._links.broadcast(FrameKind.LEAVING, b'')
+
+    def close(self) -> None:
+        """Stop listening and end every link, at once."""
+        for server in self._servers:
+            server.close()
+        self._fleet.close()
+        self._links.cut()
+
+    def cut_links(self) -> None:
+        """End the links from other nodes, which make them anew."""
+        self._links.cut()
+
+    async def _listen(
+        self,
+        address: Address,
+        accept: Callable[[], BaseProtocol],
+    ) -> None:
+        server = await get_running_loop().create_server(
+            accept,
+            address.host,
+            address.port,
+            backlog=_BACKLOG,
+        )
+        self._servers.append(server)
+
     async def _pause(self, seconds: float) -> None:
         try:
             async with timeout(seconds):
@@ -156,6 +176,16 @@
         except TimeoutError:
             return
 
+    def _tick(self) -> None:
+        self._reports.advance()
+        now = monotonic()
+        if now - self._swept_at < _SWEEP_SECONDS:
+            return
+        self._swept_at = now
+        for connection in list(self._clients):
+            connection.close_if_due(now)
+        self._executor.close_stale()
+
     async def _wind_down(self) -> None:
         """Finish what was read, refuse nothing that can still be served."""
         began = clock_now()
@@ -163,64 +193,52 @@
         while clock_now() - began < most:
             for connection in list(self._clients):
                 connection.closes_next = True
-            is_idle = self.origin.open_count == 0 and self.executor.is_empty
-            if is_idle and clock_now() - began > _LINGER_SECONDS:
+            await self._pause_stopping()
+            if clock_now() - began < _LINGER_SECONDS:
+                continue
+            self._executor.drain()
+            self._close_idle()
+            if self._origin.open_count == 0 and self._executor.is_empty:
                 break
-            await sleep(_LAST_SECONDS / 10)
         _log.info('planned stop is over', extra=self._counts())
+        self._close_idle()
+        self.close()
+        await self._pause_stopping()
+
+    async def _pause_stopping(self) -> None:
+        self._reports.advance()
+        await sleep(_STOP_TICK_SECONDS)
+
+    def _close_idle(self) -> None:
         for connection in list(self._clients):
             connection.close_idle()
-        for server in self._servers:
-            server.close()
-        self.fleet.close()
-        await sleep(_LAST_SECONDS / 10)
 
     def _counts(self) -> dict[str, int]:
         return {
-            'requests': self.origin.open_count,
+            'requests': self._origin.open_count,
             'connections': len(self._clients),
         }
 
-    def _sweep(self) -> None:
-        now = monotonic()
-        for connection in list(self._clients):
-            connection.close_if_due(now)
-        self.executor.close_stale()
+    def _configure(self, configuration: Configuration) -> None:
+        """Take what a configuration says of clients and of the target."""
+        self._origin.take(configuration)
+        limits = self._limits
+        limits.head_bytes = configuration.head_bytes * _HEAD_SLACK
+        limits.body_bytes = configuration.body_bytes
+        limits.head_seconds = configuration.head_seconds
+        limits.idle_seconds = configuration.idle_seconds
+        own = configuration.limits_by_service.get(self._settings.node.service)
+        if own is not None:
+            self._executor.allow_connections(own.connections)
 
     def _accept_client(self) -> ServerConnection:
-        return ServerConnection(self.origin, self._limits, self._clients)
+        return ServerConnection(self._origin, self._limits, self._clients)
 
     def _accept_probe(self) -> ServerConnection:
         return ServerConnection(_Readiness(self), self._limits, self._probes)
 
     def _accept_link(self) -> IncomingLink:
-        return IncomingLink(
-            handler=self.executor,
-            book=self._book,
-            greeting=self._greeting,
-            open_links=self._links,
-            heard=self._on_link_frame,
-        )
-
-    def _make_dialer(self, host: str) -> Dialer:
-        return Dialer(
-            host,
-            self._settings.listen.nodes.port,
-            greeting=self._greeting,
-            listener=LinkListener(
-                heard=self._on_dialer_frame,
-                greeted=self._on_greeted,
-            ),
-        )
-
-    def _on_link_frame(self, link: IncomingLink, frame: Frame) -> None:
-        """Pass over frames of kinds that are not known here."""
-
-    def _on_dialer_frame(self, host: str, frame: Frame) -> None:
-        """Pass over frames of kinds that are not known here."""
-
-    def _on_greeted(self, host: str, greeting: Greeting) -> None:
-        _log.info('link made', extra={'peer': greeting.node})
+        return self._links.accept(self._executor)
 
 
 class _Readiness:
--- /dev/null
+++ b/tests/pressure/test_call_graph.py
@@ -0,0 +1,54 @@
+"""Learning which calls the runs of each kind make."""
+
+from random import Random
+
+from lovageshunt.pressure import CallGraph, CallWatch
+
+#: One target: views run long and call nothing, peeks call four times.
+SECONDS = {'view': 0.15, 'peek': 0.08}
+CALLS = {'view': 0, 'peek': 4}
+RATES = {'view': 40.0, 'peek': 170.0}
+STEP = 0.01
+
+
+def learned(seconds: float, seed: int) -> dict[str, dict[str, float]]:
+    """Play a target and return what its node makes of it."""
+    rng = Random(seed)
+    graph = CallGraph()
+    watch = CallWatch(0)
+    events: list[tuple[float, str, str]] = []
+    for kind, rate in RATES.items():
+        now = 0.0
+        while now < seconds:
+            now += rng.expovariate(rate)
+            length = rng.uniform(0.5, 1.5) * SECONDS[kind]
+            events += [(now, 'start', kind), (now + length, 'end', kind)]
+            events += [
+                (now + length * (at + 0.5) / CALLS[kind], 'call', 'ledger')
+                for at in range(CALLS[kind])
+            ]
+    for at, what, kind in sorted(events):
+        for counts in watch.take_windows(at):
+            graph.learn(counts)
+        if what == 'start':
+            watch.started(kind, at)
+        elif what == 'end':
+            watch.ended(kind, at)
+        else:
+            watch.called(kind, at)
+    return graph.calls_by_kind(SECONDS)
+
+
+class TestCallGraph:
+    """Calls a run, found without a word from the calls themselves."""
+
+    def test_tells_callers_from_others(self) -> None:
+        """The kind that calls gets the calls, the other few or none."""
+        for seed in range(5):
+            calls = learned(20, seed)
+            assert 3.6 < calls['peek'].get('ledger', 0) < 4.4
+            assert calls['view'].get('ledger', 0) < 0.8
+
+    def test_knows_nothing_of_an_idle_target(self) -> None:
+        """Without runs there are no kinds."""
+        assert not CallGraph().calls_by_kind(SECONDS)
--- /dev/null
+++ b/tests/pressure/test_demand.py
@@ -0,0 +1,54 @@
+"""Measuring what is asked of a target."""
+
+from lovageshunt.pressure import DemandMeter, DemandSettings
+
+WINDOW = DemandSettings().window_seconds
+SLOTS = 20
+SECONDS = 0.05
+
+
+def share_after(offered: float, windows: int) -> float:
+    """Play a demand of so many times the slots that follows the share."""
+    meter = DemandMeter(DemandSettings(), 0)
+    meter.ran('k', SECONDS)
+    for window in range(1, windows + 1):
+        rate = offered * meter.share * SLOTS / SECONDS
+        for _ in range(int(rate * WINDOW)):
+            meter.asked('k')
+        meter.advance(window * WINDOW, slots=SLOTS, backlog_slot_seconds=0)
+    return meter.share
+
+
+class TestDemandMeter:
+    """The share that there is room for."""
+
+    def test_keeps_everything_below_capacity(self) -> None:
+        """Nothing is held back while there is room."""
+        assert share_after(0.8, 40) == 1
+
+    def test_finds_the_share_under_overload(self) -> None:
+        """At twice the capacity half of the demand is let in, nearly all
+        of what fits.
+        """
+        assert 0.4 < share_after(2, 60) < 0.5
+
+    def test_returns_when_the_load_is_gone(self) -> None:
+        """Within five seconds of its end an overload is forgotten."""
+        meter = DemandMeter(DemandSettings(), 0)
+        meter.share = 0.3
+        for window in range(1, int(5 / WINDOW) + 1):
+            meter.advance(window * WINDOW, slots=SLOTS, backlog_slot_seconds=0)
+        assert meter.share == 1
+
+    def test_counts_what_waits(self) -> None:
+        """A queue lowers the share though nothing more arrives."""
+        meter = DemandMeter(DemandSettings(), 0)
+        meter.advance(WINDOW, slots=SLOTS, backlog_slot_seconds=SLOTS)
+        assert meter.share < 1
+
+    def test_learns_nothing_from_a_pause(self) -> None:
+        """A window in which the process stood still moves nothing."""
+        meter = DemandMeter(DemandSettings(), 0)
+        meter.share = 0.5
+        assert not meter.advance(10, slots=SLOTS, backlog_slot_seconds=0)
+        assert meter.share == 0.5
--- /dev/null
+++ b/tests/sidecar/world.py
@@ -0,0 +1,305 @@
+"""Sidecars and targets on loopback, each pair on an address of its own."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+from lovageshunt.admission import LoadReported
+from lovageshunt.routes import Configuration, Destination, Route, ServiceLimits
+from lovageshunt.settings import (
+    Address,
+    BoundsSection,
+    LogsSection,
+    NodeSection,
+    SidecarListenSection,
+    SidecarSettings,
+    SidecarTargetSection,
+    StoreSection,
+)
+from lovageshunt.sidecar import Dialect, Sidecar, TargetEntry
+
+DIALECT = Dialect(
+    attempt_id=b'x-attempt',
+    time_left=b'x-left',
+    target_id=b'x-target',
+    caller_service=b'x-caller',
+    proof=b'x-proof',
+    not_run=b'x-not-run',
+    load=b'x-load',
+    read_load=lambda text: LoadReported(running=0, slots=int(text)),
+)
+CLIENTS_PORT = 18301
+NODES_PORT = 18302
+READY_PORT = 18303
+TARGET_PORT = 18304
+
+Serve = Callable[['Received'], Awaitable[bytes]]
+
+
+class Received:
+    """A request as a target got it."""
+
+    def __init__(self, head: bytes, body: bytes) -> None:
+        lines = head.decode().split('\r\n')
+        self.line = lines[0]
+        self.body = body
+        self.headers = {
+            name.lower(): text
+            for name, _, text in (line.partition(': ') for line in lines[1:])
+        }
+
+    @property
+    def attempt(self) -> str:
+        return self.headers['x-attempt']
+
+
+def answer(
+    received: Received,
+    body: bytes = b'ok',
+    *,
+    status: int = 200,
+    extra: str = '',
+    length: int | None = None,
+) -> bytes:
+    """Write a target's own answer."""
+    size = len(body) if length is None else length
+    head = (
+        f'HTTP/1.1 {status} S\r\nX-Attempt: {received.attempt}\r\n'
+        f'X-Proof: p\r\nContent-Length: {size}\r\n{extra}\r\n'
+    )
+    return head.encode() + body
+
+
+class FakeTarget:
+    """A target that answers by a function and keeps what it was sent."""
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self.received: list[Received] = []
+        self.ended_early = 0
+        self.serve: Serve = self.serve_well
+        self._server: asyncio.Server | None = None
+
+    async def serve_well(self, received: Received) -> bytes:
+        return answer(received, self.host.encode())
+
+    async def open(self) -> None:
+        self._server = await asyncio.start_server(
+            self._on_connection,
+            self.host,
+            TARGET_PORT,
+        )
+
+    def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _on_connection(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                received = Received(head[:-4], b'')
+                size = int(received.headers.get('content-length', '0'))
+                received.body = await reader.readexactly(size)
+                self.received.append(received)
+                await self._answer(received, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _answer(
+        self,
+        received: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        serving = asyncio.ensure_future(self.serve(received))
+        leaving = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait(
+            (serving, leaving),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        if serving not in done:
+            self.ended_early += 1
+            serving.cancel()
+            raise ConnectionError
+        leaving.cancel()
+        await asyncio.wait((leaving,))
+        encoded = serving.result()
+        writer.write(encoded)
+        await writer.drain()
+
+
+class World:
+    """Nodes by number, from 1; each has a target of the service ``s``."""
+
+    def __init__(self, count: int) -> None:
+        self.hosts = [f'127.0.7.{at + 1}' for at in range(count)]
+        self.targets = [FakeTarget(host) for host in self.hosts]
+        self.nodes = [Sidecar(settings(host), DIALECT) for host in self.hosts]
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def open(self) -> None:
+        for target in self.targets:
+            await target.open()
+        for node in self.nodes:
+            self.tasks.append(asyncio.ensure_future(node.run()))
+        await asyncio.sleep(0.05)
+
+    def publish(self, *services: str) -> None:
+        """Tell every node of all targets and of one route a service."""
+        for node in self.nodes:
+            node.knowledge.take_configuration(
+                configuration(*(services or ('s',)))
+            )
+            node.knowledge.take_targets(self.entries(), 1)
+
+    def entries(self) -> list[TargetEntry]:
+        return [
+            TargetEntry(
+                target_id=f'i-{at}',
+                service='s',
+                host=host,
+                port=TARGET_PORT,
+                failure_domain=host,
+                slots=4,
+                is_leaving=False,
+                cold_seconds=0,
+                started_ms=1,
+            )
+            for at, host in enumerate(self.hosts)
+        ]
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.wait(self.tasks)
+        for node in self.nodes:
+            node.close()
+        for target in self.targets:
+            target.close()
+
+
+@asynccontextmanager
+async def world_of(
+    count: int, *, is_published: bool = True
+) -> AsyncIterator[World]:
+    """Run nodes and targets for the time of a test."""
+    world = World(count)
+    await world.open()
+    if is_published:
+        world.publish()
+        await asyncio.sleep(0.1)
+    try:
+        yield world
+    finally:
+        await world.close()
+
+
+def settings(host: str) -> SidecarSettings:
+    return SidecarSettings(
+        node=NodeSection(
+            name=f'node-{host}',
+            service='own',
+            failure_domain=host,
+            region='r',
+        ),
+        listen=SidecarListenSection(
+            clients=Address(host=host, port=CLIENTS_PORT),
+            nodes=Address(host=host, port=NODES_PORT),
+            ready=Address(host=host, port=READY_PORT),
+            metrics_port=None,
+        ),
+        target=SidecarTargetSection(
+            address=Address(host=host, port=TARGET_PORT),
+            slots=4,
+        ),
+        platform=StoreSection(
+            address=Address(host=host, port=1),
+            lease_seconds=4.5,
+        ),
+        bounds=BoundsSection(
+            stop_seconds=6,
+            retry_ratio=0.2,
+            retry_reserve=100,
+            retry_window_seconds=10,
+        ),
+        logs=LogsSection(level='info', records_per_second=50),
+    )
+
+
+def configuration(*services: str, version: int = 1) -> Configuration:
+    """Return routes ``/read/`` and ``/buy/`` to the services."""
+    destinations = tuple(
+        Destination(service=service, weight=1) for service in services
+    )
+    return Configuration(
+        version=version,
+        routes=tuple(
+            Route(
+                name=prefix,
+                host='x.example',
+                prefix=prefix,
+                destinations=destinations,
+                is_repeatable=prefix == '/read/',
+                most_attempts=2,
+                timeout_seconds=2,
+                aim_seconds=1,
+                importance=1,
+            )
+            for prefix in ('/read/', '/buy/')
+        ),
+        limits_by_service={
+            's': ServiceLimits(service='s', connections=20),
+        },
+        head_bytes=16384,
+        body_bytes=100000,
+        head_seconds=3,
+        idle_seconds=15,
+    )
+
+
+class Client:
+    """One client connection to a node."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    def send(self, path: str, *, body: bytes = b'', extra: str = '') -> None:
+        method = 'POST' if body else 'GET'
+        head = (
+            f'{method} {path} HTTP/1.1\r\nHost: x.example\r\n'
+            f'X-Attempt: {path}\r\nX-Left: 1500\r\n'
+            f'Content-Length: {len(body)}\r\n{extra}\r\n'
+        )
+        self.writer.write(head.encode() + body)
+
+    async def read(self) -> Received:
+        async with asyncio.timeout(4):
+            head = await self.reader.readuntil(b'\r\n\r\n')
+            received = Received(head[:-4], b'')
+            size = int(received.headers.get('content-length', '0'))
+            received.body = await self.reader.readexactly(size)
+        return received
+
+    async def ask(self, path: str, **parts: object) -> Received:
+        self.send(path, **parts)  # type: ignore[arg-type]
+        return await self.read()
+
+
+async def client_of(host: str) -> Client:
+    """Connect a client, from an address that is not the target's."""
+    reader, writer = await asyncio.open_connection(
+        host,
+        CLIENTS_PORT,
+        local_addr=('127.0.8.1', 0),
+    )
+    return Client(reader, writer)
