Learn the call graph by parts of runs, and let in what the bottom has room for

Cause: on a load of 2.3 times the ordinary one the gate of root requests never acted. The calls of targets come from the VM's own address as clients do, so every request was taken for a call; runs that become slow changed the calls a second from which the graph was learned; and one target's full queue steered a share that then swung between 0.08 and 0.67.

Mend: a kind is inner when the nodes of some service never see it; a run counts for one however long it takes; the first hop compares the fleet's arrivals with the slots below and targets only correct it; a time that was not seen for a while fades, so that slow targets are tried again.

--- a/src/lovageshunt/admission/_events.py
+++ b/src/lovageshunt/admission/_events.py
@@ -7,15 +7,27 @@
 
 
 class Arrived(Record):
-    """A call reached the node; ``deadline`` is on the node's own clock."""
+    """A call reached the node; ``deadline`` is on the node's own clock.
 
-    __slots__ = ('call_id', 'level', 'deadline')
+    ``waits_until`` is how long it may wait for a slot, its deadline if that
+    is not given.
+    """
+
+    __slots__ = ('call_id', 'level', 'deadline', 'waits_until')
 
-    def __init__(self, *, call_id: str, level: int, deadline: float) -> None:
+    def __init__(
+        self,
+        *,
+        call_id: str,
+        level: int,
+        deadline: float,
+        waits_until: float | None = None,
+    ) -> None:
         """Name the call; the id is unique among calls here."""
         self.call_id = call_id
         self.level = level
         self.deadline = deadline
+        self.waits_until = deadline if waits_until is None else waits_until
 
 
 class _CallRecord(Record):
--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -60,6 +60,7 @@
         self._most_waiting = most_waiting
         self._queue = WaitingQueue()
         self._running = RunningCalls()
+        #: When calls stop waiting; those that left the queue stay in it.
         self._deadlines: list[tuple[float, str]] = []
         self._service_seconds = _FIRST_SERVICE_SECONDS
         self._is_draining = False
@@ -128,11 +129,11 @@
         if self._is_draining:
             actions.append(self._refusal(call, RefusalReason.LEAVING))
             return
-        if not self._can_finish(call, now):
+        if not self._can_finish(call, event.waits_until, now):
             actions.append(self._refusal(call, RefusalReason.OVERLOAD))
             return
         self._queue.add(call)
-        heappush(self._deadlines, (call.deadline, call.call_id))
+        heappush(self._deadlines, (event.waits_until, call.call_id))
         if len(self._queue) > self._most_waiting:
             last = self._queue.remove(self._queue.last().call_id)
             actions.append(self._refusal(last, RefusalReason.QUEUE_FULL))
@@ -186,12 +187,18 @@
             self._queue.remove(call.call_id)
             actions.append(self._refusal(call, RefusalReason.LEAVING))
 
-    def _can_finish(self, call: WaitingCall, now: float) -> bool:
+    def _can_finish(
+        self,
+        call: WaitingCall,
+        waits_until: float,
+        now: float,
+    ) -> bool:
         if len(self._running) < self.limit:
             return now < call.deadline
         ahead = self._queue.ahead_of(call) + 1
-        wait = ahead * self._service_seconds / self._slots
-        return now + wait + self._service_seconds <= call.deadline
+        starts_at = now + ahead * self._service_seconds / self._slots
+        ends_at = starts_at + self._service_seconds
+        return starts_at <= waits_until and ends_at <= call.deadline
 
     def _fill(self, actions: list[Action], now: float) -> None:
         while self._queue and len(self._running) < self.limit:
@@ -206,7 +213,7 @@
     def _expire(self, actions: list[Action], now: float) -> None:
         while self._deadlines and self._deadlines[0][0] <= now:
             call_id = heappop(self._deadlines)[1]
-            if self._queue.is_late(call_id, now):
+            if call_id in self._queue:
                 call = self._queue.remove(call_id)
                 actions.append(self._refusal(call, RefusalReason.DEADLINE))
 
--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -56,7 +56,6 @@
         '_is_reading',
         '_since',
         'closes_next',
-        'peer_host',
     )
 
     def __init__(
@@ -79,8 +78,6 @@
         self._since = monotonic()
         #: The next answer announces that the connection closes.
         self.closes_next = False
-        #: The address of the other side, without its port.
-        self.peer_host = ''
         self._begin_message()
 
     # What asyncio calls.
@@ -88,8 +85,6 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Join the open connections."""
         self._transport = cast(Transport, transport)
-        peer = transport.get_extra_info('peername')
-        self.peer_host = peer[0] if peer else ''
         self._open.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -150,12 +150,17 @@
 
     ``seconds_by_kind`` is how long a run of each kind holds a slot,
     ``calls_by_kind_by_kind`` the calls that it makes, by the kind that runs
-    and then the kind that is called. ``revision`` and ``version`` are those
-    of a greeting.
+    and then the kind that is called. ``arrived_by_kind`` counts the requests
+    of each kind that reached the node from its VM in the last ``seconds``.
+    A node that has nothing new to say of its runs leaves both others empty.
+    ``revision`` and ``version`` are those of a greeting.
     """
 
     __slots__ = (
+        'node',
         'service',
+        'seconds',
+        'arrived_by_kind',
         'seconds_by_kind',
         'calls_by_kind_by_kind',
         'revision',
@@ -165,7 +170,10 @@
     def __init__(
         self,
         *,
+        node: str,
         service: str,
+        seconds: float,
+        arrived_by_kind: dict[str, int],
         seconds_by_kind: dict[str, float],
         calls_by_kind_by_kind: dict[str, dict[str, float]],
         revision: int,
@@ -174,6 +182,9 @@
         """Take every field by name."""
         self.revision = revision
         self.version = version
+        self.node = node
         self.service = service
+        self.seconds = seconds
+        self.arrived_by_kind = arrived_by_kind
         self.seconds_by_kind = seconds_by_kind
         self.calls_by_kind_by_kind = calls_by_kind_by_kind
--- a/src/lovageshunt/pressure/__init__.py
+++ b/src/lovageshunt/pressure/__init__.py
@@ -6,8 +6,10 @@
 requests whose work would be lost further down.
 """
 
+from lovageshunt.pressure._arrivals import FleetArrivals
 from lovageshunt.pressure._call_graph import CallCounts, CallGraph
 from lovageshunt.pressure._call_watch import CallWatch
+from lovageshunt.pressure._callers import CallerBook
 from lovageshunt.pressure._demand import DemandMeter, DemandSettings
 from lovageshunt.pressure._needs import KindNeeds, NeedsBook
 from lovageshunt.pressure._root_gate import RootGate, RootVerdict
@@ -16,8 +18,10 @@
     'CallCounts',
     'CallGraph',
     'CallWatch',
+    'CallerBook',
     'DemandMeter',
     'DemandSettings',
+    'FleetArrivals',
     'KindNeeds',
     'NeedsBook',
     'RootGate',
--- a/src/lovageshunt/pressure/_call_watch.py
+++ b/src/lovageshunt/pressure/_call_watch.py
@@ -1,77 +1,66 @@
-"""Counts what a window shows: runs in progress, and calls made."""
+"""Counts what short windows show: parts of runs done, and calls made."""
 
+from collections import deque
 from typing import Final
 
 from lovageshunt.pressure._call_graph import CallCounts
 
-#: The length of a window, in seconds: shorter than a run, so that a window
-#: tells which runs were in progress as a call was made.
-_WINDOW_SECONDS: Final = 0.02
+#: The length of a window, in seconds: shorter than most runs, so that a
+#: window tells which of them were in progress as a call was made.
+_WINDOW_SECONDS: Final = 0.05
+#: A window is told after so many others, when the runs in it have ended.
+_HELD_WINDOWS: Final = 18
 
 
 class CallWatch:
-    """Adds up the time of the runs in progress and the calls, by kind."""
+    """Spreads each run over the windows in which it was in progress.
 
-    __slots__ = (
-        '_running_by_kind',
-        '_seconds_by_kind',
-        '_calls_by_kind',
-        '_counted_at',
-        '_window_start',
-        '_closed',
-    )
+    A run counts for one in all, however long it took, so that calls a run
+    stay the same when everything becomes slow.
+    """
+
+    __slots__ = ('_windows', '_first')
 
     def __init__(self, now: float) -> None:
         """Begin with no run."""
-        self._running_by_kind: dict[str, int] = {}
-        self._seconds_by_kind: dict[str, float] = {}
-        self._calls_by_kind: dict[str, int] = {}
-        self._counted_at = now
-        self._window_start = now
-        self._closed: list[CallCounts] = []
-
-    def started(self, kind: str, now: float) -> None:
-        """Note that a run was sent to the target."""
-        self._advance(now)
-        running = self._running_by_kind.get(kind, 0)
-        self._running_by_kind[kind] = running + 1
+        self._first = int(now / _WINDOW_SECONDS)
+        self._windows: deque[CallCounts] = deque()
 
-    def ended(self, kind: str, now: float) -> None:
-        """Note that a run has left the target."""
-        self._advance(now)
-        running = self._running_by_kind.get(kind, 0) - 1
-        if running > 0:
-            self._running_by_kind[kind] = running
-        else:
-            self._running_by_kind.pop(kind, None)
+    def ended(self, kind: str, started_at: float, now: float) -> None:
+        """Note a run that has left the target."""
+        seconds = max(now - started_at, _WINDOW_SECONDS / 10)
+        self._extend(now)
+        begin = max(started_at, self._first * _WINDOW_SECONDS)
+        at = int(begin / _WINDOW_SECONDS)
+        while begin < now:
+            end = min(now, (at + 1) * _WINDOW_SECONDS)
+            runs = self._windows[at - self._first].runs_by_kind
+            runs[kind] = runs.get(kind, 0) + (end - begin) / seconds
+            begin = end
+            at += 1
 
     def called(self, kind: str, now: float) -> None:
         """Note a call that the target made."""
-        self._advance(now)
-        self._calls_by_kind[kind] = self._calls_by_kind.get(kind, 0) + 1
+        self._extend(now)
+        calls = self._windows[-1].calls_by_kind
+        calls[kind] = calls.get(kind, 0) + 1
 
     def take_windows(self, now: float) -> list[CallCounts]:
-        """Return what the windows that are over showed, each once."""
-        self._advance(now)
-        closed = self._closed
-        self._closed = []
-        return closed
-
-    def _advance(self, now: float) -> None:
-        elapsed = now - self._counted_at
-        self._counted_at = now
-        for kind, running in self._running_by_kind.items():
-            known = self._seconds_by_kind.get(kind, 0)
-            self._seconds_by_kind[kind] = known + running * elapsed
-        if now - self._window_start >= _WINDOW_SECONDS:
-            self._close_window(now)
+        """Return what the windows that are complete showed, each once."""
+        self._extend(now)
+        taken = []
+        while len(self._windows) > _HELD_WINDOWS:
+            taken.append(self._windows.popleft())
+            self._first += 1
+        return taken
 
-    def _close_window(self, now: float) -> None:
-        counts = CallCounts(
-            run_seconds_by_kind=self._seconds_by_kind,
-            calls_by_kind=self._calls_by_kind,
-        )
-        self._closed.append(counts)
-        self._seconds_by_kind = {}
-        self._calls_by_kind = {}
-        self._window_start = now
+    def _extend(self, now: float) -> None:
+        """Add windows up to the present one; after a pause, begin anew."""
+        missing = int(now / _WINDOW_SECONDS) - self._first
+        missing -= len(self._windows) - 1
+        if missing > 2 * _HELD_WINDOWS:
+            self._windows.clear()
+            self._first = int(now / _WINDOW_SECONDS)
+            missing = 1
+        for _ in range(missing):
+            self._windows.append(CallCounts(runs_by_kind={}, calls_by_kind={}))
--- a/src/lovageshunt/pressure/_demand.py
+++ b/src/lovageshunt/pressure/_demand.py
@@ -8,8 +8,14 @@
 _TIME_WEIGHT: Final = 0.05
 #: The time assumed of a kind before its first run, in seconds.
 _FIRST_SECONDS: Final = 0.02
-#: The least share that is told: some requests always show what there is.
-_LEAST_SHARE: Final = 0.02
+#: The least share that is told. The first hop works out from the fleet's
+#: requests what there is room for; this corrects what it takes wrong.
+_LEAST_SHARE: Final = 0.25
+
+
+#: Weight of a window in the use that steers the share: calls come in bursts
+#: of many windows' length.
+_USE_WEIGHT: Final = 0.35
 
 
 class DemandSettings(Record):
@@ -18,8 +24,8 @@
     In each window of ``window_seconds`` the work asked for is compared with
     ``target_use`` of the slots. Calls that wait count as if they were to be
     worked off in ``backlog_seconds``. ``gain`` is the part of a difference
-    that one window corrects, ``most_rise`` the factor by which the share
-    rises at most.
+    that one window corrects, ``most_rise`` and ``most_fall`` the factors
+    by which the share moves at most.
     """
 
     __slots__ = (
@@ -28,16 +34,18 @@
         'backlog_seconds',
         'gain',
         'most_rise',
+        'most_fall',
     )
 
     def __init__(
         self,
         *,
         window_seconds: float = 0.25,
-        target_use: float = 0.9,
+        target_use: float = 1.0,
         backlog_seconds: float = 0.5,
-        gain: float = 0.5,
-        most_rise: float = 1.08,
+        gain: float = 0.15,
+        most_rise: float = 1.1,
+        most_fall: float = 0.8,
     ) -> None:
         """Take every setting by name; all have defaults."""
         self.window_seconds = window_seconds
@@ -45,6 +53,7 @@
         self.backlog_seconds = backlog_seconds
         self.gain = gain
         self.most_rise = most_rise
+        self.most_fall = most_fall
 
 
 class DemandMeter:
@@ -67,7 +76,7 @@
         self._window_start = now
         #: The share of its demand that the target has room for.
         self.share = float(1)
-        #: The work asked for over the slots, in the last window.
+        #: The work asked for over the slots, in the last windows.
         self.use = float(0)
 
     @property
@@ -102,7 +111,8 @@
             return False
         work = self._asked / seconds
         work += backlog_slot_seconds / settings.backlog_seconds
-        self.use = work / max(1, slots)
+        use = work / max(1, slots)
+        self.use += _USE_WEIGHT * (use - self.use)
         self._asked = 0
         self._window_start = now
         if seconds > settings.window_seconds * 4:
@@ -112,7 +122,9 @@
         return True
 
     def _steer(self, excess: float) -> None:
-        factor = max(excess, 1 / self._settings.most_rise**4)
-        factor = factor ** (-self._settings.gain)
-        factor = min(factor, self._settings.most_rise)
+        settings = self._settings
+        factor = settings.most_rise
+        if excess > 0:
+            factor = min(factor, excess ** (-settings.gain))
+        factor = max(factor, settings.most_fall)
         self.share = min(1, max(_LEAST_SHARE, self.share * factor))
--- a/src/lovageshunt/pressure/_needs.py
+++ b/src/lovageshunt/pressure/_needs.py
@@ -1,5 +1,6 @@
 """Which services a kind of request needs, and for how long."""
 
+from statistics import harmonic_mean
 from typing import Final
 
 from lovageshunt._record import Record
@@ -13,25 +14,55 @@
 class KindNeeds(Record):
     """What one run of a kind takes, as nodes beside its targets told.
 
-    ``service`` runs it, ``seconds`` is how long it holds a slot there,
-    ``calls_by_kind`` how many calls of each kind it makes.
+    ``service`` runs it, ``seconds`` is how long it holds a slot at the target
+    of ``node``, ``calls_by_kind`` how many calls of each kind it makes.
     """
 
-    __slots__ = ('service', 'seconds', 'calls_by_kind')
+    __slots__ = ('node', 'service', 'seconds', 'calls_by_kind')
 
     def __init__(
         self,
         *,
+        node: str,
         service: str,
         seconds: float,
         calls_by_kind: dict[str, float],
     ) -> None:
         """Take every field by name."""
+        self.node = node
         self.service = service
         self.seconds = seconds
         self.calls_by_kind = calls_by_kind
 
 
+class _Kind:
+    """What is known of one kind."""
+
+    __slots__ = ('service', 'seconds_by_node', 'calls_by_kind')
+
+    def __init__(self, told: KindNeeds) -> None:
+        """Begin with the word of one node."""
+        self.service = told.service
+        self.seconds_by_node = {told.node: told.seconds}
+        self.calls_by_kind = dict(told.calls_by_kind)
+
+    @property
+    def seconds(self) -> float:
+        """Return the time of a run on targets of differing speed.
+
+        It is the mean by which as many runs fit as fit on all of them.
+        """
+        return harmonic_mean(list(self.seconds_by_node.values()))
+
+    def learn(self, told: KindNeeds) -> None:
+        """Take the word of another node, or the same one anew."""
+        self.seconds_by_node[told.node] = told.seconds
+        for called in self.calls_by_kind.keys() | told.calls_by_kind.keys():
+            before = self.calls_by_kind.get(called, 0)
+            change = told.calls_by_kind.get(called, 0) - before
+            self.calls_by_kind[called] = before + _WEIGHT * change
+
+
 class NeedsBook:
     """Adds up the slot-seconds that a request needs at every service."""
 
@@ -39,7 +70,7 @@
 
     def __init__(self) -> None:
         """Begin with nothing known."""
-        self._by_kind: dict[str, KindNeeds] = {}
+        self._by_kind: dict[str, _Kind] = {}
         self._work_by_kind: dict[str, dict[str, float]] = {}
 
     def learn(self, kind: str, told: KindNeeds) -> None:
@@ -47,19 +78,9 @@
         self._work_by_kind = {}
         known = self._by_kind.get(kind)
         if known is None or known.service != told.service:
-            self._by_kind[kind] = told
-            return
-        known.seconds += _WEIGHT * (told.seconds - known.seconds)
-        for called in known.calls_by_kind.keys() | told.calls_by_kind.keys():
-            before = known.calls_by_kind.get(called, 0)
-            change = told.calls_by_kind.get(called, 0) - before
-            known.calls_by_kind[called] = before + _WEIGHT * change
-
-    def is_called(self, kind: str) -> bool:
-        """Tell whether targets make calls of a kind."""
-        return any(
-            kind in needs.calls_by_kind for needs in self._by_kind.values()
-        )
+            self._by_kind[kind] = _Kind(told)
+        else:
+            known.learn(told)
 
     def work_of(self, kind: str) -> dict[str, float]:
         """Return slot-seconds by service for one request of a kind."""
--- a/src/lovageshunt/pressure/_root_gate.py
+++ b/src/lovageshunt/pressure/_root_gate.py
@@ -7,18 +7,23 @@
 """
 
 from random import Random
+from statistics import median_high
 from typing import Final
 
 from lovageshunt._record import Record
+from lovageshunt.pressure._arrivals import FleetArrivals
 from lovageshunt.pressure._needs import NeedsBook
 
-#: The time over which the rates of requests are averaged, in seconds.
-_RATE_SECONDS: Final = 2.0
+#: The part of its slots that a service may be asked to use.
+_USABLE_PART: Final = 0.95
 #: How often the shares are worked out anew, in seconds.
 _PERIOD_SECONDS: Final = 0.1
-#: A kind that needs less than this share of what the kinds that need a
-#: service need in the mean is not refused for it.
-_SLIGHT_NEED: Final = 0.25
+#: A kind that needs less of a service than this share of what the kind needs
+#: that needs most is not refused for it.
+_SLIGHT_NEED: Final = 0.1
+#: A kind gets at least this part of what all kinds that need a service get
+#: of it, so that none is shut out for long.
+_FLOOR_PART: Final = 0.35
 #: A share that was not heard for so long is taken for 1, in seconds.
 _SHARE_SECONDS: Final = 2.0
 #: When to come back while shares are short, in seconds: they move by a
@@ -48,7 +53,7 @@
 
 
 class _Heard(Record):
-    """The share that one target told, the slots it speaks for, and when."""
+    """The share that one target told, its slots, and when."""
 
     __slots__ = ('share', 'slots', 'at')
 
@@ -60,15 +65,13 @@
 
 
 class _Kind:
-    """The rate of one kind's requests here, and what is let in."""
+    """What is let in of one kind of requests."""
 
-    __slots__ = ('importance', 'count', 'rate', 'share', 'service')
+    __slots__ = ('importance', 'share', 'service')
 
     def __init__(self, importance: int) -> None:
-        """Begin with no requests, and all let in."""
+        """Begin with all let in."""
         self.importance = importance
-        self.count = 0
-        self.rate = float(0)
         self.share = float(1)
         self.service = ''
 
@@ -78,19 +81,26 @@
 
     __slots__ = (
         '_needs',
+        '_arrivals',
         '_rng',
         '_by_kind',
         '_heard_by_target_by_service',
         '_updated_at',
     )
 
-    def __init__(self, needs: NeedsBook, rng: Random, now: float) -> None:
+    def __init__(
+        self,
+        needs: NeedsBook,
+        arrivals: FleetArrivals,
+        rng: Random,
+    ) -> None:
         """Begin with room everywhere."""
         self._needs = needs
+        self._arrivals = arrivals
         self._rng = rng
         self._by_kind: dict[str, _Kind] = {}
         self._heard_by_target_by_service: dict[str, dict[str, _Heard]] = {}
-        self._updated_at = now
+        self._updated_at = float('-inf')
 
     def heard(
         self,
@@ -106,13 +116,12 @@
         by_target[target_id] = _Heard(share=share, slots=slots, at=now)
 
     def verdict(self, kind: str, importance: int, now: float) -> RootVerdict:
-        """Count a request, and let it in or say when to come back."""
+        """Let a request in, or say when to come back."""
         known = self._by_kind.get(kind)
         if known is None:
             known = _Kind(importance)
             self._by_kind[kind] = known
         known.importance = importance
-        known.count += 1
         if now - self._updated_at >= _PERIOD_SECONDS:
             self._update(now)
         if known.share >= 1 or self._rng.random() < known.share:
@@ -124,66 +133,75 @@
             share=known.share,
         )
 
-    def share_of(self, service: str, now: float) -> float:
-        """Return the share of its demand that a service has room for."""
+    def room_of(self, service: str, now: float) -> float:
+        """Return the slots of a service that requests may use."""
         by_target = self._heard_by_target_by_service.get(service, {})
-        total = float(0)
-        slots = 0
         for target_id, heard in list(by_target.items()):
             if now - heard.at > _SHARE_SECONDS:
                 by_target.pop(target_id)
-                continue
-            total += heard.share * heard.slots
-            slots += heard.slots
-        return total / slots if slots else 1
+        if not by_target:
+            return 0
+        # One target that is full while others have room is a matter of
+        # placing, so the one in the middle speaks for all.
+        share = median_high(heard.share for heard in by_target.values())
+        slots = sum(heard.slots for heard in by_target.values())
+        return share * slots * _USABLE_PART
 
     def _update(self, now: float) -> None:
-        """Work out the rates, then what is let in of each kind."""
-        seconds = now - self._updated_at
+        """Work out what is let in of each kind."""
         self._updated_at = now
-        weight = min(1, seconds / _RATE_SECONDS)
         for known in self._by_kind.values():
-            rate = known.count / seconds
-            known.rate += weight * (rate - known.rate)
-            known.count = 0
             known.share = float(1)
             known.service = ''
+        rate_by_kind = self._arrivals.rate_by_kind(now)
         for service in self._heard_by_target_by_service:
-            share = self.share_of(service, now)
-            if share < 1:
-                self._fill(service, share)
+            use_by_kind = self._uses_of(service, rate_by_kind)
+            room = self.room_of(service, now)
+            if 0 < room < sum(use_by_kind.values()):
+                self._fill(service, room, use_by_kind)
 
-    def _fill(self, service: str, share: float) -> None:
+    def _fill(
+        self,
+        service: str,
+        room: float,
+        use_by_kind: dict[str, float],
+    ) -> None:
         """Give the room of a service to its kinds, by importance."""
-        need_by_kind = self._needs_at(service)
-        demand_by_importance: dict[int, float] = {}
-        for kind, need in need_by_kind.items():
-            known = self._by_kind[kind]
-            before = demand_by_importance.get(known.importance, 0)
-            demand_by_importance[known.importance] = before + known.rate * need
-        room = share * sum(demand_by_importance.values())
+        floor = _FLOOR_PART * room / sum(use_by_kind.values())
+        left = room * (1 - _FLOOR_PART)
+        use_by_importance: dict[int, float] = {}
+        for kind, use in use_by_kind.items():
+            importance = self._by_kind[kind].importance
+            before = use_by_importance.get(importance, 0)
+            use_by_importance[importance] = before + use * (1 - floor)
         share_by_importance: dict[int, float] = {}
-        for importance in sorted(demand_by_importance):
-            demand = demand_by_importance[importance]
-            part = min(1, max(0, room) / demand) if demand > 0 else 1
-            share_by_importance[importance] = part
-            room -= demand
-        for kind in need_by_kind:
+        for importance, use in sorted(use_by_importance.items()):
+            part = min(1, max(0, left) / use)
+            share_by_importance[importance] = floor + (1 - floor) * part
+            left -= use
+        for kind in use_by_kind:
             known = self._by_kind[kind]
-            part = share_by_importance[known.importance]
-            if part < known.share:
-                known.share = part
+            share = share_by_importance[known.importance]
+            if share < known.share:
+                known.share = share
                 known.service = service
 
-    def _needs_at(self, service: str) -> dict[str, float]:
-        """Return what the kinds seen here need of a service, if it counts."""
-        needs = {
+    def _uses_of(
+        self,
+        service: str,
+        rate_by_kind: dict[str, float],
+    ) -> dict[str, float]:
+        """Return the slots that the fleet's requests of each kind would use.
+
+        Kinds that need the service but slightly are left out.
+        """
+        need_by_kind = {
             kind: self._needs.work_of(kind).get(service, 0)
-            for kind, known in self._by_kind.items()
-            if known.rate > 0
+            for kind in self._by_kind
+        }
+        most = max(need_by_kind.values(), default=0)
+        return {
+            kind: need * rate_by_kind[kind]
+            for kind, need in need_by_kind.items()
+            if need > most * _SLIGHT_NEED and rate_by_kind.get(kind, 0) > 0
         }
-        needs = {kind: need for kind, need in needs.items() if need > 0}
-        if not needs:
-            return {}
-        least = _SLIGHT_NEED * sum(needs.values()) / len(needs)
-        return {kind: need for kind, need in needs.items() if need >= least}
--- a/src/lovageshunt/routing/_candidate.py
+++ b/src/lovageshunt/routing/_candidate.py
@@ -13,11 +13,17 @@
 _FAILURE_COST: Final = 10
 #: How much slower a target is while it is cold.
 _COLD_FACTOR: Final = 2.0
+#: A time that was not seen for so long, in seconds, counts half after as
+#: long again, so that a target that was slow is tried again.
+_AGING_SECONDS: Final = 1.0
 #: The time assumed of a kind that was not seen at a target, in seconds.
 _FIRST_SECONDS: Final = 0.02
 #: A load that is older than this no longer counts, in seconds: some periods
 #: in which nodes tell it.
 _LOAD_SECONDS: Final = 1.5
+#: Weight of one report in the use of a target: nodes that all follow the last
+#: one would leave and rush back together.
+_USE_WEIGHT: Final = 0.5
 #: Failures in a row that eject a target, and for how long, in seconds.
 _FAILURES_TO_EJECT: Final = 4
 _EJECTION_SECONDS: Final = 0.7
@@ -28,6 +34,29 @@
 _MOST_DOUBLINGS: Final = 3
 
 
+class _Time:
+    """The mean time of one kind, and when it was last seen."""
+
+    __slots__ = ('seconds', 'seen_at')
+
+    def __init__(self, seconds: float, seen_at: float) -> None:
+        """Begin with one answer."""
+        self.seconds = seconds
+        self.seen_at = seen_at
+
+    def add(self, seconds: float, now: float) -> None:
+        """Take another answer."""
+        self.seconds += _TIME_WEIGHT * (seconds - self.seconds)
+        self.seen_at = now
+
+    def expected(self, now: float) -> float:
+        """Return the mean, less the longer it was not seen."""
+        age = now - self.seen_at - _AGING_SECONDS
+        if age <= 0:
+            return self.seconds
+        return self.seconds / 2 ** (age / _AGING_SECONDS)
+
+
 class Candidate:
     """Load, times by kind and failures of one target."""
 
@@ -38,7 +67,8 @@
         'failure_share',
         '_load',
         '_load_at',
-        '_seconds_by_kind',
+        '_use',
+        '_time_by_kind',
         '_failures',
         '_ejections',
         '_ejected_until',
@@ -52,7 +82,8 @@
         self.failure_share = float(0)
         self._load = LoadReport(running=0, waiting=0, limit=0, service_ms=0)
         self._load_at = float('-inf')
-        self._seconds_by_kind: dict[str, float] = {}
+        self._use = float(0)
+        self._time_by_kind: dict[str, _Time] = {}
         self._failures = 0
         self._ejections = 0
         self._ejected_until = float('-inf')
@@ -63,10 +94,21 @@
 
     def heard(self, load: LoadReport, now: float) -> None:
         """Take the load that its node told."""
+        if now - self._load_at > _LOAD_SECONDS:
+            self._use = float(0)
         self._load = load
         self._load_at = now
-
-    def answered(self, kind: str, seconds: float, *, was_error: bool) -> None:
+        use = (load.running + load.waiting) / max(1, load.limit)
+        self._use += _USE_WEIGHT * (use - self._use)
+
+    def answered(
+        self,
+        kind: str,
+        seconds: float,
+        now: float,
+        *,
+        was_error: bool,
+    ) -> None:
         """Note an answer; one that is an error tells nothing of the time."""
         self._failures = 0
         self._ejections = 0
@@ -74,11 +116,11 @@
         self.failure_share += _FAILURE_WEIGHT * (outcome - self.failure_share)
         if was_error:
             return
-        known = self._seconds_by_kind.get(kind)
+        known = self._time_by_kind.get(kind)
         if known is None:
-            self._seconds_by_kind[kind] = seconds
-            return
-        self._seconds_by_kind[kind] = known + _TIME_WEIGHT * (seconds - known)
+            self._time_by_kind[kind] = _Time(seconds, now)
+        else:
+            known.add(seconds, now)
 
     def shed(self, now: float, draw: float) -> None:
         """Note that the target refused a call that its node let through."""
@@ -112,19 +154,19 @@
         """Return running and waiting calls over the slots, as last heard."""
         if self._load.limit == 0 or now - self._load_at > _LOAD_SECONDS:
             return 0
-        calls = max(self._load.running + self._load.waiting, self.in_flight)
-        return calls / self._load.limit
+        return max(self._use, self.in_flight / self._load.limit)
 
     def expected_seconds(self, kind: str, now: float) -> float:
         """Return how long a call of a kind is expected to take."""
-        seconds = self._seconds_by_kind.get(kind, _FIRST_SECONDS)
+        known = self._time_by_kind.get(kind)
+        seconds = _FIRST_SECONDS if known is None else known.expected(now)
         if now < self.cold_until:
             return seconds * _COLD_FACTOR
         return seconds
 
     def has_seen(self, kind: str) -> bool:
         """Tell whether a call of a kind was answered here."""
-        return kind in self._seconds_by_kind
+        return kind in self._time_by_kind
 
     def cost(self, kind: str, now: float) -> float:
         """Return what weighs against the target, in seconds."""
--- a/src/lovageshunt/routing/_placement.py
+++ b/src/lovageshunt/routing/_placement.py
@@ -15,11 +15,11 @@
 from lovageshunt.routing._member import RouteMember
 
 #: The share of its slots up to which a near target keeps its calls.
-_ROOM_SHARE: Final = 0.7
-#: By how much another target has to be emptier, as a share of its slots, and
-#: the further difference at which every call goes there.
-_LEAST_GAP: Final = 0.1
-_GAP_SPAN: Final = 0.5
+_ROOM_SHARE: Final = 0.9
+#: By how much another target has to be less used, as a share of the near
+#: one's use, and the further difference at which every call goes there.
+_LEAST_GAP: Final = 0.15
+_GAP_SPAN: Final = 0.8
 #: The share of the time that a call has, within which a near target's usual
 #: answer must come; twice the mean is about what one call in ten takes.
 _PATIENCE: Final = 0.55
@@ -161,7 +161,7 @@
             return
         candidate.in_flight = max(0, candidate.in_flight - 1)
         if outcome is Outcome.ANSWERED:
-            candidate.answered(kind, seconds, was_error=was_error)
+            candidate.answered(kind, seconds, now, was_error=was_error)
         elif reason is RefusalReason.LEAVING:
             candidate.refused_leaving(now)
         elif outcome is not Outcome.NOT_RUN:
@@ -235,8 +235,8 @@
         used = near.utilisation(now)
         if used <= _ROOM_SHARE:
             return False
-        gap = used - far.utilisation(now) - _LEAST_GAP
-        return self._rng.random() < gap / _GAP_SPAN
+        gap = 1 - far.utilisation(now) / used
+        return self._rng.random() < (gap - _LEAST_GAP) / _GAP_SPAN
 
     def _better_of_two(
         self,
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -43,6 +43,9 @@
 #: The time after its deadline at which a call that still runs is cut off, in
 #: seconds: targets end it at the deadline by themselves.
 _OVERDUE_SECONDS: Final = 0.15
+#: The part of its time that a client's request waits for a slot at most: one
+#: that is refused then can still come back.
+_WAIT_PART: Final = 0.2
 #: Connections to the target until the configuration tells how many it bears.
 _FIRST_CONNECTIONS: Final = 200
 
@@ -115,11 +118,16 @@
         run = Run(str(self._next_number), order, ended)
         self._run_by_call_id[run.call_id] = run
         self.demand.asked(order.kind)
+        now = clock_now()
+        waits_until = order.deadline
+        if order.importance > 0:
+            waits_until = now + _WAIT_PART * (order.deadline - now)
         self._tell(
             Arrived(
                 call_id=run.call_id,
                 level=level_of(order.importance, 0),
                 deadline=order.deadline,
+                waits_until=waits_until,
             ),
         )
         return run
@@ -175,7 +183,6 @@
     def _dispatch(self, action: Dispatch) -> None:
         run = self._run_by_call_id[action.call_id]
         run.sent_at = clock_now()
-        self.watch.started(run.order.kind, run.sent_at)
         self._send(run)
         delay = max(0, run.order.deadline - clock_now()) + _OVERDUE_SECONDS
         loop = get_running_loop()
@@ -264,7 +271,7 @@
 
     def _measure(self, run: Run, read: ReadAnswer) -> None:
         now = clock_now()
-        self.watch.ended(run.order.kind, now)
+        self.watch.ended(run.order.kind, run.sent_at, now)
         if read.outcome is Outcome.ANSWERED:
             self.demand.ran(run.order.kind, now - run.sent_at)
 
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -10,7 +10,6 @@
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection, forwarded_fields
 from lovageshunt.links import RunAnswer, RunOrder
-from lovageshunt.pressure import RootGate
 from lovageshunt.retries import (
     AllowancePool,
     Failure,
@@ -24,6 +23,7 @@
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
+from lovageshunt.sidecar._pressure_reports import PressureReports
 
 _log = getLogger(__name__)
 _MS_PER_SECOND: Final = 1000
@@ -100,7 +100,7 @@
         executor: Executor,
         fleet: Fleet,
         budget: FleetBudgetSettings,
-        gate: RootGate,
+        reports: PressureReports,
         rng: Random,
     ) -> None:
         """Begin without a configuration."""
@@ -111,7 +111,7 @@
         self._executor = executor
         self._fleet = fleet
         self._budget_settings = budget
-        self._gate = gate
+        self._reports = reports
         self._rng = rng
         self._budget_by_service: dict[str, FleetRetryBudget] = {}
         self._table: RouteTable | None = None
@@ -143,10 +143,8 @@
         call.route = route
         call.service = self._cursor.choose(route)
         call.deadline = call.started_at + self._seconds_left(request, route)
-        call.is_inner = connection.peer_host == self._own_host
-        if call.is_inner:
-            self._executor.watch.called(route.name, call.started_at)
-        elif not self._is_let_in(call, route):
+        call.is_inner = self._reports.arrived(route.name, call.started_at)
+        if not call.is_inner and not self._is_let_in(call, route):
             return call
         self._budget(call.service).requested(call.started_at)
         delay = call.deadline - call.started_at + _OVERDUE_SECONDS
@@ -167,7 +165,7 @@
 
     def _is_let_in(self, call: OriginCall, route: Route) -> bool:
         """Refuse a request whose work would be lost further down."""
-        verdict = self._gate.verdict(
+        verdict = self._reports.gate.verdict(
             route.name,
             route.importance,
             call.started_at,
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -13,7 +13,14 @@
     encode_load,
     encode_message,
 )
-from lovageshunt.pressure import CallGraph, KindNeeds, NeedsBook, RootGate
+from lovageshunt.pressure import (
+    CallerBook,
+    CallGraph,
+    FleetArrivals,
+    KindNeeds,
+    NeedsBook,
+    RootGate,
+)
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import Knowledge
@@ -24,8 +31,11 @@
 #: The changes of use and of share that are told at once.
 _USE_STEP: Final = 0.06
 _SHARE_STEP: Final = 0.03
-#: How often nodes tell what runs at their targets take, in seconds.
-_NEEDS_SECONDS: Final = 2.0
+#: How often nodes tell of the requests that reached them, in seconds.
+_ARRIVALS_SECONDS: Final = 0.8
+#: The first so many of these reports, and then every one of so many, also
+#: tell what runs take.
+_NEEDS_EVERY: Final = 4
 
 Broadcast = Callable[[FrameKind, bytes], None]
 
@@ -35,6 +45,10 @@
 
     __slots__ = (
         'gate',
+        'callers',
+        '_arrived_by_kind',
+        '_reports_told',
+        '_arrivals',
         '_executor',
         '_fleet',
         '_knowledge',
@@ -63,8 +77,13 @@
         self._broadcast = broadcast
         self._graph = CallGraph()
         self._needs = NeedsBook()
+        self._arrivals = FleetArrivals()
         #: Decides at the first hop by what was told.
-        self.gate = RootGate(self._needs, rng, clock_now())
+        self.gate = RootGate(self._needs, self._arrivals, rng)
+        #: Tells the calls of targets from the requests of clients.
+        self.callers = CallerBook()
+        self._arrived_by_kind: dict[str, int] = {}
+        self._reports_told = 0
         self._told_use = float(0)
         self._told_share = float(1)
         self._told_at = float('-inf')
@@ -84,15 +103,31 @@
         )
 
     def take_needs(self, news: NeedsNews) -> None:
-        """Take what runs at a target need."""
+        """Take what runs at a target need, and who sends which kinds."""
+        self.callers.learn(news.service, news.node, news.arrived_by_kind)
+        self._arrivals.learn(
+            news.node,
+            news.arrived_by_kind,
+            news.seconds,
+            clock_now(),
+        )
         for kind, seconds in news.seconds_by_kind.items():
             told = KindNeeds(
+                node=news.node,
                 service=news.service,
                 seconds=seconds,
                 calls_by_kind=news.calls_by_kind_by_kind.get(kind, {}),
             )
             self._needs.learn(kind, told)
 
+    def arrived(self, kind: str, now: float) -> bool:
+        """Count a request from this VM; tell whether a target sent it."""
+        self._arrived_by_kind[kind] = self._arrived_by_kind.get(kind, 0) + 1
+        is_inner = self.callers.is_inner(kind)
+        if is_inner:
+            self._executor.watch.called(kind, now)
+        return is_inner
+
     def advance(self) -> None:
         """Close the windows that are over, and tell nodes what changed."""
         now = clock_now()
@@ -100,9 +135,8 @@
         for counts in self._executor.watch.take_windows(now):
             self._graph.learn(counts)
         self._tell_load(now)
-        if now - self._needs_told_at >= _NEEDS_SECONDS:
-            self._needs_told_at = now
-            self._tell_needs()
+        if now - self._needs_told_at >= _ARRIVALS_SECONDS:
+            self._tell_needs(now)
 
     def _tell_load(self, now: float) -> None:
         entry = self._fleet.own_entry
@@ -123,17 +157,46 @@
         news = LoadNews(target_id=entry.target_id, load=load, share=share)
         self.take_load(news)
         self._broadcast(FrameKind.LOAD, encode_load(news))
+        if news.share < 1:
+            _log.info(
+                'demand above capacity',
+                extra={
+                    'use': round(self._executor.demand.use, 2),
+                    'share': round(share, 2),
+                    'running': load.running,
+                    'waiting': load.waiting,
+                    'limit': load.limit,
+                },
+            )
 
-    def _tell_needs(self) -> None:
-        seconds_by_kind = self._executor.demand.seconds_by_kind
+    def _tell_needs(self, now: float) -> None:
+        seconds = now - self._needs_told_at
+        self._needs_told_at = now
+        if not self._arrived_by_kind:
+            return
+        self._reports_told += 1
+        seconds_by_kind: dict[str, float] = {}
+        calls_by_kind_by_kind: dict[str, dict[str, float]] = {}
+        is_early = self._reports_told <= _NEEDS_EVERY
+        if is_early or self._reports_told % _NEEDS_EVERY == 0:
+            seconds_by_kind = dict(self._executor.demand.seconds_by_kind)
+            calls_by_kind_by_kind = self._graph.calls_by_kind()
         own = self._knowledge.greeting
         news = NeedsNews(
+            node=own.node,
             service=own.service,
-            seconds_by_kind=dict(seconds_by_kind),
-            calls_by_kind_by_kind=self._graph.calls_by_kind(seconds_by_kind),
+            seconds=min(seconds, _ARRIVALS_SECONDS * 2),
+            arrived_by_kind=self._take_arrived(),
+            seconds_by_kind=seconds_by_kind,
+            calls_by_kind_by_kind=calls_by_kind_by_kind,
             revision=own.revision,
             version=own.version,
         )
         self.take_needs(news)
         _log.debug('needs', extra={'needs': news.as_dict()})
         self._broadcast(FrameKind.NEEDS, encode_message(news))
+
+    def _take_arrived(self) -> dict[str, int]:
+        arrived_by_kind = self._arrived_by_kind
+        self._arrived_by_kind = {}
+        return arrived_by_kind
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -113,7 +113,7 @@
                 reserve=settings.bounds.retry_reserve,
                 window_seconds=settings.bounds.retry_window_seconds,
             ),
-            gate=self._reports.gate,
+            reports=self._reports,
             rng=rng,
         )
 
