Test the adapter against a stand-in of the store, and hold the border

Cause: the adapter had no tests of its own, and nothing kept the platform's names on its side.

Change: standins/store.py speaks the store's calls; tests for configuration, entries, following (pages, storms, 410, 429, 503, silence, lapses, foreign entries), the import contract with the adapter on top, and a check that no source outside platform/ has a name of the wire. Linters cover platform/.

--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,9 @@
 lint: $(ENV)/ready
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 src bench standins demo tests
+	$(BIN)/flake8 src platform bench standins demo tests
 	$(BIN)/mypy
-	$(BIN)/lint-imports --no-cache
+	PYTHONPATH=src:platform $(BIN)/lint-imports --no-cache
 
 format: $(ENV)/ready
 	$(BIN)/ruff format .
--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -222,12 +222,9 @@
         exchange.ended(end, response)
 
     def _ends_here(self) -> bool:
-        return (
-            self._has_head
-            and not self._is_delimited
-            and not self._is_passed_over
-            and self._status >= _INTERIM_END
-        )
+        if self._is_delimited or self._is_passed_over:
+            return False
+        return self._has_head and self._status >= _INTERIM_END
 
     def _loss(self) -> ExchangeEnd:
         if self._has_bytes or self._is_first:
--- a/src/lovageshunt/http1/_messages.py
+++ b/src/lovageshunt/http1/_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from enum import StrEnum
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final
 
 from lovageshunt._record import Record
@@ -21,9 +22,9 @@
         b'expect',
     ),
 )
-_REASON_BY_STATUS: Final = {
-    int(status): status.phrase.encode() for status in HTTPStatus
-}
+_REASON_BY_STATUS: Final = MappingProxyType(
+    {int(status): status.phrase.encode() for status in HTTPStatus},
+)
 #: Statuses whose answers have no body and no length.
 _BODILESS: Final = frozenset((204, 304))
 
@@ -163,11 +164,12 @@
     if status not in _BODILESS:
         length = b'content-length: %d\r\n' % len(body)
     connection = b'connection: close\r\n' if closes else b''
+    sent_body = body if has_body else b''
     return b'HTTP/1.1 %d %b\r\n%b%b%b\r\n%b' % (
         status,
         reason,
         fields,
         length,
         connection,
-        body if has_body else b'',
+        sent_body,
     )
--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -84,15 +84,10 @@
         """
         sending = Sending(exchange)
         connection = self._take_idle(fresh_within_seconds)
-        if connection is not None:
-            sending.begin(connection)
-        elif self._open_count < self.most:
-            self._open_count += 1
-            task = get_running_loop().create_task(self._connect(sending))
-            self._connecting.add(task)
-            task.add_done_callback(self._connecting.discard)
+        if connection is None:
+            self._open(sending)
         else:
-            sending.end(ExchangeEnd.UNSENT, None)
+            sending.begin(connection)
         return sending
 
     def close(self) -> None:
@@ -118,6 +113,15 @@
             connection.close()
         return None
 
+    def _open(self, sending: Sending) -> None:
+        if self._open_count >= self.most:
+            sending.end(ExchangeEnd.UNSENT, None)
+            return
+        self._open_count += 1
+        task = get_running_loop().create_task(self._connect(sending))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
     async def _connect(self, sending: Sending) -> None:
         loop = get_running_loop()
         try:
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -27,8 +27,6 @@
 _LOAD: Final = Struct('!IIIff')
 _OUTCOMES: Final = tuple(Outcome)
 _REASONS: Final = (None, *RefusalReason)
-_OUTCOME_NUMBERS: Final = {each: at for at, each in enumerate(_OUTCOMES)}
-_REASON_NUMBERS: Final = {each: at for at, each in enumerate(_REASONS)}
 _MS_PER_SECOND: Final = 1000
 _MOST_UINT: Final = 2**32 - 1
 
@@ -138,7 +136,7 @@
     except StructError as error:
         raise MalformedFrameError(str(error)) from error
     importance, is_repeatable, left_ms, *lengths = numbers
-    parts, body = _cut(payload, _ORDER.size, lengths)
+    parts = _cut(payload, _ORDER.size, lengths)
     return RunOrder(
         attempt_id=parts[0],
         target_id=parts[1].decode(),
@@ -150,7 +148,7 @@
         method=parts[4],
         request_target=parts[5],
         fields=parts[6],
-        body=body,
+        body=parts[7],
     )
 
 
@@ -158,8 +156,8 @@
     """Write an answer."""
     load = answer.load or _NO_LOAD
     head = _ANSWER.pack(
-        _OUTCOME_NUMBERS[answer.outcome],
-        _REASON_NUMBERS[answer.reason],
+        _OUTCOMES.index(answer.outcome),
+        _REASONS.index(answer.reason),
         min(max(0, answer.retry_after_ms), _MOST_UINT),
         answer.status,
         len(answer.fields),
@@ -178,10 +176,11 @@
         numbers = _ANSWER.unpack_from(payload)
     except StructError as error:
         raise MalformedFrameError(str(error)) from error
-    outcome, reason, retry_after_ms, status, length, has_load, *load = numbers
+    outcome, reason, retry_after_ms, status = numbers[:4]
+    length, has_load, *load = numbers[4:]
     if outcome >= len(_OUTCOMES) or reason >= len(_REASONS):
         raise MalformedFrameError(f'outcome {outcome}, reason {reason}')
-    parts, body = _cut(payload, _ANSWER.size, [length])
+    parts = _cut(payload, _ANSWER.size, [length])
     return RunAnswer(
         outcome=_OUTCOMES[outcome],
         reason=_REASONS[reason],
@@ -189,7 +188,7 @@
         load=_load_of(load) if has_load else None,
         status=status,
         fields=parts[0],
-        body=body,
+        body=parts[1],
     )
 
 
@@ -235,12 +234,12 @@
     payload: bytes,
     at: int,
     lengths: list[int],
-) -> tuple[list[bytes], bytes]:
-    """Return the parts of the given lengths, and what follows them."""
+) -> list[bytes]:
+    """Return the parts of the given lengths, then what follows them."""
     parts: list[bytes] = []
     for length in lengths:
         parts.append(payload[at : at + length])
         at += length
     if at > len(payload):
         raise MalformedFrameError('a part is longer than its frame')
-    return parts, payload[at:]
+    return [*parts, payload[at:]]
--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -30,6 +30,10 @@
 _ORPHAN_SECONDS: Final = 1.0
 
 
+#: An order's name: the incarnation of its sender, and its number there.
+Key = tuple[str, int]
+
+
 class OrderHandler(Interface):
     """Runs the orders that arrive on links."""
 
@@ -63,10 +67,10 @@
 
     def __init__(self) -> None:
         """Begin with none."""
-        self.by_key: dict[tuple[str, int], _Taken] = {}
-        self._answered: deque[tuple[float, tuple[str, int]]] = deque()
+        self.by_key: dict[Key, _Taken] = {}
+        self._answered: deque[tuple[float, Key]] = deque()
 
-    def answered(self, key: tuple[str, int]) -> None:
+    def answered(self, key: Key) -> None:
         """Forget an answer after a while."""
         now = clock_now()
         self._answered.append((now, key))
@@ -133,7 +137,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def answer(self, key: tuple[str, int], answer: RunAnswer) -> None:
+    def answer(self, key: Key, answer: RunAnswer) -> None:
         """Send what became of an order, on the link its sender uses now."""
         taken = self._book.by_key.get(key)
         if taken is None:
--- a/src/lovageshunt/pressure/_call_graph.py
+++ b/src/lovageshunt/pressure/_call_graph.py
@@ -82,7 +82,7 @@
             if runs > _LEAST_RUNS
         ]
         calls: dict[str, dict[str, float]] = {kind: {} for kind in kinds}
-        for called in {pair[1] for pair in self._made}:
+        for called in sorted({pair[1] for pair in self._made}):
             for kind, count in self._solved(kinds, called).items():
                 if count >= _LEAST_CALLS:
                     calls[kind][called] = count
@@ -110,7 +110,8 @@
             if other != kind
         )
         left = self._made.get((kind, called), 0) - explained
-        return max(0, left / (self._products.get((kind, kind), 0) + _RIDGE))
+        square = self._products.get((kind, kind), 0) + _RIDGE
+        return max(0, left / square)
 
 
 def _add(
--- a/src/lovageshunt/pressure/_call_watch.py
+++ b/src/lovageshunt/pressure/_call_watch.py
@@ -35,7 +35,8 @@
         while begin < now:
             end = min(now, (at + 1) * _WINDOW_SECONDS)
             runs = self._windows[at - self._first].runs_by_kind
-            runs[kind] = runs.get(kind, 0) + (end - begin) / seconds
+            part = (end - begin) / seconds
+            runs[kind] = runs.get(kind, 0) + part
             begin = end
             at += 1
 
--- a/src/lovageshunt/pressure/_callers.py
+++ b/src/lovageshunt/pressure/_callers.py
@@ -16,6 +16,10 @@
 _ABSENT_SHARE: Final = 0.05
 
 
+#: Counts by kind, by node.
+_ByNode = dict[str, dict[str, float]]
+
+
 class CallerBook:
     """Counts of requests by kind, at the nodes of each service."""
 
@@ -23,10 +27,7 @@
 
     def __init__(self) -> None:
         """Begin with every kind taken for one of clients."""
-        self._count_by_node_by_service: dict[
-            str,
-            dict[str, dict[str, float]],
-        ] = {}
+        self._count_by_node_by_service: dict[str, _ByNode] = {}
         self._inner: frozenset[str] = frozenset()
 
     def learn(
@@ -68,13 +69,12 @@
         return frozenset(kind for kind in kinds if _is_absent(kind, seen))
 
 
-def _mean_by_kind(
-    by_node: dict[str, dict[str, float]],
-) -> dict[str, float]:
+def _mean_by_kind(by_node: _ByNode) -> dict[str, float]:
     total: dict[str, float] = {}
     for count_by_kind in by_node.values():
         for kind, count in count_by_kind.items():
-            total[kind] = total.get(kind, 0) + count / len(by_node)
+            part = count / len(by_node)
+            total[kind] = total.get(kind, 0) + part
     return total
 
 
--- a/src/lovageshunt/pressure/_root_gate.py
+++ b/src/lovageshunt/pressure/_root_gate.py
@@ -6,6 +6,7 @@
 and all kinds of one importance alike.
 """
 
+from collections.abc import Iterable
 from random import Random
 from statistics import median_high
 from typing import Final
@@ -168,21 +169,29 @@
     ) -> None:
         """Give the room of a service to its kinds, by importance."""
         floor = _FLOOR_PART * room / sum(use_by_kind.values())
-        left = room * (1 - _FLOOR_PART)
         use_by_importance: dict[int, float] = {}
         for kind, use in use_by_kind.items():
             importance = self._by_kind[kind].importance
             before = use_by_importance.get(importance, 0)
             use_by_importance[importance] = before + use * (1 - floor)
-        share_by_importance: dict[int, float] = {}
+        left = room * (1 - _FLOOR_PART)
         for importance, use in sorted(use_by_importance.items()):
             part = min(1, max(0, left) / use)
-            share_by_importance[importance] = floor + (1 - floor) * part
+            share = floor + (1 - floor) * part
+            self._lower(service, importance, share, use_by_kind.keys())
             left -= use
-        for kind in use_by_kind:
+
+    def _lower(
+        self,
+        service: str,
+        importance: int,
+        share: float,
+        kinds: Iterable[str],
+    ) -> None:
+        """Let in no more than a share of the kinds of one importance."""
+        for kind in kinds:
             known = self._by_kind[kind]
-            share = share_by_importance[known.importance]
-            if share < known.share:
+            if known.importance == importance and share < known.share:
                 known.share = share
                 known.service = service
 
--- a/src/lovageshunt/retries/_fleet_budget.py
+++ b/src/lovageshunt/retries/_fleet_budget.py
@@ -33,6 +33,18 @@
         self.window_seconds = window_seconds
 
 
+class _Bucket:
+    """The requests and retries of a tenth of a window."""
+
+    __slots__ = ('number', 'requests', 'retries')
+
+    def __init__(self, number: float) -> None:
+        """Begin with none."""
+        self.number = number
+        self.requests = 0
+        self.retries = float(0)
+
+
 class FleetRetryBudget:
     """This node's part of the budget for retries to one service.
 
@@ -45,18 +57,18 @@
     def __init__(self, settings: FleetBudgetSettings) -> None:
         """Begin with no requests; ``node_count`` divides the reserve."""
         self._settings = settings
-        self._buckets: deque[list[float]] = deque()
+        self._buckets: deque[_Bucket] = deque()
         self.node_count = 1
 
     def requested(self, now: float) -> None:
         """Count a first request."""
-        self._bucket(now)[1] += 1
+        self._bucket(now).requests += 1
 
     def may_spend(self, now: float, count: float = 1) -> bool:
         """Tell whether so many retries are there."""
         self._bucket(now)
-        requests = sum(bucket[1] for bucket in self._buckets)
-        spent = sum(bucket[2] for bucket in self._buckets)
+        requests = sum(bucket.requests for bucket in self._buckets)
+        spent = sum(bucket.retries for bucket in self._buckets)
         settings = self._settings
         reserve = settings.reserve / max(1, self.node_count)
         allowed = _USED_SHARE * (settings.ratio * requests + reserve)
@@ -66,15 +78,15 @@
         """Spend retries; return whether they were there."""
         if not self.may_spend(now, count):
             return False
-        self._bucket(now)[2] += count
+        self._bucket(now).retries += count
         return True
 
-    def _bucket(self, now: float) -> list[float]:
+    def _bucket(self, now: float) -> _Bucket:
         """Return the bucket of this moment; forget what left the window."""
         span = self._settings.window_seconds / _BUCKETS
         number = now // span
-        while self._buckets and self._buckets[0][0] <= number - _BUCKETS:
+        while self._buckets and self._buckets[0].number <= number - _BUCKETS:
             self._buckets.popleft()
-        if not self._buckets or self._buckets[-1][0] != number:
-            self._buckets.append([number, 0, 0])
+        if not self._buckets or self._buckets[-1].number != number:
+            self._buckets.append(_Bucket(number))
         return self._buckets[-1]
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -161,7 +161,7 @@
 
     def _tell(self, event: Event) -> None:
         for action in self._queue.handle(event, clock_now()):
-            self._do(action)
+            self._act(action)
         self._set_tick()
 
     def _set_tick(self) -> None:
@@ -176,10 +176,10 @@
         self._tell(Ticked())
 
     @singledispatchmethod
-    def _do(self, action: Action) -> None:
+    def _act(self, action: Action) -> None:
         raise TypeError(type(action).__name__)
 
-    @_do.register
+    @_act.register
     def _dispatch(self, action: Dispatch) -> None:
         run = self._run_by_call_id[action.call_id]
         run.sent_at = clock_now()
@@ -188,7 +188,7 @@
         loop = get_running_loop()
         run.overdue = loop.call_later(delay, self._cut_off, run)
 
-    @_do.register
+    @_act.register
     def _refuse(self, action: Refuse) -> None:
         run = self._run_by_call_id.pop(action.call_id)
         self._answer(
@@ -201,7 +201,7 @@
             ),
         )
 
-    @_do.register
+    @_act.register
     def _abort(self, action: Abort) -> None:
         run = self._run_by_call_id.get(action.call_id)
         if run is not None and run.sending is not None:
@@ -257,9 +257,12 @@
             run.overdue.cancel()
         self._run_by_call_id.pop(run.call_id, None)
         read = read_response(end, response, self._dialect)
-        self._measure(run, read)
+        now = clock_now()
+        self.watch.ended(run.order.kind, run.sent_at, now)
+        if read.outcome is Outcome.ANSWERED:
+            self.demand.ran(run.order.kind, now - run.sent_at)
         if read.reported is not None:
-            self._queue.handle(read.reported, clock_now())
+            self._queue.handle(read.reported, now)
         self._tell(
             Finished(
                 run.call_id,
@@ -269,12 +272,6 @@
         )
         self._answer(run, self._answer_of(run, read, response))
 
-    def _measure(self, run: Run, read: ReadAnswer) -> None:
-        now = clock_now()
-        self.watch.ended(run.order.kind, run.sent_at, now)
-        if read.outcome is Outcome.ANSWERED:
-            self.demand.ran(run.order.kind, now - run.sent_at)
-
     def _answer_of(
         self,
         run: Run,
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -2,6 +2,7 @@
 
 from asyncio import TimerHandle, get_running_loop
 from collections.abc import Callable
+from functools import partial
 from logging import getLogger
 from random import Random
 from typing import Final
@@ -224,18 +225,16 @@
         entry: TargetEntry,
         order: RunOrder,
     ) -> None:
-        def ended(answer: RunAnswer) -> None:
-            self._on_ended(call, entry, answer)
-
+        ended = partial(self._on_ended, call, entry)
         if entry.host == self._own_host:
             run = self._executor.ordered(order, ended)
             # The answer may have come, and the next try begun, within.
             if call.entry is entry:
-                call.cancel = lambda: self._executor.abandoned(run)
+                call.cancel = partial(self._executor.abandoned, run)
             return
         dialer = self._fleet.dialer(entry.host)
         stream = dialer.send(order, ended)
-        call.cancel = lambda: dialer.cancel(stream)
+        call.cancel = partial(dialer.cancel, stream)
 
     def _on_ended(
         self,
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,84 @@
+"""Decoding the operators' configuration."""
+
+from typing import Any
+
+import orjson
+import pytest
+from adapter.configuration import decode_configuration
+
+from lovageshunt.errors import MalformedRulesError
+
+
+def published(**changes: Any) -> dict[str, Any]:
+    rule = {
+        'name': 'r-1',
+        'route_type': 'idempotent',
+        'target_latency_s': 1.2,
+        'priority': 2,
+        'match': {'prefix': '/a/'},
+        'action': {'service': 's1', 'timeout_s': 5, 'max_attempts': 2},
+        'not_known_here': True,
+    }
+    return {
+        'version': '0000000c',
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 1000,
+            'header_timeout_s': 3,
+            'idle_timeout_s': 15,
+        },
+        'listeners': [{'host': 'H.example', 'rule_set': [rule | changes]}],
+        'clusters': [{'name': 's1', 'max_connections': 20}],
+    }
+
+
+def decoded(**changes: Any) -> Any:
+    return decode_configuration(orjson.dumps(published(**changes)))
+
+
+class TestDecodeConfiguration:
+    """Words of the wire become the product's own."""
+
+    def test_reads_every_field(self) -> None:
+        """A route says where requests go and what may be done with them."""
+        configuration = decoded()
+        route = configuration.routes[0]
+        assert configuration.version == 12
+        assert (route.host, route.prefix) == ('h.example', '/a/')
+        assert route.is_repeatable
+        assert (route.importance, route.most_attempts) == (2, 2)
+        assert (route.timeout_seconds, route.aim_seconds) == (5, 1.2)
+        assert configuration.limits_by_service['s1'].connections == 20
+        assert configuration.idle_seconds == 15
+
+    def test_reads_a_split(self) -> None:
+        """A split keeps its services and weights."""
+        parts = [
+            {'service': 's1', 'weight': 90},
+            {'service': 's2', 'weight': 10},
+        ]
+        action = {'traffic_split': parts, 'timeout_s': 1, 'max_attempts': 1}
+        found = decoded(action=action).routes[0].destinations
+        assert [(each.service, each.weight) for each in found] == [
+            ('s1', 90),
+            ('s2', 10),
+        ]
+
+    def test_takes_other_types_for_unrepeatable(self) -> None:
+        """What is not said to be idempotent runs at most once."""
+        assert not decoded(route_type='non_idempotent').routes[0].is_repeatable
+        assert not decoded(route_type='new').routes[0].is_repeatable
+
+    @pytest.mark.parametrize(
+        'raw',
+        [b'', b'[]', b'{}', b'{"version": "x"}', b'\xff'],
+    )
+    def test_refuses_what_is_none(self, raw: bytes) -> None:
+        """A value that is no configuration raises the documented error."""
+        with pytest.raises(MalformedRulesError):
+            decode_configuration(raw)
+
+    def test_refuses_half_a_route(self) -> None:
+        """One bad route refuses the whole, so that none is half in force."""
+        with pytest.raises(MalformedRulesError):
+            decoded(action={'service': 's1'})
--- /dev/null
+++ b/tests/platform/test_follow.py
@@ -0,0 +1,163 @@
+"""Following the store through its troubles."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import orjson
+import pytest
+from adapter.follow import Follower
+from adapter.store import StoreClient
+
+from lovageshunt.routes import Configuration
+from lovageshunt.sidecar import TargetEntry
+from standins.store import StoreStandIn
+from tests.platform.test_configuration import published
+from tests.platform.test_entries import ENTRY
+
+
+class FakeKnowledge:
+    """Keeps what a follower tells."""
+
+    def __init__(self) -> None:
+        self.versions: list[int] = []
+        self.ids: set[str] = set()
+        self.revision = 0
+        self.is_platform_away = True
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        self.versions.append(configuration.version)
+
+    def take_targets(
+        self,
+        entries: list[TargetEntry],
+        revision: int,
+    ) -> None:
+        self.ids = {entry.target_id for entry in entries}
+        self.revision = revision
+
+
+def entry(**changes: object) -> bytes:
+    return orjson.dumps(ENTRY | changes)
+
+
+def configuration(version: int) -> bytes:
+    return orjson.dumps(published() | {'version': f'{version:08x}'})
+
+
+@asynccontextmanager
+async def following(
+    page: int = 500,
+) -> AsyncIterator[tuple[StoreStandIn, FakeKnowledge]]:
+    """Follow a store with one configuration and two targets."""
+    store = StoreStandIn(page=page)
+    await store.open()
+    store.put('op/config', configuration(3))
+    store.put('servers/i-1', entry())
+    store.put('servers/i-2', entry())
+    knowledge = FakeKnowledge()
+    client = StoreClient(store.host, store.port)
+    follower = Follower(client, knowledge)  # type: ignore[arg-type]
+    tasks = [
+        asyncio.ensure_future(follower.run()),
+        asyncio.ensure_future(follower.expire()),
+    ]
+    try:
+        await until(lambda: knowledge.ids == {'i-1', 'i-2'})
+        yield store, knowledge
+    finally:
+        for task in tasks:
+            task.cancel()
+        store.close()
+
+
+async def until(condition: Callable[[], bool], seconds: float = 4) -> None:
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class TestFollower:
+    """What is published arrives, and nothing is forgotten by silence."""
+
+    async def test_reads_all_pages(self) -> None:
+        """A list that comes in pages is read to its end."""
+        async with following(page=1) as (_, knowledge):
+            assert knowledge.versions == [3]
+            assert knowledge.revision > 0
+
+    async def test_takes_changes_at_once(self) -> None:
+        """A new configuration and a leaving target are told in a moment."""
+        async with following() as (store, knowledge):
+            store.put('op/config', configuration(4))
+            store.remove('servers/i-1')
+            await until(lambda: knowledge.ids == {'i-2'}, 1)
+            await until(lambda: knowledge.versions[-1] == 4, 1)
+
+    async def test_costs_few_calls_in_a_storm(self) -> None:
+        """Changes in quick succession are taken together."""
+        async with following() as (store, knowledge):
+            before = store.calls
+            for version in range(4, 24):
+                store.put('op/config', configuration(version))
+                await asyncio.sleep(0.02)
+            await until(lambda: knowledge.versions[-1] == 23)
+            assert store.calls - before < 10
+
+    async def test_reads_anew_when_history_is_lost(self) -> None:
+        """After a 410 the whole list is read, and what left is gone."""
+        async with following() as (store, knowledge):
+            store.forgotten = store.revision + 10
+            store.remove('servers/i-2')
+            store.put('servers/i-3', entry())
+            await until(lambda: knowledge.ids == {'i-1', 'i-3'})
+
+    @pytest.mark.parametrize('status', [503, 429])
+    async def test_forgets_nothing_when_the_store_refuses(
+        self,
+        status: int,
+    ) -> None:
+        """A store that answers 503 or 429 empties no list."""
+        async with following() as (store, knowledge):
+            store.status = status
+            store.put('op/config', configuration(3))
+            await until(lambda: knowledge.is_platform_away)
+            assert knowledge.ids == {'i-1', 'i-2'}
+            store.status = None
+            await until(lambda: not knowledge.is_platform_away)
+
+    async def test_notices_a_silent_connection(self) -> None:
+        """A watch that is never answered is given up within its time."""
+        async with following() as (store, knowledge):
+            store.is_silent = True
+            await until(lambda: knowledge.is_platform_away, 8)
+            assert knowledge.ids == {'i-1', 'i-2'}
+
+    async def test_keeps_a_target_that_lapsed_in_an_outage(self) -> None:
+        """A target that is missing after an outage has time to return."""
+        async with following() as (store, knowledge):
+            store.status = 503
+            store.remove('servers/i-1')
+            await until(lambda: knowledge.is_platform_away)
+            store.status = None
+            await until(lambda: not knowledge.is_platform_away)
+            assert 'i-1' in knowledge.ids
+            await until(lambda: knowledge.ids == {'i-2'})
+
+    async def test_passes_over_entries_that_name_no_target(self) -> None:
+        """Another writer's entry hides none of the others."""
+        async with following() as (store, knowledge):
+            store.put('servers/i-9', b'\x00nonsense')
+            store.put('servers/i-8', entry(slots='many'))
+            store.put('servers/i-3', entry())
+            await until(lambda: 'i-3' in knowledge.ids)
+            assert knowledge.ids == {'i-1', 'i-2', 'i-3'}
+
+    async def test_keeps_the_configuration_that_it_has(self) -> None:
+        """A value that is no configuration, or none, changes nothing."""
+        async with following() as (store, knowledge):
+            store.put('op/config', b'{}')
+            store.remove('op/config')
+            store.put('servers/i-3', entry())
+            await until(lambda: 'i-3' in knowledge.ids)
+            assert set(knowledge.versions) == {3}
