Count what a sidecar does and serve it as text

Cause: on-call engineers have only logs and metrics, and the sidecar had no metrics; a refusal's log line did not say what decided it.

Figures: none beyond the tests; processor time of the counters not measured by itself.

--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -222,9 +222,11 @@
         exchange.ended(end, response)
 
     def _ends_here(self) -> bool:
-        if self._is_delimited or self._is_passed_over:
+        """Tell whether a clean end of the connection ends the response."""
+        if self._is_passed_over or self._is_delimited:
             return False
-        return self._has_head and self._status >= _INTERIM_END
+        is_final = self._status >= _INTERIM_END
+        return is_final and self._has_head
 
     def _loss(self) -> ExchangeEnd:
         if self._has_bytes or self._is_first:
@@ -235,6 +237,7 @@
         options = first_header(self._headers, b'keep-alive')
         if not options.startswith(_TIMEOUT_OPTION):
             return
-        seconds = options[len(_TIMEOUT_OPTION) :].split(b',')[0].strip()
+        first = options.partition(b',')[0]
+        seconds = first.removeprefix(_TIMEOUT_OPTION).strip()
         if seconds.isdigit():
             self.idle_limit_seconds = float(seconds)
--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -147,4 +147,70 @@
         meaning='log records held back by the rate limit',
         alert='above 0 for 5 min outside a known overload',
     ),
+    MetricSpec(
+        name='lovageshunt_requests_total',
+        kind=COUNTER,
+        labels=('status', 'reason'),
+        meaning='requests that a sidecar answered; reason when it was not the '
+        'target',
+        alert='status 502 or 504 above 2 % for 1 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_request_seconds',
+        kind=HISTOGRAM,
+        meaning='time from a whole request to its answer at a sidecar, in '
+        'seconds',
+        alert='p99 above the longest timeout of a route',
+    ),
+    MetricSpec(
+        name='lovageshunt_abandoned_total',
+        kind=COUNTER,
+        meaning='requests whose client left before the answer',
+        alert='above 5 % of requests for 1 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_retries_total',
+        kind=COUNTER,
+        labels=('reason',),
+        meaning='requests that a sidecar sent to another target, by why',
+        alert='above 10 % of requests for 1 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_runs_total',
+        kind=COUNTER,
+        labels=('outcome', 'reason'),
+        meaning='orders that a sidecar took for its target, by their end',
+        alert='unknown above 1 % for 1 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_run_seconds',
+        kind=HISTOGRAM,
+        meaning='time from an order to its end beside the target, in seconds',
+        alert='p50 above twice that of the other targets of the service',
+    ),
+    MetricSpec(
+        name='lovageshunt_demand_share',
+        kind=GAUGE,
+        meaning='share of its demand that the target has room for, 1 if all',
+        alert='below 0.5 for 1 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_target_calls',
+        kind=GAUGE,
+        labels=('state',),
+        meaning='calls beside the target, running and waiting',
+        alert='waiting above the slots for 10 s',
+    ),
+    MetricSpec(
+        name='lovageshunt_configuration_version',
+        kind=GAUGE,
+        meaning='version of the configuration in force, 0 for none',
+        alert='differs between nodes for more than 5 s',
+    ),
+    MetricSpec(
+        name='lovageshunt_platform_away',
+        kind=GAUGE,
+        meaning='1 while the platform does not answer this node',
+        alert='1 for 10 s',
+    ),
 )
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -33,6 +33,7 @@
 from lovageshunt.links import RunAnswer, RunOrder
 from lovageshunt.pressure import CallWatch, DemandMeter, DemandSettings
 from lovageshunt.sidecar._dialect import Dialect
+from lovageshunt.sidecar._meters import Meters
 from lovageshunt.sidecar._reading import ReadAnswer, read_response
 
 _log = getLogger(__name__)
@@ -60,6 +61,7 @@
         'order',
         'ended',
         'sending',
+        'arrived_at',
         'sent_at',
         'overdue',
         'resent',
@@ -71,6 +73,7 @@
         self.order = order
         self.ended: Ended | None = ended
         self.sending: Sending | None = None
+        self.arrived_at = clock_now()
         self.sent_at = float(0)
         self.overdue: TimerHandle | None = None
         self.resent = False
@@ -86,9 +89,11 @@
         port: int,
         slots: int,
         dialect: Dialect,
+        meters: Meters,
     ) -> None:
         """Serve the target at an address."""
         self._dialect = dialect
+        self._meters = meters
         self._pool = ConnectionPool(host, port, _FIRST_CONNECTIONS)
         self._queue = TargetQueue(slots=slots)
         #: What is asked of the target, and what runs in it.
@@ -302,6 +307,8 @@
         return RunAnswer(outcome=read.outcome, reason=reason, load=load)
 
     def _answer(self, run: Run, answer: RunAnswer) -> None:
+        seconds = clock_now() - run.arrived_at
+        self._meters.ran(answer.outcome, answer.reason, seconds)
         ended = run.ended
         run.ended = None
         if ended is not None:
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -11,6 +11,7 @@
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection, forwarded_fields
 from lovageshunt.links import RunAnswer, RunOrder
+from lovageshunt.pressure import RootVerdict
 from lovageshunt.retries import (
     AllowancePool,
     Failure,
@@ -24,6 +25,7 @@
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
+from lovageshunt.sidecar._meters import Meters
 from lovageshunt.sidecar._pressure_reports import PressureReports
 
 _log = getLogger(__name__)
@@ -102,6 +104,7 @@
         fleet: Fleet,
         budget: FleetBudgetSettings,
         reports: PressureReports,
+        meters: Meters,
         rng: Random,
     ) -> None:
         """Begin without a configuration."""
@@ -113,6 +116,7 @@
         self._fleet = fleet
         self._budget_settings = budget
         self._reports = reports
+        self._meters = meters
         self._rng = rng
         self._budget_by_service: dict[str, FleetRetryBudget] = {}
         self._table: RouteTable | None = None
@@ -133,13 +137,13 @@
         call = OriginCall(request, connection, attempt_id)
         self.open_count += 1
         if self._table is None:
-            self._refuse(call, 'no configuration yet', _SETTLING_MS)
+            self._refuse(call, 'settling', _SETTLING_MS)
             return call
         host = request.header(b'host').decode('latin-1')
         target = request.target.decode('latin-1')
         route = self._table.find(host, target)
         if route is None:
-            self._answer(call, _NOT_FOUND, 'no route')
+            self._answer(call, _NOT_FOUND, 'no_route')
             return call
         call.route = route
         call.service = self._cursor.choose(route)
@@ -162,6 +166,7 @@
             self._fleet.abandoned(call.entry)
         if call.cancel is not None:
             call.cancel()
+        self._meters.abandoned()
         self._end(call)
 
     def _is_let_in(self, call: OriginCall, route: Route) -> bool:
@@ -174,7 +179,7 @@
         if verdict.retry_seconds is None:
             return True
         retry_ms = round(verdict.retry_seconds * _MS_PER_SECOND)
-        self._refuse(call, f'no room at {verdict.service}', retry_ms)
+        self._refuse(call, 'overload', retry_ms, verdict)
         return False
 
     def _wanted(self, call: OriginCall, route: Route) -> Wanted:
@@ -198,7 +203,7 @@
             return
         entry = self._fleet.choose(call.service, self._wanted(call, route))
         if entry is None:
-            self._refuse(call, 'no target', _NO_TARGET_MS)
+            self._refuse(call, 'no_target', _NO_TARGET_MS)
             return
         call.tries += 1
         call.entry = entry
@@ -254,6 +259,7 @@
             return
         call.tried |= {entry.target_id}
         if self._verdict(call, answer, now).is_retry:
+            self._meters.retried(answer.reason)
             self._try(call)
             return
         self._fail(call, answer)
@@ -298,6 +304,8 @@
             fields=answer.fields,
             body=answer.body,
         )
+        seconds = clock_now() - call.started_at
+        self._meters.answered(answer.status, seconds)
         self._end(call)
 
     def _fail(self, call: OriginCall, answer: RunAnswer) -> None:
@@ -317,10 +325,20 @@
             call.cancel()
         self._answer(call, _GATEWAY_TIMEOUT, 'deadline')
 
-    def _refuse(self, call: OriginCall, reason: str, retry_ms: int) -> None:
+    def _refuse(
+        self,
+        call: OriginCall,
+        reason: str,
+        retry_ms: int,
+        verdict: RootVerdict | None = None,
+    ) -> None:
         """Answer that the call has not run and will not, and come back."""
         field = b'retry-after: %.3f\r\n' % (retry_ms / _MS_PER_SECOND)
-        self._answer(call, _UNAVAILABLE, reason, field)
+        inputs: dict[str, object] = {'retry_ms': retry_ms}
+        if verdict is not None:
+            inputs['full'] = verdict.service
+            inputs['share'] = round(verdict.share, 3)
+        self._answer(call, _UNAVAILABLE, reason, field, inputs)
 
     def _answer(
         self,
@@ -328,8 +346,11 @@
         status: int,
         reason: str,
         fields: bytes = b'',
+        inputs: dict[str, object] | None = None,
     ) -> None:
-        """Answer in place of a target."""
+        """Answer in place of a target; ``inputs`` decided it."""
+        seconds = clock_now() - call.started_at
+        self._meters.answered(status, seconds, reason)
         _log.info(
             'request refused or failed',
             extra={
@@ -338,7 +359,8 @@
                 'reason': reason,
                 'route': call.route.name if call.route else '',
                 'tries': call.tries,
-                'ms': round((clock_now() - call.started_at) * _MS_PER_SECOND),
+                'ms': round(seconds * _MS_PER_SECOND),
+                **(inputs or {}),
             },
         )
         if call.attempt_id:
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -26,6 +26,7 @@
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import Knowledge
+from lovageshunt.sidecar._meters import Meters, MetricsPage
 from lovageshunt.sidecar._node_links import LinkFrames, NodeLinks
 from lovageshunt.sidecar._origin import Origin
 from lovageshunt.sidecar._pressure_reports import PressureReports
@@ -69,6 +70,7 @@
             service=settings.node.service,
             incarnation=token_hex(8),
         )
+        self._meters = Meters(settings.node.name)
         own_host = settings.listen.nodes.host
         target = settings.target
         self._links = NodeLinks(
@@ -80,6 +82,7 @@
             port=target.address.port,
             slots=target.slots,
             dialect=dialect,
+            meters=self._meters,
         )
         self._fleet = Fleet(
             own_host=own_host,
@@ -114,6 +117,7 @@
                 window_seconds=settings.bounds.retry_window_seconds,
             ),
             reports=self._reports,
+            meters=self._meters,
             rng=rng,
         )
 
@@ -128,6 +132,9 @@
         await self._listen(listen.clients, self._accept_client)
         await self._listen(listen.nodes, self._accept_link)
         await self._listen(listen.ready, self._accept_probe)
+        if listen.metrics_port is not None:
+            metrics = Address(host=listen.nodes.host, port=listen.metrics_port)
+            await self._listen(metrics, self._accept_scrape)
         # What exists by now stays, so the collector need not look at it.
         gc.collect()
         gc.freeze()
@@ -182,6 +189,12 @@
         if now - self._swept_at < _SWEEP_SECONDS:
             return
         self._swept_at = now
+        self._meters.note(
+            load=self._executor.queue.load(),
+            share=self._executor.demand.share,
+            version=self.knowledge.greeting.version,
+            is_platform_away=self.knowledge.is_platform_away,
+        )
         for connection in list(self._clients):
             connection.close_if_due(now)
         self._executor.close_stale()
@@ -237,6 +250,10 @@
     def _accept_probe(self) -> ServerConnection:
         return ServerConnection(_Readiness(self), self._limits, self._probes)
 
+    def _accept_scrape(self) -> ServerConnection:
+        page = MetricsPage(self._meters)
+        return ServerConnection(page, self._limits, self._probes)
+
     def _accept_link(self) -> IncomingLink:
         return self._links.accept(self._executor)
 
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.sidecar.world import (
+    METRICS_PORT,
     READY_PORT,
     Client,
     FakeTarget,
@@ -326,3 +327,27 @@
     got = await client.ask('/ready')
     writer.close()
     return status_of(got)
+
+
+class TestMetrics:
+    """The numbers of a sidecar."""
+
+    async def test_counts_answers_and_refusals(self) -> None:
+        """Requests are counted by status and by why."""
+        async with world_of(1) as world:
+            client = await client_of(world.hosts[0])
+            await client.ask('/read/a')
+            await client.ask('/other/')
+            text = await scraped(world.hosts[0])
+            assert 'lovageshunt_requests_total{' in text
+            assert 'reason="no_route"' in text
+            assert 'status="200"' in text
+            assert 'lovageshunt_run_seconds_bucket' in text
+
+
+async def scraped(host: str) -> str:
+    reader, writer = await asyncio.open_connection(host, METRICS_PORT)
+    client = Client(reader, writer)
+    got = await client.ask('/metrics')
+    writer.close()
+    return got.body.decode()
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -32,6 +32,7 @@
 NODES_PORT = 18302
 READY_PORT = 18303
 TARGET_PORT = 18304
+METRICS_PORT = 18305
 
 Serve = Callable[['Received'], Awaitable[bytes]]
 
@@ -211,7 +212,7 @@
             clients=Address(host=host, port=CLIENTS_PORT),
             nodes=Address(host=host, port=NODES_PORT),
             ready=Address(host=host, port=READY_PORT),
-            metrics_port=None,
+            metrics_port=METRICS_PORT,
         ),
         target=SidecarTargetSection(
             address=Address(host=host, port=TARGET_PORT),
