Number orders once a process, and keep links until their calls have ended

Cause: a dialer that was made again after its target had left the list began its numbers at 1. A list without a host also cut the calls that were on its link.

Mend: the numbers are the process's, an answer goes to the entry that it was made for, and a link ends when no call is on it. Two tests failed before.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -10,7 +10,7 @@
     sleep,
     timeout,
 )
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from logging import getLogger
 from typing import Final, cast
 
@@ -85,7 +85,8 @@
     A link that was lost is made anew. If the node lives on under the same
     incarnation, the orders in flight are sent again under their numbers, and
     the node goes on with what it has; so no call is lost or run twice with
-    its connection.
+    its connection. ``numbers`` are shared by all dialers of a process, since
+    a node knows an order by its number and the sender's incarnation.
     """
 
     __slots__ = (
@@ -94,7 +95,7 @@
         '_greeting',
         '_listener',
         '_by_stream',
-        '_next_stream',
+        '_numbers',
         '_connection',
         '_incarnation',
         '_task',
@@ -110,6 +111,7 @@
         *,
         greeting: Greeting,
         listener: LinkListener,
+        numbers: Iterator[int],
     ) -> None:
         """Begin without a link; ``greeting`` says who this node is."""
         self._host = host
@@ -117,7 +119,7 @@
         self._greeting = greeting
         self._listener = listener
         self._by_stream: dict[int, _Sent] = {}
-        self._next_stream = 1
+        self._numbers = numbers
         self._connection: _DialedConnection | None = None
         self._incarnation = ''
         self._task: Task[None] | None = None
@@ -130,6 +132,11 @@
         """Tell whether the link is made and greeted."""
         return self._connection is not None
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no call is on the link."""
+        return not self._by_stream
+
     @property
     def is_down(self) -> bool:
         """Tell whether the link was lost or could not be made."""
@@ -152,8 +159,7 @@
 
     def send(self, order: RunOrder, ended: Ended) -> int:
         """Send an order; return the number by which it can be cancelled."""
-        stream = self._next_stream
-        self._next_stream += 1
+        stream = next(self._numbers)
         sent = _Sent(order, ended)
         self._by_stream[stream] = sent
         if self._connection is None:
--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -137,11 +137,8 @@
         if self._transport is not None:
             self._transport.close()
 
-    def answer(self, key: Key, answer: RunAnswer) -> None:
+    def answer(self, key: Key, taken: _Taken, answer: RunAnswer) -> None:
         """Send what became of an order, on the link its sender uses now."""
-        taken = self._book.by_key.get(key)
-        if taken is None:
-            return
         taken.answer = encode_answer(answer)
         taken.token = None
         taken.link.send_answer(key[1], taken.answer)
@@ -179,7 +176,7 @@
         order = decode_order(frame.payload, clock_now())
         taken = _Taken(self)
         self._book.by_key[key] = taken
-        token = self._handler.ordered(order, partial(self.answer, key))
+        token = self._handler.ordered(order, partial(self.answer, key, taken))
         if taken.answer is None:
             taken.token = token
 
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -46,7 +46,7 @@
 _OVERDUE_SECONDS: Final = 0.15
 #: The part of its time that a client's request waits for a slot at most: one
 #: that is refused then can still come back.
-_WAIT_PART: Final = 0.2
+_WAIT_PART: Final = 0.3
 #: Connections to the target until the configuration tells how many it bears.
 _FIRST_CONNECTIONS: Final = 200
 
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -99,7 +99,7 @@
         return max(found, key=lambda entry: entry.started_ms, default=None)
 
     def take(self, entries: list[TargetEntry]) -> None:
-        """Replace the picture; links to nodes that are gone are closed."""
+        """Replace the picture."""
         now = clock_now()
         self.entry_by_id = {entry.target_id: entry for entry in entries}
         members_by_service: dict[str, list[RouteMember]] = {
@@ -113,7 +113,8 @@
         }
         for service, members in members_by_service.items():
             self._placement(service).set_members(members, cold_until_by_id)
-        self._set_links({entry.host for entry in entries})
+        for host in {entry.host for entry in entries} - {self._own_host}:
+            self.dialer(host).open()
 
     def dialer(self, host: str) -> Dialer:
         """Return the link to the node on a host."""
@@ -181,17 +182,18 @@
         """Note that a call was given up, which says nothing of its target."""
         self._placement(entry.service).abandoned(entry.target_id)
 
+    def close_unused(self) -> None:
+        """End the links to nodes that are gone, once no call is on them."""
+        hosts = {entry.host for entry in self.entry_by_id.values()}
+        for host in self._dialer_by_host.keys() - hosts:
+            if self._dialer_by_host[host].is_idle:
+                self._dialer_by_host.pop(host).close()
+
     def close(self) -> None:
         """Close every link."""
         for dialer in self._dialer_by_host.values():
             dialer.close()
 
-    def _set_links(self, hosts: set[str]) -> None:
-        for host in set(self._dialer_by_host) - hosts:
-            self._dialer_by_host.pop(host).close()
-        for host in hosts - {self._own_host}:
-            self.dialer(host).open()
-
     def _is_down(self, host: str) -> bool:
         if host == self._own_host:
             return False
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -1,6 +1,7 @@
 """The links of a node, in both directions, and what arrives on them."""
 
 from collections.abc import Callable
+from itertools import count
 from logging import getLogger
 
 from lovageshunt.links import (
@@ -89,12 +90,20 @@
 class NodeLinks:
     """Makes links to nodes and takes those that they make."""
 
-    __slots__ = ('_port', '_greeting', '_book', '_incoming', 'frames')
+    __slots__ = (
+        '_port',
+        '_greeting',
+        '_numbers',
+        '_book',
+        '_incoming',
+        'frames',
+    )
 
     def __init__(self, *, port: int, greeting: Greeting) -> None:
         """Every node of a fleet takes links at the same port."""
         self._port = port
         self._greeting = greeting
+        self._numbers = count(1)
         self._book = OrderBook()
         self._incoming: set[IncomingLink] = set()
         #: Set once the parts that act on frames are built.
@@ -110,6 +119,7 @@
                 heard=self._on_dialed,
                 greeted=self._on_greeted,
             ),
+            numbers=self._numbers,
         )
 
     def accept(self, handler: OrderHandler) -> IncomingLink:
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -40,7 +40,7 @@
 #: work here have seen that it is no longer ready.
 _LINGER_SECONDS: Final = 2.5
 #: What a planned stop leaves of its time for the last answers, in seconds.
-_LAST_SECONDS: Final = 0.5
+_LAST_SECONDS: Final = 1.0
 #: How often a planned stop looks whether it is over, in seconds.
 _STOP_TICK_SECONDS: Final = 0.05
 #: Connections that may wait to be accepted.
@@ -198,6 +198,7 @@
         for connection in list(self._clients):
             connection.close_if_due(now)
         self._executor.close_stale()
+        self._fleet.close_unused()
 
     async def _wind_down(self) -> None:
         """Finish what was read, refuse nothing that can still be served."""
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -240,6 +240,42 @@
             assert got.body == b'kept'
             assert len(target.received) == 1
 
+    async def test_knows_its_calls_when_a_target_is_listed_again(self) -> None:
+        """A target that left the list and returned gets no old answers."""
+        async with world_of(2) as world:
+            client = await far_client(world)
+            target = world.targets[1]
+
+            async def echo(received: Received) -> bytes:
+                return answer(received, received.attempt.encode())
+
+            target.serve = echo
+            assert (await client.ask('/read/a')).body == b'/read/a'
+            world.nodes[0].knowledge.take_targets([], 3)
+            await asyncio.sleep(0.7)
+            world.nodes[0].knowledge.take_targets(world.entries()[1:], 4)
+            assert (await client.ask('/read/b')).body == b'/read/b'
+            assert len(target.received) == 2
+
+    async def test_finishes_calls_to_a_target_that_left_the_list(self) -> None:
+        """A target that is no longer listed still answers what it runs."""
+        async with world_of(2) as world:
+            target = world.targets[1]
+            go_on = asyncio.Event()
+
+            async def slow(received: Received) -> bytes:
+                await go_on.wait()
+                return answer(received, b'done')
+
+            target.serve = slow
+            client = await far_client(world)
+            client.send('/buy/a', body=b'x')
+            await wait_until(lambda: target.received)
+            world.nodes[0].knowledge.take_targets(world.entries()[:1], 3)
+            await asyncio.sleep(0.7)
+            go_on.set()
+            assert (await client.read()).body == b'done'
+
     async def test_finishes_what_it_took_when_stopped(self) -> None:
         """A planned stop answers what was read, and closes after it."""
         async with world_of(1) as world:
