Log what decided each request, and explain a request from collected logs

Cause: a failed request's way could not be followed from its id: the two nodes named it by different fields, lines named no node, and changes of the list of targets left no line.

Change: one line for each refusal, failure, further try, abandoned request and failed run, with what decided it; a sample of ordinary answers that never takes a failure's place; targets listed, leaving and gone; the node on every line. lovageshunt explain ID FILE... orders them over all nodes.

--- a/src/lovageshunt/cli/_app.py
+++ b/src/lovageshunt/cli/_app.py
@@ -69,6 +69,11 @@
         module='lovageshunt.cli._trace',
         summary='Show the spans of one request.',
     ),
+    Group(
+        name='explain',
+        module='lovageshunt.cli._explain',
+        summary='Tell from collected logs what became of a request.',
+    ),
     Group(
         name='node',
         module='lovageshunt.cli._node',
--- a/src/lovageshunt/observability/_logs.py
+++ b/src/lovageshunt/observability/_logs.py
@@ -91,15 +91,24 @@
     level: str,
     records_per_second: int,
     stream: TextIO | None = None,
+    node: str = '',
 ) -> RateLimit:
     """Send all logs as JSON lines to one stream, by default standard error.
 
     ``level`` is a name such as ``INFO``. All earlier handlers are removed.
+    A ``node`` is named on every line.
     Returns the limit, whose ``suppressed_total`` goes into the metrics.
     """
     limit = RateLimit(records_per_second)
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(OrjsonFormatter(_FORMAT, timestamp=True))
+    static_fields = {'node': node} if node else {}
+    handler.setFormatter(
+        OrjsonFormatter(
+            _FORMAT,
+            timestamp=True,
+            static_fields=static_fields,
+        ),
+    )
     handler.addFilter(limit)
     handler.addFilter(_Scope())
     # The server tells of each start and connection below this level.
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -298,9 +298,11 @@
         _log.info(
             'run failed',
             extra={
-                'attempt': run.order.attempt_id.decode('latin-1'),
+                'request_id': run.order.attempt_id.decode('latin-1'),
                 'outcome': read.outcome,
                 'reason': reason,
+                'route': run.order.kind,
+                'target': run.order.target_id,
                 'detail': read.detail,
             },
         )
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -1,6 +1,7 @@
 """The targets of the fleet and the links to their nodes."""
 
 from collections.abc import Callable
+from logging import getLogger
 from random import Random
 from typing import Final
 
@@ -9,6 +10,7 @@
 from lovageshunt.links import Dialer, LoadNews, RunAnswer
 from lovageshunt.routing import Placement, RouteMember, Wanted
 
+_log = getLogger(__name__)
 #: Answers of a target from this status on are failures of its own, but for
 #: the one that says that time was short.
 _FIRST_ERROR: Final = 500
@@ -101,6 +103,7 @@
     def take(self, entries: list[TargetEntry]) -> None:
         """Replace the picture."""
         now = clock_now()
+        self._log_changes(entries)
         self.entry_by_id = {entry.target_id: entry for entry in entries}
         members_by_service: dict[str, list[RouteMember]] = {
             service: [] for service in self._placement_by_service
@@ -194,6 +197,19 @@
         for dialer in self._dialer_by_host.values():
             dialer.close()
 
+    def _log_changes(self, entries: list[TargetEntry]) -> None:
+        """Write which targets came, leave and went."""
+        known = self.entry_by_id
+        for entry in entries:
+            before = known.get(entry.target_id)
+            if before is None:
+                _log_target('target listed', entry)
+            elif entry.is_leaving and not before.is_leaving:
+                _log_target('target leaving', entry)
+        listed = {entry.target_id for entry in entries}
+        for target_id in known.keys() - listed:
+            _log_target('target gone', known[target_id])
+
     def _is_down(self, host: str) -> bool:
         if host == self._own_host:
             return False
@@ -207,6 +223,17 @@
         return placement
 
 
+def _log_target(message: str, entry: TargetEntry) -> None:
+    _log.info(
+        message,
+        extra={
+            'target': entry.target_id,
+            'service': entry.service,
+            'host': entry.host,
+        },
+    )
+
+
 def _member_of(entry: TargetEntry) -> RouteMember:
     return RouteMember(
         node=entry.target_id,
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -3,7 +3,6 @@
 from asyncio import TimerHandle, get_running_loop
 from collections.abc import Callable
 from functools import partial
-from logging import getLogger
 from random import Random
 from typing import Final
 
@@ -25,10 +24,10 @@
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
+from lovageshunt.sidecar._journal import Journal
 from lovageshunt.sidecar._meters import Meters
 from lovageshunt.sidecar._pressure_reports import PressureReports
 
-_log = getLogger(__name__)
 _MS_PER_SECOND: Final = 1000
 _NOT_FOUND: Final = 404
 _BAD_GATEWAY: Final = 502
@@ -117,6 +116,7 @@
         self._budget_settings = budget
         self._reports = reports
         self._meters = meters
+        self._journal = Journal()
         self._rng = rng
         self._budget_by_service: dict[str, FleetRetryBudget] = {}
         self._table: RouteTable | None = None
@@ -167,6 +167,13 @@
         if call.cancel is not None:
             call.cancel()
         self._meters.abandoned()
+        self._journal.decided(
+            'client left',
+            call.attempt_id,
+            route=call.route.name if call.route else '',
+            tries=call.tries,
+            ms=_ms_since(call.started_at),
+        )
         self._end(call)
 
     def _is_let_in(self, call: OriginCall, route: Route) -> bool:
@@ -260,6 +267,14 @@
         call.tried |= {entry.target_id}
         if self._verdict(call, answer, now).is_retry:
             self._meters.retried(answer.reason)
+            self._journal.decided(
+                'sent again',
+                call.attempt_id,
+                after=answer.outcome,
+                reason=answer.reason,
+                target=entry.target_id,
+                tries=call.tries,
+            )
             self._try(call)
             return
         self._fail(call, answer)
@@ -306,6 +321,13 @@
         )
         seconds = clock_now() - call.started_at
         self._meters.answered(answer.status, seconds)
+        self._journal.ordinary(
+            call.attempt_id,
+            status=answer.status,
+            route=call.route.name if call.route else '',
+            tries=call.tries,
+            ms=_ms_since(call.started_at),
+        )
         self._end(call)
 
     def _fail(self, call: OriginCall, answer: RunAnswer) -> None:
@@ -351,17 +373,15 @@
         """Answer in place of a target; ``inputs`` decided it."""
         seconds = clock_now() - call.started_at
         self._meters.answered(status, seconds, reason)
-        _log.info(
-            'request refused or failed',
-            extra={
-                'request_id': call.attempt_id.decode('latin-1'),
-                'status': status,
-                'reason': reason,
-                'route': call.route.name if call.route else '',
-                'tries': call.tries,
-                'ms': round(seconds * _MS_PER_SECOND),
-                **(inputs or {}),
-            },
+        self._journal.decided(
+            'refused' if status == _UNAVAILABLE else 'failed',
+            call.attempt_id,
+            status=status,
+            reason=reason,
+            route=call.route.name if call.route else '',
+            tries=call.tries,
+            ms=_ms_since(call.started_at),
+            **(inputs or {}),
         )
         if call.attempt_id:
             name = self._dialect.attempt_id
@@ -376,3 +396,7 @@
         self.open_count -= 1
         if call.overdue is not None:
             call.overdue.cancel()
+
+
+def _ms_since(moment: float) -> int:
+    return round((clock_now() - moment) * _MS_PER_SECOND)
