Never send a purchase again whose node is gone

Cause: the retry verdict answers a doubt about a call that must not be repeated with HOME, an inquiry at the stamped home. The origin took every verdict for a try at another target, so a purchase whose link did not come back ran twice.

Ruled out: a second life under the same incarnation (it is drawn at random).

Mend: only OTHER is a further try. The test failed with two runs before.

--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -16,6 +16,7 @@
     Failure,
     FleetBudgetSettings,
     FleetRetryBudget,
+    RetryPlace,
     RetryVerdict,
     may_retry,
 )
@@ -265,7 +266,9 @@
             self._deliver(call, answer)
             return
         call.tried |= {entry.target_id}
-        if self._verdict(call, answer, now).is_retry:
+        # A doubt about a call that must not be repeated is not asked about:
+        # its link has already come back to the same node, or not at all.
+        if self._verdict(call, answer, now).place is RetryPlace.OTHER:
             self._meters.retried(answer.reason)
             self._journal.decided(
                 'sent again',
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -225,6 +225,28 @@
             assert (await client.read()).body == b'once'
             assert len(target.received) == 1
 
+    async def test_repeats_no_purchase_when_its_node_dies(
+        self,
+        monkeypatch: pytest.MonkeyPatch,
+    ) -> None:
+        """A purchase whose node is gone ends as unknown, run once."""
+        waits = 'lovageshunt.links._dialer._RESUME_ONCE_SECONDS'
+        monkeypatch.setattr(waits, 0.2)
+        async with world_of(3) as world:
+            for target in world.targets:
+                target.serve = never
+            for node in world.nodes:
+                node.knowledge.take_targets(world.entries()[1:], 2)
+            client = await client_of(world.hosts[0])
+            client.send('/buy/a', body=b'x')
+            runs = [target.received for target in world.targets]
+            await wait_until(lambda: any(runs))
+            world.tasks[1 + int(bool(runs[2]))].cancel()
+            world.nodes[1 + int(bool(runs[2]))].close()
+            got = await client.read()
+            assert status_of(got) in {502, 504}
+            assert sum(len(each) for each in runs) == 1
+
     async def test_keeps_an_answer_for_a_lost_link(self) -> None:
         """An answer made while the link was lost is delivered."""
         async with world_of(2) as world:
