Let targets fill up to a twentieth of their slots, and correct only what is seen

Mend: a twentieth of the slots stays free (19 of 20, 22 of 24), and the gate counts on all that targets offer, which they correct themselves.

--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -32,7 +32,7 @@
 _FIRST_SERVICE_SECONDS: Final = 0.05
 #: The share of its slots that is left free: targets slow down when they are
 #: nearly full, and a full one refuses what its node has let through.
-_SPARE_SHARE: Final = 0.06
+_SPARE_SHARE: Final = 0.05
 _MS_PER_SECOND: Final = 1000
 
 
--- a/src/lovageshunt/pressure/_root_gate.py
+++ b/src/lovageshunt/pressure/_root_gate.py
@@ -16,7 +16,7 @@
 from lovageshunt.pressure._needs import NeedsBook
 
 #: The part of its slots that a service may be asked to use.
-_USABLE_PART: Final = 0.95
+_USABLE_PART: Final = 1.0
 #: How often the shares are worked out anew, in seconds.
 _PERIOD_SECONDS: Final = 0.1
 #: A kind that needs less of a service than this share of what the kind needs
