--- a/src/lovageshunt/settings/_sidecar.py
+++ b/src/lovageshunt/settings/_sidecar.py
@@ -46,12 +46,11 @@
 class StoreSection(Record):
     """The platform's store."""
 
-    __slots__ = ('address', 'lease_seconds')
+    __slots__ = ('address',)
 
-    def __init__(self, *, address: Address, lease_seconds: float) -> None:
+    def __init__(self, *, address: Address) -> None:
         """Take every key."""
         self.address = address
-        self.lease_seconds = lease_seconds
 
 
 class BoundsSection(Record):
--- a/src/lovageshunt/settings/_sidecar_keys.py
+++ b/src/lovageshunt/settings/_sidecar_keys.py
@@ -66,16 +66,7 @@
     SectionTable(
         name='platform',
         meaning='Where targets and configurations are read.',
-        keys=(
-            Key(name='address', kind=ADDRESS, meaning='The store.'),
-            Key(
-                name='lease_seconds',
-                kind=number(0.1, _MOST_SECONDS),
-                default='4.5',
-                unit='seconds',
-                meaning='After so much silence a target leaves the list.',
-            ),
-        ),
+        keys=(Key(name='address', kind=ADDRESS, meaning='The store.'),),
     ),
     SectionTable(
         name='bounds',
--- a/tests/settings/test_reference.py
+++ b/tests/settings/test_reference.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lovageshunt.settings import CLIENT_TABLES, NODE_TABLES
+from lovageshunt.settings import CLIENT_TABLES, NODE_TABLES, SIDECAR_TABLES
 
 PAGE = Path(__file__).parents[2] / 'docs' / 'CONFIGURATION.md'
 
@@ -29,7 +29,7 @@
 
     @pytest.mark.parametrize(
         'table',
-        NODE_TABLES + CLIENT_TABLES,
+        NODE_TABLES + CLIENT_TABLES + SIDECAR_TABLES,
         ids=lambda table: table.name,
     )
     def test_has_every_key(self, table):
@@ -41,7 +41,7 @@
     def test_has_no_other_key(self):
         """The page has no key that the code does not know."""
         _, settings = PAGE.read_text(encoding='utf-8').split('# Settings\n')
-        tables = NODE_TABLES + CLIENT_TABLES
+        tables = NODE_TABLES + CLIENT_TABLES + SIDECAR_TABLES
         known = {line for table in tables for line in lines_of(table)}
         lines = settings.splitlines()
         keys = {line for line in lines if line.startswith('| `')}
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -220,7 +220,6 @@
         ),
         platform=StoreSection(
             address=Address(host=host, port=1),
-            lease_seconds=4.5,
         ),
         bounds=BoundsSection(
             stop_seconds=6,
