--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -9,7 +9,9 @@
 from lovageshunt.clock import now as clock_now
 from lovageshunt.links import (
     Dialer,
+    Frame,
     FrameKind,
+    FrameReader,
     Greeting,
     LinkListener,
     RunAnswer,
@@ -45,15 +47,17 @@
             payload = encode_message(hello)
             writer.write(encode_frame(FrameKind.GREETING, 0, payload))
         with suppress(ConnectionError, asyncio.CancelledError):
+            frames = FrameReader()
             while data := await reader.read(65536):
-                if self.answers and data[4] == FrameKind.ORDER:
-                    self.answer(writer, data)
+                for frame in frames.feed(data):
+                    self.take(writer, frame)
 
-    def answer(self, writer: asyncio.StreamWriter, data: bytes) -> None:
-        stream = int.from_bytes(data[5:9], 'big')
+    def take(self, writer: asyncio.StreamWriter, frame: Frame) -> None:
+        if frame.kind != FrameKind.ORDER or not self.answers:
+            return
         answer = RunAnswer(outcome=Outcome.ANSWERED, status=200, body=b'ok')
         payload = encode_answer(answer)
-        writer.write(encode_frame(FrameKind.ANSWER, stream, payload))
+        writer.write(encode_frame(FrameKind.ANSWER, frame.stream, payload))
 
     def cut(self) -> None:
         for writer in self.writers:
