Learn what runs call also while all of them fail

After the restart one target of precios was asked for more than it bears from the first moment, so no screen ended well, and a kind without a good run was taken to call nothing: the gate held back the one kind that calls precios itself, and let in all the screens that kept it full.

Ruled out: the share of the target (it fell to 0.06, and only that kind was refused for it).

Mend: failed runs count where good ones show fewer calls, and their time until a good one ended. Two tests that failed before.

--- a/src/lovageshunt/pressure/_call_graph.py
+++ b/src/lovageshunt/pressure/_call_graph.py
@@ -80,7 +80,11 @@
                 _add(self._made, (kind, called), runs * calls)
 
     def calls_by_kind(self) -> dict[str, dict[str, float]]:
-        """Return calls a good run, by the kind that runs and that called."""
+        """Return calls a run, by the kind that runs and the kind called.
+
+        A run that failed made fewer calls than a good one, so it only counts
+        where good runs show less: when a service below is full, all fail.
+        """
         kinds = [
             kind
             for kind, runs in self._runs_by_kind.items()
@@ -91,11 +95,7 @@
             for kind, count in self._solved(kinds, called).items():
                 if count >= _LEAST_CALLS:
                     calls[kind][called] = count
-        return {
-            kind: called
-            for kind, called in calls.items()
-            if not kind.startswith(FAILED_MARK)
-        }
+        return _joined(calls)
 
     def _solved(self, kinds: list[str], called: str) -> dict[str, float]:
         """Return calls a run of each kind, by coordinate descent."""
@@ -123,6 +123,18 @@
         return max(0, left / square)
 
 
+def _joined(
+    calls_by_kind: dict[str, dict[str, float]],
+) -> dict[str, dict[str, float]]:
+    """Take the greater count of good and failed runs of each kind."""
+    joined: dict[str, dict[str, float]] = {}
+    for marked, calls in calls_by_kind.items():
+        most = joined.setdefault(marked.removeprefix(FAILED_MARK), {})
+        for called, count in calls.items():
+            most[called] = max(count, most.get(called, 0))
+    return joined
+
+
 def _add(
     sums: dict[tuple[str, str], float],
     pair: tuple[str, str],
--- a/src/lovageshunt/pressure/_demand.py
+++ b/src/lovageshunt/pressure/_demand.py
@@ -62,6 +62,7 @@
     __slots__ = (
         '_settings',
         '_seconds_by_kind',
+        '_guessed',
         '_asked',
         '_window_start',
         'share',
@@ -72,6 +73,7 @@
         """Begin with room for everything."""
         self._settings = settings
         self._seconds_by_kind: dict[str, float] = {}
+        self._guessed: set[str] = set()
         self._asked = float(0)
         self._window_start = now
         #: The share of its demand that the target has room for.
@@ -89,14 +91,21 @@
         self._asked += self._seconds_by_kind.get(kind, _FIRST_SECONDS)
 
     def ran(self, kind: str, seconds: float) -> None:
-        """Take how long a run held its slot."""
+        """Take how long a good run held its slot."""
         known = self._seconds_by_kind.get(kind)
-        if known is None:
+        if known is None or kind in self._guessed:
             self._seconds_by_kind[kind] = seconds
+            self._guessed.discard(kind)
             return
         change = _TIME_WEIGHT * (seconds - known)
         self._seconds_by_kind[kind] = known + change
 
+    def failed(self, kind: str, seconds: float) -> None:
+        """Take how long a failed run held its slot, until a good one did."""
+        if kind not in self._seconds_by_kind:
+            self._seconds_by_kind[kind] = seconds
+            self._guessed.add(kind)
+
     def advance(
         self,
         now: float,
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -270,6 +270,8 @@
         self.watch.ended(run.order.kind, run.sent_at, now, is_good=is_good)
         if is_good:
             self.demand.ran(run.order.kind, now - run.sent_at)
+        elif read.outcome is not Outcome.NOT_RUN:
+            self.demand.failed(run.order.kind, now - run.sent_at)
         if read.reported is not None:
             self._queue.handle(read.reported, now)
         self._tell(
--- a/tests/pressure/test_call_graph.py
+++ b/tests/pressure/test_call_graph.py
@@ -78,6 +78,18 @@
             watch.ended('peek', now - 0.01, now + 0.01, is_good=is_good)
         assert 3.4 < graph.calls_by_kind()['peek']['ledger'] < 4.6
 
+    def test_learns_from_failed_runs_while_there_are_no_others(self) -> None:
+        """When every run fails below, it is still known what they call."""
+        graph = CallGraph()
+        watch = CallWatch(0)
+        for at in range(400):
+            now = at * 0.02
+            for counts in watch.take_windows(now):
+                graph.learn(counts)
+            watch.called('ledger', now)
+            watch.ended('peek', now - 0.01, now + 0.01, is_good=False)
+        assert graph.calls_by_kind()['peek']['ledger'] > 0.8
+
     def test_knows_nothing_of_an_idle_target(self) -> None:
         """Without runs there are no kinds."""
         assert not CallGraph().calls_by_kind()
--- a/tests/pressure/test_demand.py
+++ b/tests/pressure/test_demand.py
@@ -44,6 +44,15 @@
             meter.advance(window * WINDOW, slots=SLOTS, backlog_slot_seconds=0)
         assert meter.share == 1
 
+    def test_takes_failed_runs_until_there_are_good_ones(self) -> None:
+        """The time of a failed run is better than none, and gives way."""
+        meter = DemandMeter(DemandSettings(), 0)
+        meter.failed('k', 0.4)
+        assert meter.seconds_by_kind == {'k': 0.4}
+        meter.ran('k', 0.1)
+        meter.failed('k', 9)
+        assert meter.seconds_by_kind == {'k': 0.1}
+
     def test_counts_what_waits(self) -> None:
         """A queue lowers the share though nothing more arrives."""
         meter = DemandMeter(DemandSettings(), 0)
