End an exchange once, and cancel none that has ended

Cause: a cancelled exchange reported its end twice, by its connection and by the pool: runs were counted and logged twice, and their windows spread twice. A cancellation after the end would have hit the next request on the connection.

Ruled out: a second run of the request (one arrival).

Mend: the pool's own end goes into the exchange. Two of five new tests failed before.

--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -22,11 +22,17 @@
 class Sending:
     """An exchange that was given to a pool; it ends exactly once."""
 
-    __slots__ = ('_exchange', '_connection', '_is_over')
+    __slots__ = ('_ended', '_exchange', '_connection', '_is_over')
 
     def __init__(self, exchange: Exchange) -> None:
         """Begin without a connection."""
-        self._exchange = exchange
+        self._ended = exchange.ended
+        self._exchange = Exchange(
+            encoded=exchange.encoded,
+            identity=exchange.identity,
+            has_body=exchange.has_body,
+            ended=self.end,
+        )
         self._connection: ClientConnection | None = None
         self._is_over = False
 
@@ -44,13 +50,13 @@
         """Report the end, unless that was done."""
         if not self._is_over:
             self._is_over = True
-            self._exchange.ended(end, response)
+            self._connection = None
+            self._ended(end, response)
 
     def cancel(self) -> None:
         """Give the exchange up; what is at work at the server is cut off."""
-        connection = self._connection
-        if connection is not None and not self._is_over:
-            connection.cancel()
+        if self._connection is not None:
+            self._connection.cancel()
         self.end(ExchangeEnd.CANCELLED, None)
 
 
--- /dev/null
+++ b/tests/http1/test_pool.py
@@ -0,0 +1,115 @@
+"""Kept connections to one server."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from lovageshunt.http1 import (
+    ConnectionPool,
+    Exchange,
+    ExchangeEnd,
+    Response,
+    encode_request,
+)
+
+HOST = '127.0.7.8'
+PORT = 18321
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+
+
+class Server:
+    """Answers every request, once it may."""
+
+    def __init__(self) -> None:
+        self.may_answer = asyncio.Event()
+        self.connections = 0
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        while await reader.read(65536):
+            await self.may_answer.wait()
+            writer.write(ANSWER)
+
+
+@asynccontextmanager
+async def pooled(most: int = 5) -> AsyncIterator[tuple[Server, ConnectionPool]]:
+    side = Server()
+    server = await asyncio.start_server(side.serve, HOST, PORT)
+    pool = ConnectionPool(HOST, PORT, most)
+    try:
+        yield side, pool
+    finally:
+        pool.close()
+        server.close()
+
+
+def exchange(ends: list[ExchangeEnd]) -> Exchange:
+    def ended(end: ExchangeEnd, response: Response | None) -> None:
+        ends.append(end)
+
+    encoded = encode_request(method=b'GET', target=b'/', fields=b'', body=b'')
+    return Exchange(encoded=encoded, ended=ended)
+
+
+async def until_ended(ends: list[ExchangeEnd], count: int = 1) -> None:
+    async with asyncio.timeout(3):
+        while len(ends) < count:
+            await asyncio.sleep(0.005)
+
+
+class TestConnectionPool:
+    """Exchanges end exactly once, and connections are kept."""
+
+    async def test_uses_a_connection_again(self) -> None:
+        """The second exchange goes over the connection of the first."""
+        async with pooled() as (server, pool):
+            server.may_answer.set()
+            ends: list[ExchangeEnd] = []
+            for count in (1, 2):
+                pool.send(exchange(ends))
+                await until_ended(ends, count)
+            assert ends == [ExchangeEnd.WHOLE] * 2
+            assert server.connections == 1
+
+    async def test_ends_once_when_cancelled(self) -> None:
+        """A cancelled exchange reports its end once."""
+        async with pooled() as (_, pool):
+            ends: list[ExchangeEnd] = []
+            sending = pool.send(exchange(ends))
+            await asyncio.sleep(0.05)
+            sending.cancel()
+            sending.cancel()
+            assert ends == [ExchangeEnd.CANCELLED]
+
+    async def test_cancels_no_later_exchange(self) -> None:
+        """Cancelling what has ended leaves its connection alone."""
+        async with pooled() as (server, pool):
+            server.may_answer.set()
+            ends: list[ExchangeEnd] = []
+            first = pool.send(exchange(ends))
+            await until_ended(ends)
+            pool.send(exchange(ends))
+            first.cancel()
+            await until_ended(ends, 2)
+            assert ends == [ExchangeEnd.WHOLE] * 2
+
+    async def test_is_unsent_without_room(self) -> None:
+        """Beyond the connections that the server bears nothing is sent."""
+        async with pooled(most=1) as (_, pool):
+            ends: list[ExchangeEnd] = []
+            pool.send(exchange([]))
+            pool.send(exchange(ends))
+            assert ends == [ExchangeEnd.UNSENT]
+
+    async def test_is_unsent_without_a_server(self) -> None:
+        """A server that does not listen gets nothing."""
+        pool = ConnectionPool(HOST, PORT + 1, 1)
+        ends: list[ExchangeEnd] = []
+        pool.send(exchange(ends))
+        await until_ended(ends)
+        assert ends == [ExchangeEnd.UNSENT]
+        assert pool.open_count == 0
