Give a target the slots that the list publishes

Cause: the executor began with 16 slots and learned the true number only from the load that a target tells with its answers; a target that tells none would have been held at 16 for good. Mend: what the list says of the target beside the node is taken when it changes. The test failed before.

--- a/src/lovageshunt/routing/_candidate.py
+++ b/src/lovageshunt/routing/_candidate.py
@@ -122,13 +122,13 @@
         else:
             known.add(seconds, now)
 
-    def shed(self, now: float, draw: float) -> None:
+    def shed(self) -> None:
         """Note that the target refused a call that its node let through."""
         self.failure_share += _FAILURE_WEIGHT * (1 - self.failure_share)
 
     def failed(self, now: float, draw: float) -> None:
         """Note a call without an answer; many in a row eject the target."""
-        self.shed(now, draw)
+        self.shed()
         self._failures += 1
         if self._failures < _FAILURES_TO_EJECT:
             return
--- a/src/lovageshunt/routing/_placement.py
+++ b/src/lovageshunt/routing/_placement.py
@@ -167,7 +167,7 @@
         elif outcome is not Outcome.NOT_RUN:
             candidate.failed(now, self._rng.random())
         elif reason is not RefusalReason.OVERLOAD:
-            candidate.shed(now, self._rng.random())
+            candidate.shed()
 
     def _trusted(
         self,
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -15,6 +15,7 @@
     DrainStarted,
     Event,
     Finished,
+    LoadReported,
     Refuse,
     TargetQueue,
     Ticked,
@@ -96,12 +97,14 @@
         """Serve the target at an address."""
         self._dialect = dialect
         self._meters = meters
-        self._pool = ConnectionPool(host, port, _FIRST_CONNECTIONS)
+        #: The connections to the target.
+        self.pool = ConnectionPool(host, port, _FIRST_CONNECTIONS)
         self._queue = TargetQueue(slots=slots)
         #: What is asked of the target, and what runs in it.
         self.demand = DemandMeter(DemandSettings(), clock_now())
         self.watch = CallWatch(clock_now())
         self._run_by_call_id: dict[str, Run] = {}
+        self._published = ('', 0)
         self._next_number = 0
         self._tick: TimerHandle | None = None
 
@@ -115,9 +118,15 @@
         """Return the queue, for those who tell others of it."""
         return self._queue
 
-    def allow_connections(self, most: int) -> None:
-        """Take how many connections the target bears."""
-        self._pool.most = most
+    def serve_target(self, target_id: str, slots: int) -> None:
+        """Take what is published of the target, once it has changed.
+
+        Its own word on its slots, in an answer, goes before these.
+        """
+        if (target_id, slots) == self._published:
+            return
+        self._published = (target_id, slots)
+        self._tell(LoadReported(running=0, slots=slots))
 
     def ordered(self, order: RunOrder, ended: Ended) -> Run:
         """Run an order; ``ended`` is called once, unless it is abandoned."""
@@ -162,10 +171,6 @@
         """Refuse new orders, which then go elsewhere."""
         self._tell(DrainStarted())
 
-    def close_stale(self) -> None:
-        """Close connections to the target that were idle for too long."""
-        self._pool.close_stale()
-
     def _tell(self, event: Event) -> None:
         for action in self._queue.handle(event, clock_now()):
             self._act(action)
@@ -222,7 +227,7 @@
             ended=lambda end, response: self._on_ended(run, end, response),
         )
         fresh = None if run.order.is_repeatable else _FRESH_SECONDS
-        run.sending = self._pool.send(exchange, fresh)
+        run.sending = self.pool.send(exchange, fresh)
 
     def _encoded(self, order: RunOrder) -> bytes:
         left = max(1, round((order.deadline - clock_now()) * _MS_PER_SECOND))
--- a/src/lovageshunt/sidecar/_knowledge.py
+++ b/src/lovageshunt/sidecar/_knowledge.py
@@ -28,6 +28,7 @@
         'is_platform_away',
         '_fleet',
         '_configured',
+        '_listed',
         '_asked_at',
     )
 
@@ -36,14 +37,19 @@
         greeting: Greeting,
         fleet: Fleet,
         configured: Callable[[Configuration], None],
+        listed: Callable[[], None],
     ) -> None:
-        """Call ``configured`` with each configuration that is in force."""
+        """Call ``configured`` with each configuration that is in force.
+
+        ``listed`` is called when the targets of the fleet have changed.
+        """
         self.greeting = greeting
         self.configuration: Configuration | None = None
         #: Whether the platform does not answer, so that nodes are asked.
         self.is_platform_away = True
         self._fleet = fleet
         self._configured = configured
+        self._listed = listed
         self._asked_at = float('-inf')
 
     @property
@@ -71,6 +77,7 @@
         """Replace the targets, as of a revision of the platform above 0."""
         self.greeting.revision = max(revision, self.greeting.revision)
         self._fleet.take(entries)
+        self._listed()
 
     def picture(self) -> Picture:
         """Return what another node can take from this one."""
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -92,7 +92,12 @@
             make_dialer=self._links.make_dialer,
         )
         #: What is known of the fleet, for those who read it elsewhere.
-        self.knowledge = Knowledge(greeting, self._fleet, self._configure)
+        self.knowledge = Knowledge(
+            greeting,
+            self._fleet,
+            self._configure,
+            self._note_target,
+        )
         self._reports = PressureReports(
             executor=self._executor,
             fleet=self._fleet,
@@ -197,7 +202,7 @@
         )
         for connection in list(self._clients):
             connection.close_if_due(now)
-        self._executor.close_stale()
+        self._executor.pool.close_stale()
         self._fleet.close_unused()
 
     async def _wind_down(self) -> None:
@@ -243,7 +248,13 @@
         limits.idle_seconds = configuration.idle_seconds
         own = configuration.limits_by_service.get(self._settings.node.service)
         if own is not None:
-            self._executor.allow_connections(own.connections)
+            self._executor.pool.most = own.connections
+
+    def _note_target(self) -> None:
+        """Take what the list says of the target beside this node."""
+        own = self._fleet.own_entry
+        if own is not None:
+            self._executor.serve_target(own.target_id, own.slots)
 
     def _accept_client(self) -> ServerConnection:
         return ServerConnection(self._origin, self._limits, self._clients)
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -350,6 +350,32 @@
             assert await ready_status(world.hosts[0]) == 200
 
 
+class TestSlots:
+    """How much a target is given."""
+
+    async def test_takes_the_published_slots(self) -> None:
+        """A target that tells no load gets what the list says it bears."""
+        async with world_of(1) as world:
+            target = world.targets[0]
+            go_on = asyncio.Event()
+
+            async def slow(received: Received) -> bytes:
+                await go_on.wait()
+                return answer(received)
+
+            target.serve = slow
+            world.nodes[0].knowledge.take_targets(world.entries(1), 2)
+            clients = [await client_of(world.hosts[0]) for _ in range(2)]
+            for client in clients:
+                client.send('/read/a')
+            await wait_until(lambda: target.received)
+            await asyncio.sleep(0.1)
+            assert len(target.received) == 1
+            go_on.set()
+            for client in clients:
+                assert status_of(await client.read()) == 200
+
+
 class TestDeadlines:
     """Time that runs out."""
 
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -158,7 +158,7 @@
             )
             node.knowledge.take_targets(self.entries(), 1)
 
-    def entries(self) -> list[TargetEntry]:
+    def entries(self, slots: int = 4) -> list[TargetEntry]:
         return [
             TargetEntry(
                 target_id=f'i-{at}',
@@ -166,7 +166,7 @@
                 host=host,
                 port=TARGET_PORT,
                 failure_domain=host,
-                slots=4,
+                slots=slots,
                 is_leaving=False,
                 cold_seconds=0,
                 started_ms=1,
