Bound the resends to a target that closes its connections

The node beside a target sent every lookup again whose kept connection closed before an answer, without a budget; a target that crashes closes all of them.

Ruled out: the origins' retries, which keep to seven tenths.

Mend: a tenth of the fleet's retries for it. The test failed before with 121 arrivals for 61 requests.

--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -33,6 +33,7 @@
 )
 from lovageshunt.links import RunAnswer, RunOrder
 from lovageshunt.pressure import CallWatch, DemandMeter, DemandSettings
+from lovageshunt.retries import FleetRetryBudget
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._meters import Meters
 from lovageshunt.sidecar._reading import ReadAnswer, read_response
@@ -93,8 +94,14 @@
         slots: int,
         dialect: Dialect,
         meters: Meters,
+        resends: FleetRetryBudget,
     ) -> None:
-        """Serve the target at an address."""
+        """Serve the target at an address.
+
+        ``resends`` bounds how often a request is sent again that met a
+        closing connection.
+        """
+        self._resends = resends
         self._dialect = dialect
         self._meters = meters
         #: The connections to the target.
@@ -135,6 +142,7 @@
         self._run_by_call_id[run.call_id] = run
         self.demand.asked(order.kind)
         now = clock_now()
+        self._resends.requested(now)
         waits_until = order.deadline
         if order.importance > 0:
             waits_until = now + _WAIT_PART * (order.deadline - now)
@@ -259,8 +267,7 @@
         end: ExchangeEnd,
         response: Response | None,
     ) -> None:
-        is_first = not run.resent
-        if end is ExchangeEnd.CLOSED and run.order.is_repeatable and is_first:
+        if end is ExchangeEnd.CLOSED and self._may_resend(run):
             # The target closed a kept connection as the request came.
             run.resent = True
             self._send(run)
@@ -288,6 +295,11 @@
         )
         self._answer(run, self._answer_of(run, read, response))
 
+    def _may_resend(self, run: Run) -> bool:
+        if run.resent or not run.order.is_repeatable:
+            return False
+        return self._resends.spend(clock_now())
+
     def _answer_of(
         self,
         run: Run,
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -19,7 +19,7 @@
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection, ServerLimits
 from lovageshunt.links import FrameKind, Greeting, IncomingLink
-from lovageshunt.retries import FleetBudgetSettings
+from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudget
 from lovageshunt.routes import Configuration
 from lovageshunt.settings import Address, SidecarSettings
 from lovageshunt.sidecar._dialect import Dialect
@@ -48,6 +48,9 @@
 #: Heads are allowed this many times their bound, as it is counted otherwise
 #: by those who set it.
 _HEAD_SLACK: Final = 2
+#: The part of the fleet's retries that goes to requests which met a closing
+#: connection to their target; origins use seven tenths.
+_RESEND_PART: Final = 0.1
 _READY: Final = 200
 _NOT_READY: Final = 503
 
@@ -72,7 +75,13 @@
         )
         self._meters = Meters(settings.node.name)
         own_host = settings.listen.nodes.host
+        budget = FleetBudgetSettings(
+            ratio=settings.bounds.retry_ratio,
+            reserve=settings.bounds.retry_reserve,
+            window_seconds=settings.bounds.retry_window_seconds,
+        )
         target = settings.target
+        self._resends = FleetRetryBudget(_part_of(budget, _RESEND_PART))
         self._links = NodeLinks(
             port=settings.listen.nodes.port,
             greeting=greeting,
@@ -83,6 +92,7 @@
             slots=target.slots,
             dialect=dialect,
             meters=self._meters,
+            resends=self._resends,
         )
         self._fleet = Fleet(
             own_host=own_host,
@@ -116,11 +126,7 @@
             dialect=dialect,
             executor=self._executor,
             fleet=self._fleet,
-            budget=FleetBudgetSettings(
-                ratio=settings.bounds.retry_ratio,
-                reserve=settings.bounds.retry_reserve,
-                window_seconds=settings.bounds.retry_window_seconds,
-            ),
+            budget=budget,
             reports=self._reports,
             meters=self._meters,
             rng=rng,
@@ -252,6 +258,7 @@
 
     def _note_target(self) -> None:
         """Take what the list says of the target beside this node."""
+        self._resends.node_count = self._fleet.node_count
         own = self._fleet.own_entry
         if own is not None:
             self._executor.serve_target(own.target_id, own.slots)
@@ -270,6 +277,14 @@
         return self._links.accept(self._executor)
 
 
+def _part_of(budget: FleetBudgetSettings, part: float) -> FleetBudgetSettings:
+    return FleetBudgetSettings(
+        ratio=budget.ratio * part,
+        reserve=budget.reserve * part,
+        window_seconds=budget.window_seconds,
+    )
+
+
 class _Readiness:
     """Answers the platform's question whether this node is ready."""
 
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -1,6 +1,7 @@
 """The whole path: client, node, node, target, and back."""
 
 import asyncio
+from itertools import count
 
 import pytest
 
@@ -187,6 +188,43 @@
             assert got.body == world.hosts[1].encode()
 
 
+class TestClosedConnections:
+    """A target that closes a kept connection as a request comes."""
+
+    async def test_sends_again_on_a_fresh_connection(self) -> None:
+        """One such close costs a lookup nothing."""
+        async with world_of(1) as world:
+            client = await client_of(world.hosts[0])
+            await client.ask('/read/a')
+            close_in_turn(world.targets[0])
+            assert status_of(await client.ask('/read/b')) == 200
+
+    async def test_keeps_to_a_part_of_the_retry_budget(self) -> None:
+        """A target that closes every other connection is not asked twice
+        each time.
+        """
+        async with world_of(1) as world:
+            client = await client_of(world.hosts[0])
+            await client.ask('/read/a')
+            close_in_turn(world.targets[0])
+            for _ in range(60):
+                await client.ask('/read/b')
+            # A tenth of a reserve of 100, of which seven in ten are used.
+            assert len(world.targets[0].received) <= 61 + 8
+
+
+def close_in_turn(target: FakeTarget) -> None:
+    """Let a target close every other connection without an answer."""
+    turns = count()
+
+    async def serve(received: Received) -> bytes:
+        if next(turns) % 2 == 0:
+            raise ConnectionError
+        return answer(received)
+
+    target.serve = serve
+
+
 class TestLeaving:
     """Clients, links and nodes that go."""
 
