Say of no request that it has not run when an attempt may have

Cause: a lookup whose first attempt was cut and whose second was refused ended as 503, which promises that nothing of it ran. Found in reading. Mend: what may have run is kept with the request, whose last word is then 502; failures tell when to come back too. The origin's call and its answers have files of their own; two settings keys stand once.

--- a/src/lovageshunt/settings/_keys.py
+++ b/src/lovageshunt/settings/_keys.py
@@ -64,12 +64,13 @@
         self.keys = keys
 
 
-_FAILURE_DOMAIN: Final = Key(
+#: Where a VM stands, the same for every kind of process.
+FAILURE_DOMAIN: Final = Key(
     name='failure_domain',
     kind=TEXT,
     meaning='The failure domain that the VM stands in.',
 )
-_REGION: Final = Key(
+REGION: Final = Key(
     name='region',
     kind=TEXT,
     default='default',
@@ -86,8 +87,8 @@
             meaning='The name that the published list of VMs has for it.',
         ),
         Key(name='service', kind=TEXT, meaning='The service of its target.'),
-        _FAILURE_DOMAIN,
-        _REGION,
+        FAILURE_DOMAIN,
+        REGION,
     ),
 )
 
@@ -339,8 +340,8 @@
     meaning='Who this caller is.',
     keys=(
         Key(name='name', kind=TEXT, meaning='The name that the rules use.'),
-        _FAILURE_DOMAIN,
-        _REGION,
+        FAILURE_DOMAIN,
+        REGION,
     ),
 )
 
--- a/src/lovageshunt/settings/_sidecar_keys.py
+++ b/src/lovageshunt/settings/_sidecar_keys.py
@@ -2,7 +2,13 @@
 
 from typing import Final
 
-from lovageshunt.settings._keys import ABSENT, Key, SectionTable
+from lovageshunt.settings._keys import (
+    ABSENT,
+    FAILURE_DOMAIN,
+    REGION,
+    Key,
+    SectionTable,
+)
 from lovageshunt.settings._kinds import ADDRESS, TEXT, number, one_of
 from lovageshunt.settings._kinds import whole_number as whole
 
@@ -17,17 +23,8 @@
         keys=(
             Key(name='name', kind=TEXT, meaning='The name of its VM.'),
             Key(name='service', kind=TEXT, meaning="Its target's service."),
-            Key(
-                name='failure_domain',
-                kind=TEXT,
-                meaning='The failure domain that the VM stands in.',
-            ),
-            Key(
-                name='region',
-                kind=TEXT,
-                default='default',
-                meaning='The region of that failure domain.',
-            ),
+            FAILURE_DOMAIN,
+            REGION,
         ),
     ),
     SectionTable(
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -1,7 +1,6 @@
 """Takes the requests of clients and sees each to its answer."""
 
-from asyncio import TimerHandle, get_running_loop
-from collections.abc import Callable
+from asyncio import get_running_loop
 from functools import partial
 from random import Random
 from typing import Final
@@ -10,7 +9,6 @@
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection, forwarded_fields
 from lovageshunt.links import RunAnswer, RunOrder
-from lovageshunt.pressure import RootVerdict
 from lovageshunt.retries import (
     AllowancePool,
     Failure,
@@ -22,18 +20,14 @@
 )
 from lovageshunt.routes import Configuration, Route, RouteTable, SplitCursor
 from lovageshunt.routing import Wanted
+from lovageshunt.sidecar._answering import Answering
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
-from lovageshunt.sidecar._journal import Journal
-from lovageshunt.sidecar._meters import Meters
+from lovageshunt.sidecar._origin_call import OriginCall
 from lovageshunt.sidecar._pressure_reports import PressureReports
 
 _MS_PER_SECOND: Final = 1000
-_NOT_FOUND: Final = 404
-_BAD_GATEWAY: Final = 502
-_UNAVAILABLE: Final = 503
-_GATEWAY_TIMEOUT: Final = 504
 #: When to come back to a node that knows no configuration, in ms: it asks
 #: for one several times a second.
 _SETTLING_MS: Final = 500
@@ -46,51 +40,6 @@
 _LEAST_LEFT_SECONDS: Final = 0.05
 
 
-class OriginCall:
-    """One request of a client, from its arrival to its answer."""
-
-    __slots__ = (
-        'request',
-        'connection',
-        'attempt_id',
-        'route',
-        'service',
-        'started_at',
-        'deadline',
-        'tries',
-        'tried',
-        'entry',
-        'sent_at',
-        'cancel',
-        'overdue',
-        'is_inner',
-        'is_over',
-    )
-
-    def __init__(
-        self,
-        request: Request,
-        connection: ServerConnection,
-        attempt_id: bytes,
-    ) -> None:
-        """Begin with nothing decided."""
-        self.request = request
-        self.connection = connection
-        self.attempt_id = attempt_id
-        self.route: Route | None = None
-        self.service = ''
-        self.started_at = clock_now()
-        self.deadline = float(0)
-        self.tries = 0
-        self.tried: frozenset[str] = frozenset()
-        self.entry: TargetEntry | None = None
-        self.sent_at = float(0)
-        self.cancel: Callable[[], None] | None = None
-        self.overdue: TimerHandle | None = None
-        self.is_inner = False
-        self.is_over = False
-
-
 class Origin:
     """Routes requests, sends them to targets, retries and answers."""
 
@@ -104,7 +53,7 @@
         fleet: Fleet,
         budget: FleetBudgetSettings,
         reports: PressureReports,
-        meters: Meters,
+        answers: Answering,
         rng: Random,
     ) -> None:
         """Begin without a configuration."""
@@ -116,8 +65,7 @@
         self._fleet = fleet
         self._budget_settings = budget
         self._reports = reports
-        self._meters = meters
-        self._journal = Journal()
+        self._answers = answers
         self._rng = rng
         self._budget_by_service: dict[str, FleetRetryBudget] = {}
         self._table: RouteTable | None = None
@@ -138,13 +86,15 @@
         call = OriginCall(request, connection, attempt_id)
         self.open_count += 1
         if self._table is None:
-            self._refuse(call, 'settling', _SETTLING_MS)
+            self._answers.not_run(call, 'settling', _SETTLING_MS)
+            self._end(call)
             return call
         host = request.header(b'host').decode('latin-1')
         target = request.target.decode('latin-1')
         route = self._table.find(host, target)
         if route is None:
-            self._answer(call, _NOT_FOUND, 'no_route')
+            self._answers.not_found(call)
+            self._end(call)
             return call
         call.route = route
         call.service = self._cursor.choose(route)
@@ -167,14 +117,7 @@
             self._fleet.abandoned(call.entry)
         if call.cancel is not None:
             call.cancel()
-        self._meters.abandoned()
-        self._journal.decided(
-            'client left',
-            call.attempt_id,
-            route=call.route.name if call.route else '',
-            tries=call.tries,
-            ms=_ms_since(call.started_at),
-        )
+        self._answers.note_left(call)
         self._end(call)
 
     def _is_let_in(self, call: OriginCall, route: Route) -> bool:
@@ -187,7 +130,8 @@
         if verdict.retry_seconds is None:
             return True
         retry_ms = round(verdict.retry_seconds * _MS_PER_SECOND)
-        self._refuse(call, 'overload', retry_ms, verdict)
+        self._answers.not_run(call, 'overload', retry_ms, verdict)
+        self._end(call)
         return False
 
     def _wanted(self, call: OriginCall, route: Route) -> Wanted:
@@ -211,7 +155,8 @@
             return
         entry = self._fleet.choose(call.service, self._wanted(call, route))
         if entry is None:
-            self._refuse(call, 'no_target', _NO_TARGET_MS)
+            self._answers.not_run(call, 'no_target', _NO_TARGET_MS)
+            self._end(call)
             return
         call.tries += 1
         call.entry = entry
@@ -258,29 +203,23 @@
         if call.is_over:
             return
         now = clock_now()
-        kind = call.route.name if call.route else ''
-        self._fleet.ended(entry, kind, answer, now - call.sent_at)
+        self._fleet.ended(entry, call.kind, answer, now - call.sent_at)
         call.entry = None
         call.cancel = None
         if answer.outcome is Outcome.ANSWERED:
-            self._deliver(call, answer)
+            self._answers.deliver(call, answer)
+            self._end(call)
             return
         call.tried |= {entry.target_id}
+        call.has_run |= answer.outcome is not Outcome.NOT_RUN
         # A doubt about a call that must not be repeated is not asked about:
         # its link has already come back to the same node, or not at all.
         if self._verdict(call, answer, now).place is RetryPlace.OTHER:
-            self._meters.retried(answer.reason)
-            self._journal.decided(
-                'sent again',
-                call.attempt_id,
-                after=answer.outcome,
-                reason=answer.reason,
-                target=entry.target_id,
-                tries=call.tries,
-            )
+            self._answers.note_retry(call, answer)
             self._try(call)
             return
-        self._fail(call, answer)
+        self._answers.failed(call, answer)
+        self._end(call)
 
     def _verdict(
         self,
@@ -316,30 +255,6 @@
         budget.node_count = self._fleet.node_count
         return budget
 
-    def _deliver(self, call: OriginCall, answer: RunAnswer) -> None:
-        call.connection.respond(
-            status=answer.status,
-            fields=answer.fields,
-            body=answer.body,
-        )
-        seconds = clock_now() - call.started_at
-        self._meters.answered(answer.status, seconds)
-        self._journal.ordinary(
-            call.attempt_id,
-            status=answer.status,
-            route=call.route.name if call.route else '',
-            tries=call.tries,
-            ms=_ms_since(call.started_at),
-        )
-        self._end(call)
-
-    def _fail(self, call: OriginCall, answer: RunAnswer) -> None:
-        reason = str(answer.reason)
-        if answer.outcome is Outcome.NOT_RUN:
-            self._refuse(call, reason, max(1, answer.retry_after_ms))
-            return
-        self._answer(call, _BAD_GATEWAY, reason)
-
     def _give_up(self, call: OriginCall) -> None:
         """End a call that is past its deadline."""
         if call.is_over:
@@ -348,48 +263,7 @@
             self._fleet.abandoned(call.entry)
         if call.cancel is not None:
             call.cancel()
-        self._answer(call, _GATEWAY_TIMEOUT, 'deadline')
-
-    def _refuse(
-        self,
-        call: OriginCall,
-        reason: str,
-        retry_ms: int,
-        verdict: RootVerdict | None = None,
-    ) -> None:
-        """Answer that the call has not run and will not, and come back."""
-        field = b'retry-after: %.3f\r\n' % (retry_ms / _MS_PER_SECOND)
-        inputs: dict[str, object] = {'retry_ms': retry_ms}
-        if verdict is not None:
-            inputs['full'] = verdict.service
-            inputs['share'] = round(verdict.share, 3)
-        self._answer(call, _UNAVAILABLE, reason, field, inputs)
-
-    def _answer(
-        self,
-        call: OriginCall,
-        status: int,
-        reason: str,
-        fields: bytes = b'',
-        inputs: dict[str, object] | None = None,
-    ) -> None:
-        """Answer in place of a target; ``inputs`` decided it."""
-        seconds = clock_now() - call.started_at
-        self._meters.answered(status, seconds, reason)
-        self._journal.decided(
-            'refused' if status == _UNAVAILABLE else 'failed',
-            call.attempt_id,
-            status=status,
-            reason=reason,
-            route=call.route.name if call.route else '',
-            tries=call.tries,
-            ms=_ms_since(call.started_at),
-            **(inputs or {}),
-        )
-        if call.attempt_id:
-            name = self._dialect.attempt_id
-            fields += b'%b: %b\r\n' % (name, call.attempt_id)
-        call.connection.respond(status=status, fields=fields, body=b'')
+        self._answers.late(call)
         self._end(call)
 
     def _end(self, call: OriginCall) -> None:
@@ -399,7 +273,3 @@
         self.open_count -= 1
         if call.overdue is not None:
             call.overdue.cancel()
-
-
-def _ms_since(moment: float) -> int:
-    return round((clock_now() - moment) * _MS_PER_SECOND)
--- /dev/null
+++ b/src/lovageshunt/sidecar/_origin_call.py
@@ -0,0 +1,81 @@
+"""One request of a client, as its first node sees it."""
+
+from asyncio import TimerHandle
+from collections.abc import Callable
+from typing import Final
+
+from lovageshunt.clock import now as clock_now
+from lovageshunt.http1 import Request, ServerConnection
+from lovageshunt.routes import Route
+from lovageshunt.sidecar._fleet import TargetEntry
+
+_MS_PER_SECOND: Final = 1000
+
+
+class OriginCall:
+    """A request from its arrival to its answer.
+
+    ``has_run`` tells that an attempt may have run, so that the request can no
+    longer be said not to have run. ``is_inner`` tells that a target sent it.
+    """
+
+    __slots__ = (
+        'request',
+        'connection',
+        'attempt_id',
+        'route',
+        'service',
+        'started_at',
+        'deadline',
+        'tries',
+        'tried',
+        'entry',
+        'sent_at',
+        'cancel',
+        'overdue',
+        'has_run',
+        'is_inner',
+        'is_over',
+    )
+
+    def __init__(
+        self,
+        request: Request,
+        connection: ServerConnection,
+        attempt_id: bytes,
+    ) -> None:
+        """Begin with nothing decided."""
+        self.request = request
+        self.connection = connection
+        self.attempt_id = attempt_id
+        self.route: Route | None = None
+        self.service = ''
+        self.started_at = clock_now()
+        self.deadline = float(0)
+        self.tries = 0
+        self.tried: frozenset[str] = frozenset()
+        self.entry: TargetEntry | None = None
+        self.sent_at = float(0)
+        self.cancel: Callable[[], None] | None = None
+        self.overdue: TimerHandle | None = None
+        self.has_run = False
+        self.is_inner = False
+        self.is_over = False
+
+    @property
+    def kind(self) -> str:
+        """Return the name of the route, empty without one."""
+        return self.route.name if self.route else ''
+
+    @property
+    def age_seconds(self) -> float:
+        """Return the time since the request arrived."""
+        return clock_now() - self.started_at
+
+    def as_logged(self) -> dict[str, object]:
+        """Return what a log line says of every request."""
+        return {
+            'route': self.kind,
+            'tries': self.tries,
+            'ms': round(self.age_seconds * _MS_PER_SECOND),
+        }
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -22,6 +22,7 @@
 from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudget
 from lovageshunt.routes import Configuration
 from lovageshunt.settings import Address, SidecarSettings
+from lovageshunt.sidecar._answering import Answering
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet
@@ -128,7 +129,7 @@
             fleet=self._fleet,
             budget=budget,
             reports=self._reports,
-            meters=self._meters,
+            answers=Answering(dialect.attempt_id, self._meters),
             rng=rng,
         )
 
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -179,6 +179,22 @@
             assert status_of(got) == 503
             assert float(got.headers['retry-after']) > 0
 
+    async def test_says_not_run_of_nothing_that_may_have_run(self) -> None:
+        """A lookup that ran once is not told not to have run by a second
+        target's refusal.
+        """
+        async with world_of(2) as world:
+            cut_answers(world.targets[0])
+
+            async def full(received: Received) -> bytes:
+                return answer(received, status=503, extra='X-Not-Run: 1\r\n')
+
+            world.targets[1].serve = full
+            client = await client_of(world.hosts[0])
+            got = await client.ask('/read/a')
+            assert status_of(got) == 502
+            assert float(got.headers['retry-after']) > 0
+
     async def test_goes_on_when_a_target_does_not_listen(self) -> None:
         """A purchase that was not sent may be sent to another target."""
         async with world_of(2) as world:
