--- a/tests/docs/test_glossary.py
+++ b/tests/docs/test_glossary.py
@@ -14,10 +14,14 @@
     'admission',
     'calls',
     'idempotency',
+    'links',
     'membership',
+    'pressure',
     'retries',
+    'routes',
     'routing',
     'rules',
+    'sidecar',
 )
 #: Names on the wire and in charts, which are no names in code.
 WORDS = frozenset(('request_id', 'attempt', 'leaving'))
