Refuse a frame whose names are no text like any other malformed frame

Cause: reading; a name that is no UTF-8 raised another error than the one that closes a link with a reason. Figures: the test of the orders now takes the one documented error only.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -319,12 +319,10 @@
         """Take frames."""
         self._heard_at = clock_now()
         try:
-            frames = self._reader.feed(data)
+            for frame in self._reader.feed(data):
+                self._take(frame)
         except MalformedFrameError as error:
             self._end(str(error))
-            return
-        for frame in frames:
-            self._take(frame)
 
     def write(self, encoded: bytes) -> None:
         """Write whole frames."""
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -139,9 +139,9 @@
     parts = _cut(payload, _ORDER.size, lengths)
     return RunOrder(
         attempt_id=parts[0],
-        target_id=parts[1].decode(),
-        kind=parts[2].decode(),
-        caller_service=parts[3].decode(),
+        target_id=_text(parts[1]),
+        kind=_text(parts[2]),
+        caller_service=_text(parts[3]),
         importance=importance,
         is_repeatable=is_repeatable,
         deadline=now + left_ms / _MS_PER_SECOND,
@@ -211,7 +211,7 @@
     except StructError as error:
         raise MalformedFrameError(str(error)) from error
     return LoadNews(
-        target_id=payload[_LOAD.size :].decode(),
+        target_id=_text(payload[_LOAD.size :]),
         load=_load_of(load),
         share=share,
     )
@@ -230,6 +230,13 @@
     )
 
 
+def _text(part: bytes) -> str:
+    try:
+        return part.decode()
+    except UnicodeDecodeError as error:
+        raise MalformedFrameError(str(error)) from error
+
+
 def _cut(
     payload: bytes,
     at: int,
--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -97,9 +97,15 @@
         """Bytes that are no order raise the one documented error."""
         try:
             decode_order(garbage, NOW)
-        except (MalformedFrameError, UnicodeDecodeError):
+        except MalformedFrameError:
             return
 
+    def test_are_refused_with_other_text(self) -> None:
+        """A name that is no UTF-8 is no order."""
+        encoded = encode_order(order(target_id='i-1'), NOW)
+        with pytest.raises(MalformedFrameError):
+            decode_order(encoded.replace(b'i-1', b'\xff\xfe1'), NOW)
+
 
 class TestAnswers:
     """Answers on the wire."""
