Show how many log records were held back, and drop what nothing used

Cause: reading; the counter of suppressed records was never set by a sidecar, and two properties of the target's queue had no user.

--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -70,21 +70,11 @@
         """Return how many calls may be at the target at once."""
         return max(1, int(self._slots * (1 - _SPARE_SHARE)))
 
-    @property
-    def is_empty(self) -> bool:
-        """Tell whether no call runs or waits."""
-        return not self._running and not self._queue
-
     @property
     def backlog_slot_seconds(self) -> float:
         """Return the work that waits, in seconds of one slot."""
         return len(self._queue) * self._service_seconds
 
-    @property
-    def service_seconds(self) -> float:
-        """Return the mean time of a call at the target."""
-        return self._service_seconds
-
     def load(self) -> LoadReport:
         """Return the load for the next answer."""
         return LoadReport(
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -59,8 +59,17 @@
 class Sidecar:
     """Carries the requests of one VM and the calls to its target."""
 
-    def __init__(self, settings: SidecarSettings, dialect: Dialect) -> None:
-        """Build the parts; nothing is opened yet."""
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        dialect: Dialect,
+        suppressed: Callable[[], int],
+    ) -> None:
+        """Build the parts; nothing is opened yet.
+
+        ``suppressed`` counts the log records held back.
+        """
+        self._suppressed = suppressed
         self._settings = settings
         self._limits = ServerLimits()
         self._clients: set[ServerConnection] = set()
@@ -207,6 +216,7 @@
             version=self.knowledge.greeting.version,
             is_platform_away=self.knowledge.is_platform_away,
         )
+        self._meters.set_suppressed(self._suppressed())
         for connection in list(self._clients):
             connection.close_if_due(now)
         self._executor.pool.close_stale()
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -140,7 +140,9 @@
     def __init__(self, count: int) -> None:
         self.hosts = [f'127.0.7.{at + 1}' for at in range(count)]
         self.targets = [FakeTarget(host) for host in self.hosts]
-        self.nodes = [Sidecar(settings(host), DIALECT) for host in self.hosts]
+        self.nodes = [
+            Sidecar(settings(host), DIALECT, int) for host in self.hosts
+        ]
         self.tasks: list[asyncio.Task[None]] = []
 
     async def open(self) -> None:
