--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -316,7 +316,8 @@
                 body=response.body,
             )
         reason = read.reason
-        if read.reason is RefusalReason.CANCELLED:
+        if read.reason is RefusalReason.CANCELLED and run.ended is not None:
+            # Nobody gave the order up, so its time ran out.
             reason = RefusalReason.DEADLINE
         _log.info(
             'run failed',
