Give each run of the tests loopback addresses of its own

Ruled out: a fault of the product; every failure is that bind.

Mend: the addresses of the new loopback tests come from the process id.

--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -11,8 +11,9 @@
     Response,
     encode_request,
 )
+from tests.loopback import own_host
 
-HOST = '127.0.7.8'
+HOST = own_host(108)
 PORT = 18321
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -20,8 +20,9 @@
     encode_frame,
     encode_message,
 )
+from tests.loopback import own_host
 
-HOST = '127.0.7.9'
+HOST = own_host(109)
 PORT = 18311
 
 
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -17,6 +17,7 @@
     StoreSection,
 )
 from lovageshunt.sidecar import Dialect, Sidecar, TargetEntry
+from tests.loopback import own_host
 
 DIALECT = Dialect(
     attempt_id=b'x-attempt',
@@ -138,7 +139,7 @@
     """Nodes by number, from 1; each has a target of the service ``s``."""
 
     def __init__(self, count: int) -> None:
-        self.hosts = [f'127.0.7.{at + 1}' for at in range(count)]
+        self.hosts = [own_host(at + 1) for at in range(count)]
         self.targets = [FakeTarget(host) for host in self.hosts]
         self.nodes = [
             Sidecar(settings(host), DIALECT, int) for host in self.hosts
