Refuse every call whose wait is over, and in time

Cause: found in re-reading. When a target's answer told its load, the queue took it and the actions that it returned were thrown away: a call that stopped waiting in that moment was neither refused nor run, held its place in the executor, and ended as a 504 at its deadline. And the timer was not set again for a call that waits less long than those before it.

Ruled out: the queue itself, which gave the refusal.

Mend: the report goes the way of every event; the timer follows the nearest due time. Two tests failed before (504 for 503; refused only after the call ahead had ended).

--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -114,6 +114,7 @@
         self._published = ('', 0)
         self._next_number = 0
         self._tick: TimerHandle | None = None
+        self._tick_due = float(0)
 
     @property
     def is_empty(self) -> bool:
@@ -186,8 +187,13 @@
 
     def _set_tick(self) -> None:
         due = self._queue.next_wake()
-        if due is None or self._tick is not None:
+        if due is None:
             return
+        if self._tick is not None:
+            if self._tick_due <= due:
+                return
+            self._tick.cancel()
+        self._tick_due = due
         delay = max(0, due - clock_now())
         self._tick = get_running_loop().call_later(delay, self._on_tick)
 
@@ -285,7 +291,7 @@
         elif read.outcome is not Outcome.NOT_RUN:
             self.demand.failed(run.order.kind, now - run.sent_at)
         if read.reported is not None:
-            self._queue.handle(read.reported, now)
+            self._tell(read.reported)
         self._tell(
             Finished(
                 run.call_id,
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -430,6 +430,55 @@
                 assert status_of(await client.read()) == 200
 
 
+class TestWaiting:
+    """Requests that wait for a slot."""
+
+    @pytest.mark.parametrize('seconds', [0.3, 1.2])
+    async def test_refuses_when_the_wait_is_over(self, seconds: float) -> None:
+        """A request that waited its part is refused, whatever else happens:
+        the call before it ends with a report of load, or goes on.
+        """
+        async with world_of(1) as world:
+            target = world.targets[0]
+
+            async def slow(received: Received) -> bytes:
+                await asyncio.sleep(seconds)
+                return answer(received, extra='X-Load: 1\r\n')
+
+            target.serve = slow
+            world.nodes[0].knowledge.take_targets(world.entries(1), 2)
+            first = await client_of(world.hosts[0])
+            second = await client_of(world.hosts[0])
+            first.send('/read/a', left_ms=1900)
+            await wait_until(lambda: target.received)
+            second.send('/read/b', left_ms=500)
+            got = await second.read()
+            assert status_of(got) == 503
+            assert float(got.headers['retry-after']) > 0
+            assert len(target.received) == 1
+
+    async def test_refuses_before_the_call_ahead_has_ended(self) -> None:
+        """A shorter wait than the one begun before is kept all the same."""
+        async with world_of(1) as world:
+            target = world.targets[0]
+            ended: list[str] = []
+
+            async def slow(received: Received) -> bytes:
+                await asyncio.sleep(0.5)
+                ended.append(received.attempt)
+                return answer(received)
+
+            target.serve = slow
+            world.nodes[0].knowledge.take_targets(world.entries(1), 2)
+            first = await client_of(world.hosts[0])
+            second = await client_of(world.hosts[0])
+            first.send('/read/a', left_ms=1900)
+            await wait_until(lambda: target.received)
+            second.send('/read/b', left_ms=300)
+            assert status_of(await second.read()) == 503
+            assert not ended
+
+
 class TestDeadlines:
     """Time that runs out."""
 
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -276,11 +276,18 @@
         self.reader = reader
         self.writer = writer
 
-    def send(self, path: str, *, body: bytes = b'', extra: str = '') -> None:
+    def send(
+        self,
+        path: str,
+        *,
+        body: bytes = b'',
+        extra: str = '',
+        left_ms: int = 1500,
+    ) -> None:
         method = 'POST' if body else 'GET'
         head = (
             f'{method} {path} HTTP/1.1\r\nHost: x.example\r\n'
-            f'X-Attempt: {path}\r\nX-Left: 1500\r\n'
+            f'X-Attempt: {path}\r\nX-Left: {left_ms}\r\n'
             f'Content-Length: {len(body)}\r\n{extra}\r\n'
         )
         self.writer.write(head.encode() + body)
