Say once what was said twice in the new path

Cause: re-reading. The origin gave an attempt up in two places with the same lines; the statuses without a body stood in two modules; the number of nodes was counted from the list for every request, though it changes with the list.

--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -8,6 +8,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from lovageshunt.http1._messages import (
+    BODILESS,
     ExchangeEnd,
     Header,
     Response,
@@ -16,7 +17,6 @@
 
 #: Interim answers, which precede the final one.
 _INTERIM_END: Final = 200
-_BODILESS: Final = frozenset((204, 304))
 _FRAMING: Final = frozenset((b'content-length', b'transfer-encoding'))
 _TIMEOUT_OPTION: Final = b'timeout='
 
@@ -188,7 +188,7 @@
         is_interim = self._status < _INTERIM_END
         if is_interim or self._is_passed_over or self._ready is not None:
             return
-        is_framed = self._is_delimited or self._status in _BODILESS
+        is_framed = self._is_delimited or self._status in BODILESS
         self._keeps_alive = is_framed and self._parser.should_keep_alive()
         self._note_idle_limit()
         self._ready = self._response()
--- a/src/lovageshunt/http1/_messages.py
+++ b/src/lovageshunt/http1/_messages.py
@@ -26,7 +26,7 @@
     {int(status): status.phrase.encode() for status in HTTPStatus},
 )
 #: Statuses whose answers have no body and no length.
-_BODILESS: Final = frozenset((204, 304))
+BODILESS: Final = frozenset((204, 304))
 
 Header = tuple[bytes, bytes]
 
@@ -161,7 +161,7 @@
     """
     reason = _REASON_BY_STATUS.get(status, b'Unknown')
     length = b''
-    if status not in _BODILESS:
+    if status not in BODILESS:
         length = b'content-length: %d\r\n' % len(body)
     connection = b'connection: close\r\n' if closes else b''
     sent_body = body if has_body else b''
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -10,9 +10,9 @@
     ``attempt_id`` is the id that the client gave it, ``target_id`` the only
     target that may run it. ``kind`` names the route. ``importance`` is 0 for
     calls that targets make, which go first, and one more than the route's
-    for requests of clients. ``deadline`` is in
-    seconds on the clock of the node that holds the order; on the wire stands
-    the time that is left. ``fields`` are whole header lines.
+    for requests of clients. ``deadline`` is in seconds on the clock of the
+    node that holds the order; on the wire stands the time that is left.
+    ``fields`` are whole header lines.
     """
 
     __slots__ = (
--- a/src/lovageshunt/pressure/_call_graph.py
+++ b/src/lovageshunt/pressure/_call_graph.py
@@ -22,8 +22,6 @@
 _LEAST_CALLS: Final = 0.3
 #: A kind of which less was run than this says nothing yet.
 _LEAST_RUNS: Final = 4
-
-
 #: Good runs are too few to go by below this part of the failed ones.
 _FEW_GOOD: Final = 0.1
 #: Stands before the kind of runs that failed.
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -84,11 +84,8 @@
         self._dialer_by_host: dict[str, Dialer] = {}
         self._leaving_hosts: set[str] = set()
         self.entry_by_id: dict[str, TargetEntry] = {}
-
-    @property
-    def node_count(self) -> int:
-        """Return how many nodes the list names."""
-        return len({entry.host for entry in self.entry_by_id.values()})
+        #: How many nodes the list names.
+        self.node_count = 0
 
     @property
     def own_entry(self) -> TargetEntry | None:
@@ -116,7 +113,9 @@
         }
         for service, members in members_by_service.items():
             self._placement(service).set_members(members, cold_until_by_id)
-        for host in {entry.host for entry in entries} - {self._own_host}:
+        hosts = {entry.host for entry in entries}
+        self.node_count = len(hosts)
+        for host in hosts - {self._own_host}:
             self.dialer(host).open()
 
     def dialer(self, host: str) -> Dialer:
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -113,10 +113,7 @@
         """Give up a request whose client has left."""
         if call.is_over:
             return
-        if call.entry is not None:
-            self._fleet.abandoned(call.entry)
-        if call.cancel is not None:
-            call.cancel()
+        self._release(call)
         self._answers.note_left(call)
         self._end(call)
 
@@ -259,12 +256,16 @@
         """End a call that is past its deadline."""
         if call.is_over:
             return
+        self._release(call)
+        self._answers.late(call)
+        self._end(call)
+
+    def _release(self, call: OriginCall) -> None:
+        """Give up the attempt in progress, if there is one."""
         if call.entry is not None:
             self._fleet.abandoned(call.entry)
         if call.cancel is not None:
             call.cancel()
-        self._answers.late(call)
-        self._end(call)
 
     def _end(self, call: OriginCall) -> None:
         if call.is_over:
