Charge the calls of repeated runs to the budget for retries

A run that is itself a repeat makes its calls again, and these count as repeats at the services below. A node charged only what it sent again itself, so with repeats at every depth the sum at the bottom could pass the fleet's budget.

Mend: an order says whether it may have run before; the node beside the target knows which part of the runs in progress are repeats, and takes as large a part of the target's calls for repeats. They are counted and not asked about, and are marked for the next hop. Beside it: one sending of a request and one order at the executor have records and a module of their own.

--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -18,8 +18,9 @@
 _LENGTH_SIZE: Final = 4
 #: The largest frame, in bytes: a whole body and its head.
 _MOST_FRAME_BYTES: Final = 80 * 1024 * 1024
-#: Order: importance, whether repeatable, ms left, and eight lengths.
-_ORDER: Final = Struct('!B?I5H2I')
+#: Order: importance, whether repeatable, whether a repeat, ms left, and seven
+#: lengths.
+_ORDER: Final = Struct('!B??I5H2I')
 #: Answer: outcome, reason, ms to come back, status, length of the fields,
 #: whether a load follows, running, waiting, limit, ms of service.
 _ANSWER: Final = Struct('!BBIHI?IIIf')
@@ -105,6 +106,7 @@
     head = _ORDER.pack(
         order.importance,
         order.is_repeatable,
+        order.is_repeat,
         min(left, _MOST_UINT),
         len(order.attempt_id),
         len(target_id),
@@ -135,7 +137,8 @@
         numbers = _ORDER.unpack_from(payload)
     except StructError as error:
         raise MalformedFrameError(str(error)) from error
-    importance, is_repeatable, left_ms, *lengths = numbers
+    importance, is_repeatable, is_repeat = numbers[:3]
+    left_ms, *lengths = numbers[3:]
     parts = _cut(payload, _ORDER.size, lengths)
     return RunOrder(
         attempt_id=parts[0],
@@ -144,6 +147,7 @@
         caller_service=_text(parts[3]),
         importance=importance,
         is_repeatable=is_repeatable,
+        is_repeat=is_repeat,
         deadline=now + left_ms / _MS_PER_SECOND,
         method=parts[4],
         request_target=parts[5],
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -12,7 +12,8 @@
     calls that targets make, which go first, and one more than the route's
     for requests of clients. ``deadline`` is in seconds on the clock of the
     node that holds the order; on the wire stands the time that is left.
-    ``fields`` are whole header lines.
+    ``is_repeat`` tells that the request may have run before, or that the run
+    which makes this call is such a one. ``fields`` are whole header lines.
     """
 
     __slots__ = (
@@ -22,6 +23,7 @@
         'caller_service',
         'importance',
         'is_repeatable',
+        'is_repeat',
         'deadline',
         'method',
         'request_target',
@@ -38,6 +40,7 @@
         caller_service: str,
         importance: int,
         is_repeatable: bool,
+        is_repeat: bool,
         deadline: float,
         method: bytes,
         request_target: bytes,
@@ -51,6 +54,7 @@
         self.caller_service = caller_service
         self.importance = importance
         self.is_repeatable = is_repeatable
+        self.is_repeat = is_repeat
         self.deadline = deadline
         self.method = method
         self.request_target = request_target
--- a/src/lovageshunt/retries/_fleet_budget.py
+++ b/src/lovageshunt/retries/_fleet_budget.py
@@ -64,6 +64,14 @@
         """Count a first request."""
         self._bucket(now).requests += 1
 
+    def repeated_above(self, now: float) -> None:
+        """Count a call that a run makes which was a repeat itself.
+
+        It is a repeat at the service that is called, and nobody asks whether
+        there was one left: the run above would fail without it.
+        """
+        self._bucket(now).retries += 1
+
     def may_spend(self, now: float, count: float = 1) -> bool:
         """Tell whether so many retries are there."""
         self._bucket(now)
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -1,7 +1,6 @@
 """Runs orders at the target beside this node."""
 
 from asyncio import TimerHandle, get_running_loop
-from collections.abc import Callable
 from functools import singledispatchmethod
 from logging import getLogger
 from typing import Final
@@ -27,8 +26,6 @@
     Exchange,
     ExchangeEnd,
     Response,
-    Sending,
-    encode_request,
     forwarded_fields,
 )
 from lovageshunt.links import RunAnswer, RunOrder
@@ -37,9 +34,9 @@
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._meters import Meters
 from lovageshunt.sidecar._reading import ReadAnswer, read_response
+from lovageshunt.sidecar._run import Ended, Run
 
 _log = getLogger(__name__)
-_MS_PER_SECOND: Final = 1000
 #: A request that must not be repeated meets only connections that were used
 #: so lately, in seconds: a server seldom closes those.
 _FRESH_SECONDS: Final = 1.0
@@ -54,34 +51,6 @@
 #: Connections to the target until the configuration tells how many it bears.
 _FIRST_CONNECTIONS: Final = 200
 
-Ended = Callable[[RunAnswer], None]
-
-
-class Run:
-    """One order at this node."""
-
-    __slots__ = (
-        'call_id',
-        'order',
-        'ended',
-        'sending',
-        'arrived_at',
-        'sent_at',
-        'overdue',
-        'resent',
-    )
-
-    def __init__(self, call_id: str, order: RunOrder, ended: Ended) -> None:
-        """Begin in the queue."""
-        self.call_id = call_id
-        self.order = order
-        self.ended: Ended | None = ended
-        self.sending: Sending | None = None
-        self.arrived_at = clock_now()
-        self.sent_at = float(0)
-        self.overdue: TimerHandle | None = None
-        self.resent = False
-
 
 class Executor:
     """Queues orders, sends them to the target and reads what it answers."""
@@ -113,6 +82,7 @@
         self._run_by_call_id: dict[str, Run] = {}
         self._published = ('', 0)
         self._next_number = 0
+        self._repeats_running = 0
         self._tick: TimerHandle | None = None
         self._tick_due = float(0)
 
@@ -126,6 +96,12 @@
         """Return the queue, for those who tell others of it."""
         return self._queue
 
+    @property
+    def repeat_share(self) -> float:
+        """Return the part of the runs in progress that are repeats."""
+        running = self._queue.load().running
+        return self._repeats_running / running if running else 0
+
     def serve_target(self, target_id: str, slots: int) -> None:
         """Take what is published of the target, once it has changed.
 
@@ -209,6 +185,7 @@
     def _dispatch(self, action: Dispatch) -> None:
         run = self._run_by_call_id[action.call_id]
         run.sent_at = clock_now()
+        self._repeats_running += run.is_repeat
         self._send(run)
         delay = max(0, run.order.deadline - clock_now()) + _OVERDUE_SECONDS
         loop = get_running_loop()
@@ -235,7 +212,7 @@
 
     def _send(self, run: Run) -> None:
         exchange = Exchange(
-            encoded=self._encoded(run.order),
+            encoded=run.encoded(self._dialect),
             identity=(self._dialect.attempt_id, run.order.attempt_id),
             has_body=run.order.method != b'HEAD',
             ended=lambda end, response: self._on_ended(run, end, response),
@@ -243,25 +220,6 @@
         fresh = None if run.order.is_repeatable else _FRESH_SECONDS
         run.sending = self.pool.send(exchange, fresh)
 
-    def _encoded(self, order: RunOrder) -> bytes:
-        left = max(1, round((order.deadline - clock_now()) * _MS_PER_SECOND))
-        dialect = self._dialect
-        fields = b'%b%b: %d\r\n%b: %b\r\n%b: %b\r\n' % (
-            order.fields,
-            dialect.time_left,
-            left,
-            dialect.target_id,
-            order.target_id.encode(),
-            dialect.caller_service,
-            order.caller_service.encode(),
-        )
-        return encode_request(
-            method=order.method,
-            target=order.request_target,
-            fields=fields,
-            body=order.body,
-        )
-
     def _cut_off(self, run: Run) -> None:
         """End a call that is past its deadline."""
         if run.sending is not None:
@@ -276,10 +234,13 @@
         if end is ExchangeEnd.CLOSED and self._may_resend(run):
             # The target closed a kept connection as the request came.
             run.resent = True
+            self._repeats_running += not run.is_repeat
+            run.is_repeat = True
             self._send(run)
             return
         if run.overdue is not None:
             run.overdue.cancel()
+        self._repeats_running -= run.is_repeat
         self._run_by_call_id.pop(run.call_id, None)
         read = read_response(end, response, self._dialect)
         now = clock_now()
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -23,8 +23,8 @@
 from lovageshunt.sidecar._answering import Answering
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
-from lovageshunt.sidecar._fleet import Fleet, TargetEntry
-from lovageshunt.sidecar._origin_call import OriginCall
+from lovageshunt.sidecar._fleet import Fleet
+from lovageshunt.sidecar._origin_call import Attempt, OriginCall
 from lovageshunt.sidecar._pressure_reports import PressureReports
 
 _MS_PER_SECOND: Final = 1000
@@ -102,7 +102,7 @@
         call.is_inner = self._reports.arrived(route.name, call.started_at)
         if not call.is_inner and not self._is_let_in(call, route):
             return call
-        self._budget(call.service).requested(call.started_at)
+        self._count(call)
         delay = call.deadline - call.started_at + _OVERDUE_SECONDS
         loop = get_running_loop()
         call.overdue = loop.call_later(delay, self._give_up, call)
@@ -131,6 +131,20 @@
         self._end(call)
         return False
 
+    def _count(self, call: OriginCall) -> None:
+        """Charge the call to the budget for retries to its service.
+
+        A call names no parent, so of the calls that the target makes as
+        large a part is taken for repeats as of the runs in progress.
+        """
+        budget = self._budget(call.service)
+        share = self._executor.repeat_share if call.is_inner else 0
+        call.is_repeat = self._rng.random() < share
+        if call.is_repeat:
+            budget.repeated_above(call.started_at)
+        else:
+            budget.requested(call.started_at)
+
     def _wanted(self, call: OriginCall, route: Route) -> Wanted:
         return Wanted(
             kind=route.name,
@@ -156,8 +170,8 @@
             self._end(call)
             return
         call.tries += 1
-        call.entry = entry
-        call.sent_at = clock_now()
+        attempt = Attempt(entry)
+        call.attempt = attempt
         self._fleet.started(entry)
         order = RunOrder(
             attempt_id=call.attempt_id,
@@ -166,43 +180,43 @@
             caller_service=self._own_service,
             importance=0 if call.is_inner else 1 + route.importance,
             is_repeatable=route.is_repeatable,
+            is_repeat=call.is_repeat or call.has_run,
             deadline=call.deadline,
             method=call.request.method,
             request_target=call.request.target,
             fields=forwarded_fields(call.request.headers, self._dropped),
             body=call.request.body,
         )
-        self._send(call, entry, order)
+        self._send(call, attempt, order)
 
     def _send(
         self,
         call: OriginCall,
-        entry: TargetEntry,
+        attempt: Attempt,
         order: RunOrder,
     ) -> None:
-        ended = partial(self._on_ended, call, entry)
-        if entry.host == self._own_host:
+        ended = partial(self._on_ended, call, attempt)
+        host = attempt.entry.host
+        if host == self._own_host:
             run = self._executor.ordered(order, ended)
-            # The answer may have come, and the next try begun, within.
-            if call.entry is entry:
-                call.cancel = partial(self._executor.abandoned, run)
+            attempt.cancel = partial(self._executor.abandoned, run)
             return
-        dialer = self._fleet.dialer(entry.host)
+        dialer = self._fleet.dialer(host)
         stream = dialer.send(order, ended)
-        call.cancel = partial(dialer.cancel, stream)
+        attempt.cancel = partial(dialer.cancel, stream)
 
     def _on_ended(
         self,
         call: OriginCall,
-        entry: TargetEntry,
+        attempt: Attempt,
         answer: RunAnswer,
     ) -> None:
         if call.is_over:
             return
         now = clock_now()
-        self._fleet.ended(entry, call.kind, answer, now - call.sent_at)
-        call.entry = None
-        call.cancel = None
+        entry = attempt.entry
+        self._fleet.ended(entry, call.kind, answer, now - attempt.sent_at)
+        call.attempt = None
         if answer.outcome is Outcome.ANSWERED:
             self._answers.deliver(call, answer)
             self._end(call)
@@ -262,10 +276,12 @@
 
     def _release(self, call: OriginCall) -> None:
         """Give up the attempt in progress, if there is one."""
-        if call.entry is not None:
-            self._fleet.abandoned(call.entry)
-        if call.cancel is not None:
-            call.cancel()
+        attempt = call.attempt
+        if attempt is None:
+            return
+        self._fleet.abandoned(attempt.entry)
+        if attempt.cancel is not None:
+            attempt.cancel()
 
     def _end(self, call: OriginCall) -> None:
         if call.is_over:
--- a/src/lovageshunt/sidecar/_origin_call.py
+++ b/src/lovageshunt/sidecar/_origin_call.py
@@ -12,11 +12,27 @@
 _MS_PER_SECOND: Final = 1000
 
 
+class Attempt:
+    """One sending of a request to a target, in progress.
+
+    ``cancel`` gives it up, once there is something to be given up.
+    """
+
+    __slots__ = ('entry', 'sent_at', 'cancel')
+
+    def __init__(self, entry: TargetEntry) -> None:
+        """Begin now."""
+        self.entry = entry
+        self.sent_at = clock_now()
+        self.cancel: Callable[[], None] | None = None
+
+
 class OriginCall:
     """A request from its arrival to its answer.
 
     ``has_run`` tells that an attempt may have run, so that the request can no
-    longer be said not to have run. ``is_inner`` tells that a target sent it.
+    longer be said not to have run. ``is_inner`` tells that a target sent it,
+    ``is_repeat`` that it did so in a run that is counted as a repeat.
     """
 
     __slots__ = (
@@ -29,12 +45,11 @@
         'deadline',
         'tries',
         'tried',
-        'entry',
-        'sent_at',
-        'cancel',
+        'attempt',
         'overdue',
         'has_run',
         'is_inner',
+        'is_repeat',
         'is_over',
     )
 
@@ -54,12 +69,11 @@
         self.deadline = float(0)
         self.tries = 0
         self.tried: frozenset[str] = frozenset()
-        self.entry: TargetEntry | None = None
-        self.sent_at = float(0)
-        self.cancel: Callable[[], None] | None = None
+        self.attempt: Attempt | None = None
         self.overdue: TimerHandle | None = None
         self.has_run = False
         self.is_inner = False
+        self.is_repeat = False
         self.is_over = False
 
     @property
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -95,6 +95,7 @@
         caller_service='s',
         importance=1,
         is_repeatable=is_repeatable,
+        is_repeat=False,
         deadline=clock_now() + 5,
         method=b'GET',
         request_target=b'/',
--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -33,6 +33,7 @@
         'caller_service': 'balances',
         'importance': 3,
         'is_repeatable': True,
+        'is_repeat': True,
         'deadline': NOW + 1.5,
         'method': b'POST',
         'request_target': b'/a/b?c',
--- a/tests/retries/test_fleet_budget.py
+++ b/tests/retries/test_fleet_budget.py
@@ -50,6 +50,14 @@
         spent = sum(budget.spend(0) for _ in range(40))
         assert spent == 2
 
+    def test_counts_the_calls_of_repeated_runs(self) -> None:
+        """They are retries at the service that they call."""
+        budget = budget_of(1)
+        for _ in range(28):
+            assert budget.may_spend(0)
+            budget.repeated_above(0)
+        assert not budget.may_spend(0)
+
     def test_forgets_what_left_the_window(self) -> None:
         """A window later the reserve is there again."""
         budget = budget_of(10)
--- /dev/null
+++ b/tests/sidecar/test_executor.py
@@ -0,0 +1,101 @@
+"""The node's side beside its target, by itself."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from lovageshunt.clock import now as clock_now
+from lovageshunt.links import RunAnswer, RunOrder
+from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudget
+from lovageshunt.sidecar._executor import Executor
+from lovageshunt.sidecar._meters import Meters
+from tests.loopback import own_host
+from tests.sidecar.world import (
+    DIALECT,
+    TARGET_PORT,
+    FakeTarget,
+    Received,
+    answer,
+)
+
+
+class HeldTarget(FakeTarget):
+    """Answers once it is let go."""
+
+    def __init__(self, host: str) -> None:
+        super().__init__(host)
+        self.go_on = asyncio.Event()
+
+    async def serve_well(self, received: Received) -> bytes:
+        await self.go_on.wait()
+        return answer(received)
+
+
+@pytest.fixture
+async def target() -> AsyncIterator[HeldTarget]:
+    """Open a target for the time of a test."""
+    held = HeldTarget(own_host(9))
+    await held.open()
+    yield held
+    held.close()
+
+
+def executor_of(target: FakeTarget) -> Executor:
+    settings = FleetBudgetSettings(ratio=0.2, reserve=10, window_seconds=10)
+    return Executor(
+        host=target.host,
+        port=TARGET_PORT,
+        slots=10,
+        dialect=DIALECT,
+        meters=Meters('n'),
+        resends=FleetRetryBudget(settings),
+    )
+
+
+def order(attempt: str, *, is_repeat: bool) -> RunOrder:
+    return RunOrder(
+        attempt_id=attempt.encode(),
+        target_id='i-1',
+        kind='/read/',
+        caller_service='own',
+        importance=1,
+        is_repeatable=True,
+        is_repeat=is_repeat,
+        deadline=clock_now() + 2,
+        method=b'GET',
+        request_target=b'/read/a',
+        fields=b'',
+        body=b'',
+    )
+
+
+class TestRepeatShare:
+    """The part of the runs in progress that are repeats."""
+
+    async def test_is_none_without_runs(self, target: HeldTarget) -> None:
+        """A target that runs nothing repeats nothing."""
+        assert executor_of(target).repeat_share == 0
+
+    async def test_counts_runs_until_they_end(self, target: HeldTarget) -> None:
+        """One repeat of two runs is half, and none once they have ended."""
+        executor = executor_of(target)
+        answers: list[RunAnswer] = []
+        executor.ordered(order('a', is_repeat=True), answers.append)
+        executor.ordered(order('b', is_repeat=False), answers.append)
+        assert executor.repeat_share == 1 / 2
+        target.go_on.set()
+        async with asyncio.timeout(2):
+            while len(answers) < 2:
+                await asyncio.sleep(0.01)
+        assert executor.repeat_share == 0
+
+    async def test_forgets_runs_that_were_given_up(
+        self,
+        target: HeldTarget,
+    ) -> None:
+        """A repeat that is cancelled no longer counts."""
+        executor = executor_of(target)
+        run = executor.ordered(order('a', is_repeat=True), lambda _: None)
+        executor.abandoned(run)
+        assert executor.repeat_share == 0
