Choose the next target once when a call failed

The origin chose a target to learn whether there is another, then chose again to send; between the two the choice could differ, and with no other target a retry was spent that was never made.

Ruled out: asking the placement only for a count (one more way to say which targets may be used).

--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -15,7 +15,6 @@
     FleetBudgetSettings,
     FleetRetryBudget,
     RetryPlace,
-    RetryVerdict,
     may_retry,
 )
 from lovageshunt.routes import Configuration, Route, RouteTable, SplitCursor
@@ -23,7 +22,7 @@
 from lovageshunt.sidecar._answering import Answering
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._executor import Executor
-from lovageshunt.sidecar._fleet import Fleet
+from lovageshunt.sidecar._fleet import Fleet, TargetEntry
 from lovageshunt.sidecar._origin_call import Attempt, OriginCall
 from lovageshunt.sidecar._pressure_reports import PressureReports
 
@@ -106,7 +105,12 @@
         delay = call.deadline - call.started_at + _OVERDUE_SECONDS
         loop = get_running_loop()
         call.overdue = loop.call_later(delay, self._give_up, call)
-        self._try(call)
+        entry = self._fleet.choose(call.service, self._wanted(call, route))
+        if entry is None:
+            self._answers.not_run(call, 'no_target', _NO_TARGET_MS)
+            self._end(call)
+            return call
+        self._try(call, route, entry)
         return call
 
     def abandoned(self, call: OriginCall) -> None:
@@ -159,16 +163,8 @@
             return route.timeout_seconds
         return min(int(text) / _MS_PER_SECOND, route.timeout_seconds)
 
-    def _try(self, call: OriginCall) -> None:
-        """Send a call to a target, the next one if it was sent before."""
-        route = call.route
-        if route is None:
-            return
-        entry = self._fleet.choose(call.service, self._wanted(call, route))
-        if entry is None:
-            self._answers.not_run(call, 'no_target', _NO_TARGET_MS)
-            self._end(call)
-            return
+    def _try(self, call: OriginCall, route: Route, entry: TargetEntry) -> None:
+        """Send a call to a target."""
         call.tries += 1
         attempt = Attempt(entry)
         call.attempt = attempt
@@ -225,31 +221,29 @@
         call.has_run |= answer.outcome is not Outcome.NOT_RUN
         # A doubt about a call that must not be repeated is not asked about:
         # its link has already come back to the same node, or not at all.
-        if self._verdict(call, answer, now).place is RetryPlace.OTHER:
-            self._answers.note_retry(call, answer)
-            self._try(call)
+        route = call.route
+        if route is not None and self._retries(call, route, answer):
             return
         self._answers.failed(call, answer)
         self._end(call)
 
-    def _verdict(
+    def _retries(
         self,
         call: OriginCall,
+        route: Route,
         answer: RunAnswer,
-        now: float,
-    ) -> RetryVerdict:
-        route = call.route
-        if route is None:
-            return RetryVerdict()
-        others = self._fleet.choose(call.service, self._wanted(call, route))
-        return may_retry(
+    ) -> bool:
+        """Send a call to another target if that may be; tell whether."""
+        other = self._fleet.choose(call.service, self._wanted(call, route))
+        if other is None:
+            return False
+        verdict = may_retry(
             Failure(
                 outcome=answer.outcome,
                 reason=answer.reason,
                 tries=call.tries,
-                other_targets=0 if others is None else 1,
             ),
-            now=now,
+            now=clock_now(),
             deadline=call.deadline,
             is_repeatable=route.is_repeatable,
             pool=AllowancePool(route.most_attempts - call.tries),
@@ -257,6 +251,11 @@
             typical_seconds=_LEAST_LEFT_SECONDS,
             random=self._rng,
         )
+        if verdict.place is not RetryPlace.OTHER:
+            return False
+        self._answers.note_retry(call, answer)
+        self._try(call, route, other)
+        return True
 
     def _budget(self, service: str) -> FleetRetryBudget:
         budget = self._budget_by_service.get(service)
