--- a/src/lovageshunt/calls/_outcome.py
+++ b/src/lovageshunt/calls/_outcome.py
@@ -37,3 +37,4 @@
     STALE_PICTURE = 'stale_picture'
     FORBIDDEN = 'forbidden'
     MALFORMED = 'malformed'
+    SHED = 'shed'
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -24,8 +24,9 @@
 #: Answer: outcome, reason, ms to come back, status, length of the fields,
 #: whether a load follows, running, waiting, limit, ms of service.
 _ANSWER: Final = Struct('!BBIHI?IIIf')
-#: Load: running, waiting, limit, ms of service, share; the id follows.
-_LOAD: Final = Struct('!IIIff')
+#: Load: running, waiting, limit, ms of service, share, calls sent and refused
+#: a second; the id follows.
+_LOAD: Final = Struct('!IIIffff')
 _OUTCOMES: Final = tuple(Outcome)
 _REASONS: Final = (None, *RefusalReason)
 _MS_PER_SECOND: Final = 1000
@@ -204,6 +205,8 @@
         news.load.limit,
         news.load.service_ms,
         news.share,
+        news.sent_per_second,
+        news.refused_per_second,
     )
     return head + news.target_id.encode()
 
@@ -211,13 +214,16 @@
 def decode_load(payload: bytes) -> LoadNews:
     """Read a target's load; raises ``MalformedFrameError`` if it is none."""
     try:
-        *load, share = _LOAD.unpack_from(payload)
+        numbers = _LOAD.unpack_from(payload)
     except StructError as error:
         raise MalformedFrameError(str(error)) from error
+    share, sent, refused = numbers[4:]
     return LoadNews(
         target_id=_text(payload[_LOAD.size :]),
-        load=_load_of(load),
+        load=_load_of(list(numbers[:4])),
         share=share,
+        sent_per_second=sent,
+        refused_per_second=refused,
     )
 
 
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -131,10 +131,18 @@
 class LoadNews(Record):
     """A target's load, told to every node several times a second.
 
-    ``share`` is the share of its demand that the target has room for.
+    ``share`` is the share of its demand that the target has room for. Of
+    ``sent_per_second`` calls it refuses ``refused_per_second`` although its
+    node has a slot for them.
     """
 
-    __slots__ = ('target_id', 'load', 'share')
+    __slots__ = (
+        'target_id',
+        'load',
+        'share',
+        'sent_per_second',
+        'refused_per_second',
+    )
 
     def __init__(
         self,
@@ -142,11 +150,15 @@
         target_id: str,
         load: LoadReport,
         share: float,
+        sent_per_second: float,
+        refused_per_second: float,
     ) -> None:
         """Take every field by name."""
         self.target_id = target_id
         self.load = load
         self.share = share
+        self.sent_per_second = sent_per_second
+        self.refused_per_second = refused_per_second
 
 
 class NeedsNews(Record):
@@ -157,6 +169,8 @@
     and then the kind that is called. ``arrived_by_kind`` counts the requests
     of each kind that reached the node from its VM in the last ``seconds``.
     A node that has nothing new to say of its runs leaves both others empty.
+    ``retries_by_service`` is how many calls a second to each service the node
+    may send again.
     ``revision`` and ``version`` are those of a greeting.
     """
 
@@ -167,6 +181,7 @@
         'arrived_by_kind',
         'seconds_by_kind',
         'calls_by_kind_by_kind',
+        'retries_by_service',
         'revision',
         'version',
     )
@@ -180,6 +195,7 @@
         arrived_by_kind: dict[str, int],
         seconds_by_kind: dict[str, float],
         calls_by_kind_by_kind: dict[str, dict[str, float]],
+        retries_by_service: dict[str, float],
         revision: int,
         version: int,
     ) -> None:
@@ -192,3 +208,4 @@
         self.arrived_by_kind = arrived_by_kind
         self.seconds_by_kind = seconds_by_kind
         self.calls_by_kind_by_kind = calls_by_kind_by_kind
+        self.retries_by_service = retries_by_service
--- a/src/lovageshunt/pressure/__init__.py
+++ b/src/lovageshunt/pressure/__init__.py
@@ -6,13 +6,15 @@
 requests whose work would be lost further down.
 """
 
-from lovageshunt.pressure._arrivals import FleetArrivals
 from lovageshunt.pressure._call_graph import CallCounts, CallGraph
 from lovageshunt.pressure._call_watch import CallWatch
 from lovageshunt.pressure._callers import CallerBook
 from lovageshunt.pressure._demand import DemandMeter, DemandSettings
 from lovageshunt.pressure._needs import KindNeeds, NeedsBook
+from lovageshunt.pressure._rates import FleetRates
+from lovageshunt.pressure._refusals import RefusalMeter
 from lovageshunt.pressure._root_gate import RootGate, RootVerdict
+from lovageshunt.pressure._target_room import TargetRoom
 
 __all__ = [
     'CallCounts',
@@ -21,9 +23,11 @@
     'CallerBook',
     'DemandMeter',
     'DemandSettings',
-    'FleetArrivals',
+    'FleetRates',
     'KindNeeds',
     'NeedsBook',
+    'RefusalMeter',
     'RootGate',
     'RootVerdict',
+    'TargetRoom',
 ]
--- a/src/lovageshunt/pressure/_needs.py
+++ b/src/lovageshunt/pressure/_needs.py
@@ -63,19 +63,37 @@
             self.calls_by_kind[called] = before + _WEIGHT * change
 
 
+class _Totals:
+    """Slot-seconds and runs that one request causes, by service."""
+
+    __slots__ = ('work_by_service', 'runs_by_service')
+
+    def __init__(self) -> None:
+        """Begin with none."""
+        self.work_by_service: dict[str, float] = {}
+        self.runs_by_service: dict[str, float] = {}
+
+    def add(self, service: str, runs: float, seconds: float) -> None:
+        """Add runs at a service that take so many seconds each."""
+        work = self.work_by_service.get(service, 0)
+        self.work_by_service[service] = work + runs * seconds
+        known = self.runs_by_service.get(service, 0)
+        self.runs_by_service[service] = known + runs
+
+
 class NeedsBook:
-    """Adds up the slot-seconds that a request needs at every service."""
+    """Adds up the slots and runs that a request needs at every service."""
 
-    __slots__ = ('_by_kind', '_work_by_kind')
+    __slots__ = ('_by_kind', '_totals_by_kind')
 
     def __init__(self) -> None:
         """Begin with nothing known."""
         self._by_kind: dict[str, _Kind] = {}
-        self._work_by_kind: dict[str, dict[str, float]] = {}
+        self._totals_by_kind: dict[str, _Totals] = {}
 
     def learn(self, kind: str, told: KindNeeds) -> None:
         """Take the word of one node; nodes of a service are averaged."""
-        self._work_by_kind = {}
+        self._totals_by_kind = {}
         known = self._by_kind.get(kind)
         if known is None or known.service != told.service:
             self._by_kind[kind] = _Kind(told)
@@ -84,24 +102,30 @@
 
     def work_of(self, kind: str) -> dict[str, float]:
         """Return slot-seconds by service for one request of a kind."""
-        work = self._work_by_kind.get(kind)
-        if work is None:
-            work = {}
-            self._add(kind, 1, work, _MOST_DEPTH)
-            self._work_by_kind[kind] = work
-        return work
+        return self._totals(kind).work_by_service
+
+    def runs_of(self, kind: str) -> dict[str, float]:
+        """Return runs by service that one request of a kind causes."""
+        return self._totals(kind).runs_by_service
+
+    def _totals(self, kind: str) -> _Totals:
+        totals = self._totals_by_kind.get(kind)
+        if totals is None:
+            totals = _Totals()
+            self._add(kind, 1, totals, _MOST_DEPTH)
+            self._totals_by_kind[kind] = totals
+        return totals
 
     def _add(
         self,
         kind: str,
         count: float,
-        work: dict[str, float],
+        totals: _Totals,
         depth: int,
     ) -> None:
         needs = self._by_kind.get(kind)
         if needs is None or depth == 0:
             return
-        seconds = work.get(needs.service, 0) + count * needs.seconds
-        work[needs.service] = seconds
+        totals.add(needs.service, count, needs.seconds)
         for called, calls in needs.calls_by_kind.items():
-            self._add(called, count * calls, work, depth - 1)
+            self._add(called, count * calls, totals, depth - 1)
--- a/src/lovageshunt/retries/__init__.py
+++ b/src/lovageshunt/retries/__init__.py
@@ -5,6 +5,7 @@
 from lovageshunt.retries._fleet_budget import (
     FleetBudgetSettings,
     FleetRetryBudget,
+    FleetRetryBudgets,
 )
 from lovageshunt.retries._pool import AllowancePool
 from lovageshunt.retries._quarantine import Quarantine, QuarantineSettings
@@ -40,6 +41,7 @@
     'Failure',
     'FleetBudgetSettings',
     'FleetRetryBudget',
+    'FleetRetryBudgets',
     'PeerReported',
     'Proceed',
     'Quarantine',
--- a/src/lovageshunt/retries/_fleet_budget.py
+++ b/src/lovageshunt/retries/_fleet_budget.py
@@ -1,6 +1,8 @@
 """One retry budget for a fleet, divided among nodes that do not ask."""
 
 from collections import deque
+from collections.abc import Iterable
+from itertools import accumulate
 from typing import Final
 
 from lovageshunt._record import Record
@@ -8,6 +10,9 @@
 #: The share of the fleet's budget that its nodes use between them: what is
 #: left covers windows that slide and nodes that do not know of one another.
 _USED_SHARE: Final = 0.7
+#: How many times its even part a bucket may spend on refused calls: a little
+#: more, so that the parts that some buckets leave are used.
+_PACE: Final = 1.2
 #: Buckets in one window.
 _BUCKETS: Final = 10
 
@@ -41,7 +46,7 @@
     def __init__(self, number: float) -> None:
         """Begin with none."""
         self.number = number
-        self.requests = 0
+        self.requests = float(0)
         self.retries = float(0)
 
 
@@ -49,7 +54,10 @@
     """This node's part of the budget for retries to one service.
 
     It counts the requests that this node sent itself, of which the ratio is
-    its own, and takes an equal part of the reserve.
+    its own, and takes an equal part of the reserve. A window allows retries
+    for its own requests, for those of the window before it, or for those half
+    a window before it, whichever are most; so when requests become few, as
+    they do when many are refused, the retries of those that are left go on.
     """
 
     __slots__ = ('_settings', '_buckets', 'node_count')
@@ -73,14 +81,18 @@
         self._bucket(now).retries += 1
 
     def may_spend(self, now: float, count: float = 1) -> bool:
-        """Tell whether so many retries are there."""
-        self._bucket(now)
-        requests = sum(bucket.requests for bucket in self._buckets)
-        spent = sum(bucket.retries for bucket in self._buckets)
-        settings = self._settings
-        reserve = settings.reserve / max(1, self.node_count)
-        allowed = _USED_SHARE * (settings.ratio * requests + reserve)
-        return spent + count <= allowed
+        """Tell whether so many retries are there.
+
+        They are if every window that this moment is or will be in has room
+        for them, even if no more requests come.
+        """
+        requests = _sums(each.requests for each in self._recent(now))
+        retries = _sums(each.retries for each in self._recent(now))
+        return all(
+            _latest(retries, later) + count
+            <= self._allowed(_most_requests(requests, later))
+            for later in range(_BUCKETS)
+        )
 
     def spend(self, now: float, count: float = 1) -> bool:
         """Spend retries; return whether they were there."""
@@ -89,12 +101,102 @@
         self._bucket(now).retries += count
         return True
 
+    def keeps_pace(self, now: float) -> bool:
+        """Tell whether this moment has spent no more than its even part.
+
+        When a service begins to refuse calls, all of them together would
+        spend what a window allows within a second.
+        """
+        span = self._settings.window_seconds / _BUCKETS
+        return self._bucket(now).retries < _PACE * span * self.per_second(now)
+
+    def per_second(self, now: float) -> float:
+        """Return the retries a second that a window allows, spent or not."""
+        requests = _sums(each.requests for each in self._recent(now))
+        allowed = self._allowed(_most_requests(requests, 0))
+        return allowed / self._settings.window_seconds
+
+    def _allowed(self, requests: float) -> float:
+        settings = self._settings
+        reserve = settings.reserve / max(1, self.node_count)
+        return _USED_SHARE * (settings.ratio * requests + reserve)
+
+    def _recent(self, now: float) -> list[_Bucket]:
+        """Return the buckets of two windows, the present one last."""
+        newest = self._bucket(now).number
+        by_number = {each.number: each for each in self._buckets}
+        return [
+            by_number.get(newest - age, _NOTHING)
+            for age in range(2 * _BUCKETS - 1, -1, -1)
+        ]
+
     def _bucket(self, now: float) -> _Bucket:
-        """Return the bucket of this moment; forget what left the window."""
+        """Return the bucket of this moment; forget the old ones."""
         span = self._settings.window_seconds / _BUCKETS
         number = now // span
-        while self._buckets and self._buckets[0].number <= number - _BUCKETS:
+        oldest = number - 2 * _BUCKETS
+        while self._buckets and self._buckets[0].number <= oldest:
             self._buckets.popleft()
         if not self._buckets or self._buckets[-1].number != number:
             self._buckets.append(_Bucket(number))
         return self._buckets[-1]
+
+
+class FleetRetryBudgets:
+    """This node's parts of the budgets for retries, by service."""
+
+    __slots__ = ('_settings', '_by_service', 'node_count')
+
+    def __init__(self, settings: FleetBudgetSettings) -> None:
+        """Begin with none; ``node_count`` divides the reserves."""
+        self._settings = settings
+        self._by_service: dict[str, FleetRetryBudget] = {}
+        self.node_count = 1
+
+    def of(self, service: str) -> FleetRetryBudget:
+        """Return the budget for retries to a service."""
+        budget = self._by_service.get(service)
+        if budget is None:
+            budget = FleetRetryBudget(self._settings)
+            self._by_service[service] = budget
+        budget.node_count = self.node_count
+        return budget
+
+    def per_second_by_service(self, now: float) -> dict[str, float]:
+        """Return the retries a second that windows allow, by service."""
+        return {
+            service: budget.per_second(now)
+            for service, budget in self._by_service.items()
+        }
+
+
+#: Stands for the buckets in which nothing happened.
+_NOTHING: Final = _Bucket(float('-inf'))
+
+
+def _sums(counts: Iterable[float]) -> list[float]:
+    """Return the sums of the first none, one, two and more counts."""
+    return list(accumulate(counts, initial=float(0)))
+
+
+def _latest(sums: list[float], later: int) -> float:
+    """Return what so far lies in a window that ends so many buckets later.
+
+    It is a bucket longer than a window, as windows end at any moment.
+    """
+    return sums[-1] - sums[_BUCKETS - 1 + later]
+
+
+def _most_requests(sums: list[float], later: int) -> float:
+    """Return the requests that a window may go by.
+
+    ``sums`` are those of the buckets of two windows, ``later`` by how many
+    buckets the window ends after the present one.
+    """
+    most = 2 * _BUCKETS
+    half_ends = min(later + _BUCKETS + _BUCKETS // 2, most)
+    return max(
+        sums[most] - sums[_BUCKETS + later],
+        sums[_BUCKETS + later] - sums[later],
+        sums[half_ends] - sums[later + _BUCKETS // 2],
+    )
--- a/src/lovageshunt/retries/_verdict.py
+++ b/src/lovageshunt/retries/_verdict.py
@@ -13,6 +13,9 @@
 _MS_PER_SECOND: Final = 1000
 _BACKOFF_SECONDS: Final = 0.02
 _MAX_BACKOFF_SECONDS: Final = 1.0
+#: How often one call is sent to targets that refuse it although there were
+#: slots: of a target that refuses every other call, one call in 64 is left.
+_MOST_SHED_TRIES: Final = 6
 #: Refusals of one node that say nothing of the others.
 _MOVES_ON: Final = frozenset(
     (
@@ -21,6 +24,7 @@
         RefusalReason.STALE_PICTURE,
         RefusalReason.TABLE_FULL,
         RefusalReason.QUEUE_FULL,
+        RefusalReason.SHED,
         RefusalReason.CONNECTION_LOST,
         RefusalReason.TARGET_FAILED,
     )
@@ -158,6 +162,9 @@
     is_full = failure.reason is RefusalReason.QUEUE_FULL
     if is_full and failure.tries > 1:
         return None
+    is_shed = failure.reason is RefusalReason.SHED
+    if is_shed and failure.tries >= _MOST_SHED_TRIES:
+        return None
     return RetryPlace.OTHER
 
 
--- a/src/lovageshunt/routing/_placement.py
+++ b/src/lovageshunt/routing/_placement.py
@@ -37,10 +37,11 @@
 class Wanted(Record):
     """A call to be placed: its kind, its time, and where it must not go.
 
-    ``seconds`` is the time within which its answer is worth most.
+    ``seconds`` is the time within which its answer is worth most, ``among``
+    the targets that it may go to, any if that is nothing.
     """
 
-    __slots__ = ('kind', 'seconds', 'may_explore', 'excluded')
+    __slots__ = ('kind', 'seconds', 'may_explore', 'excluded', 'among')
 
     def __init__(
         self,
@@ -49,12 +50,20 @@
         seconds: float,
         may_explore: bool,
         excluded: frozenset[str] = _NOBODY,
+        among: frozenset[str] | None = None,
     ) -> None:
         """Take every field; ``may_explore`` lets it try a newcomer."""
         self.kind = kind
         self.seconds = seconds
         self.may_explore = may_explore
         self.excluded = excluded
+        self.among = among
+
+    def may_go_to(self, target_id: str) -> bool:
+        """Tell whether the call may be sent to a target."""
+        if target_id in self.excluded:
+            return False
+        return self.among is None or target_id in self.among
 
 
 class Placement:
@@ -114,8 +123,7 @@
         staying = [
             candidate
             for target_id, candidate in self._by_id.items()
-            if target_id not in wanted.excluded
-            and not candidate.member.is_leaving
+            if wanted.may_go_to(target_id) and not candidate.member.is_leaving
         ]
         usable = [
             candidate
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -29,7 +29,12 @@
     forwarded_fields,
 )
 from lovageshunt.links import RunAnswer, RunOrder
-from lovageshunt.pressure import CallWatch, DemandMeter, DemandSettings
+from lovageshunt.pressure import (
+    CallWatch,
+    DemandMeter,
+    DemandSettings,
+    RefusalMeter,
+)
 from lovageshunt.retries import FleetRetryBudget
 from lovageshunt.sidecar._dialect import Dialect
 from lovageshunt.sidecar._meters import Meters
@@ -79,6 +84,8 @@
         #: What is asked of the target, and what runs in it.
         self.demand = DemandMeter(DemandSettings(), clock_now())
         self.watch = CallWatch(clock_now())
+        #: What the target refuses although there was a slot.
+        self.refusals = RefusalMeter(clock_now())
         self._run_by_call_id: dict[str, Run] = {}
         self._published = ('', 0)
         self._next_number = 0
@@ -146,6 +153,7 @@
 
     def advance(self, now: float) -> bool:
         """Close a window of the demand that is over; tell whether one was."""
+        self.refusals.advance(now)
         return self.demand.advance(
             now,
             slots=self._queue.limit,
@@ -247,6 +255,7 @@
         is_good = response is not None and response.status < _FIRST_ERROR
         is_good = is_good and read.outcome is Outcome.ANSWERED
         self.watch.ended(run.order.kind, run.sent_at, now, is_good=is_good)
+        self.refusals.ended(was_refused=read.reason is RefusalReason.SHED)
         if is_good:
             self.demand.ran(run.order.kind, now - run.sent_at)
         elif read.outcome is not Outcome.NOT_RUN:
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -5,15 +5,14 @@
 from random import Random
 from typing import Final
 
-from lovageshunt.calls import Outcome
+from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection, forwarded_fields
 from lovageshunt.links import RunAnswer, RunOrder
 from lovageshunt.retries import (
     AllowancePool,
     Failure,
-    FleetBudgetSettings,
-    FleetRetryBudget,
+    FleetRetryBudgets,
     RetryPlace,
     may_retry,
 )
@@ -50,7 +49,7 @@
         dialect: Dialect,
         executor: Executor,
         fleet: Fleet,
-        budget: FleetBudgetSettings,
+        budgets: FleetRetryBudgets,
         reports: PressureReports,
         answers: Answering,
         rng: Random,
@@ -62,11 +61,10 @@
         self._dropped = dialect.set_here
         self._executor = executor
         self._fleet = fleet
-        self._budget_settings = budget
+        self._budgets = budgets
         self._reports = reports
         self._answers = answers
         self._rng = rng
-        self._budget_by_service: dict[str, FleetRetryBudget] = {}
         self._table: RouteTable | None = None
         self._cursor = SplitCursor()
         self.open_count = 0
@@ -141,7 +139,7 @@
         A call names no parent, so of the calls that the target makes as
         large a part is taken for repeats as of the runs in progress.
         """
-        budget = self._budget(call.service)
+        budget = self._budgets.of(call.service)
         share = self._executor.repeat_share if call.is_inner else 0
         call.is_repeat = self._rng.random() < share
         if call.is_repeat:
@@ -154,7 +152,8 @@
             kind=route.name,
             seconds=min(route.aim_seconds, route.timeout_seconds),
             may_explore=route.is_repeatable,
-            excluded=call.tried,
+            excluded=call.excluded,
+            among=call.may_be_sent_to(route.most_attempts),
         )
 
     def _seconds_left(self, request: Request, route: Route) -> float:
@@ -168,6 +167,7 @@
         call.tries += 1
         attempt = Attempt(entry)
         call.attempt = attempt
+        call.sent_to |= {entry.target_id}
         self._fleet.started(entry)
         order = RunOrder(
             attempt_id=call.attempt_id,
@@ -217,7 +217,7 @@
             self._answers.deliver(call, answer)
             self._end(call)
             return
-        call.tried |= {entry.target_id}
+        call.note_ended(entry.target_id, answer.reason)
         call.has_run |= answer.outcome is not Outcome.NOT_RUN
         # A doubt about a call that must not be repeated is not asked about:
         # its link has already come back to the same node, or not at all.
@@ -235,7 +235,11 @@
     ) -> bool:
         """Send a call to another target if that may be; tell whether."""
         other = self._fleet.choose(call.service, self._wanted(call, route))
-        if other is None:
+        if other is None and call.allow_last():
+            other = self._fleet.choose(call.service, self._wanted(call, route))
+        budget = self._budgets.of(call.service)
+        is_shed = answer.reason is RefusalReason.SHED
+        if other is None or is_shed and not budget.keeps_pace(clock_now()):
             return False
         verdict = may_retry(
             Failure(
@@ -246,8 +250,8 @@
             now=clock_now(),
             deadline=call.deadline,
             is_repeatable=route.is_repeatable,
-            pool=AllowancePool(route.most_attempts - call.tries),
-            budget=self._budget(call.service),
+            pool=AllowancePool(call.attempts_left(route.most_attempts)),
+            budget=budget,
             typical_seconds=_LEAST_LEFT_SECONDS,
             random=self._rng,
         )
@@ -257,14 +261,6 @@
         self._try(call, route, other)
         return True
 
-    def _budget(self, service: str) -> FleetRetryBudget:
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget = FleetRetryBudget(self._budget_settings)
-            self._budget_by_service[service] = budget
-        budget.node_count = self._fleet.node_count
-        return budget
-
     def _give_up(self, call: OriginCall) -> None:
         """End a call that is past its deadline."""
         if call.is_over:
--- a/src/lovageshunt/sidecar/_origin_call.py
+++ b/src/lovageshunt/sidecar/_origin_call.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from lovageshunt.calls import RefusalReason
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection
 from lovageshunt.routes import Route
@@ -33,6 +34,8 @@
     ``has_run`` tells that an attempt may have run, so that the request can no
     longer be said not to have run. ``is_inner`` tells that a target sent it,
     ``is_repeat`` that it did so in a run that is counted as a repeat.
+    ``sent_to`` are the targets that it was sent to, ``excluded`` those that it
+    is not sent to next.
     """
 
     __slots__ = (
@@ -44,7 +47,10 @@
         'started_at',
         'deadline',
         'tries',
-        'tried',
+        'sent_to',
+        'excluded',
+        '_failed_at',
+        '_refused_by',
         'attempt',
         'overdue',
         'has_run',
@@ -68,7 +74,10 @@
         self.started_at = clock_now()
         self.deadline = float(0)
         self.tries = 0
-        self.tried: frozenset[str] = frozenset()
+        self.sent_to: frozenset[str] = frozenset()
+        self.excluded: frozenset[str] = frozenset()
+        self._failed_at: frozenset[str] = frozenset()
+        self._refused_by: frozenset[str] = frozenset()
         self.attempt: Attempt | None = None
         self.overdue: TimerHandle | None = None
         self.has_run = False
@@ -86,6 +95,45 @@
         """Return the time since the request arrived."""
         return clock_now() - self.started_at
 
+    def note_ended(
+        self,
+        target_id: str,
+        reason: RefusalReason | None,
+    ) -> None:
+        """Note why an attempt at a target failed.
+
+        A target that refused the call has not run it and may get it again,
+        though not next if there is another.
+        """
+        if reason is RefusalReason.SHED:
+            self._refused_by |= {target_id}
+            self.excluded = self._failed_at | {target_id}
+            return
+        self._refused_by -= {target_id}
+        self._failed_at |= {target_id}
+        self.excluded = self._failed_at
+
+    def allow_last(self) -> bool:
+        """Let it go to the target that refused it last; tell if there is."""
+        had_more = self.excluded != self._failed_at
+        self.excluded = self._failed_at
+        return had_more
+
+    def may_be_sent_to(self, most_targets: int) -> frozenset[str] | None:
+        """Return the targets it may be sent to, or nothing if any will do.
+
+        Once it was sent to as many as it may be, only those are left that
+        refused it.
+        """
+        if len(self.sent_to) < most_targets:
+            return None
+        return self._refused_by
+
+    def attempts_left(self, most_targets: int) -> int:
+        """Return how often it may still be sent."""
+        targets_left = most_targets - len(self.sent_to)
+        return max(targets_left, len(self._refused_by))
+
     def as_logged(self) -> dict[str, object]:
         """Return what a log line says of every request."""
         return {
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -16,11 +16,13 @@
 from lovageshunt.pressure import (
     CallerBook,
     CallGraph,
-    FleetArrivals,
+    FleetRates,
     KindNeeds,
     NeedsBook,
     RootGate,
+    TargetRoom,
 )
+from lovageshunt.retries import FleetRetryBudgets
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import Knowledge
@@ -31,6 +33,8 @@
 #: The changes of use and of share that are told at once.
 _USE_STEP: Final = 0.06
 _SHARE_STEP: Final = 0.03
+#: The same of the share of calls that the target accepts.
+_ACCEPTED_STEP: Final = 0.1
 #: How often nodes tell of the requests that reached them, in seconds.
 _ARRIVALS_SECONDS: Final = 0.8
 #: The first so many of these reports, and then every one of so many, also
@@ -49,6 +53,8 @@
         '_arrived_by_kind',
         '_reports_told',
         '_arrivals',
+        '_retries',
+        '_budgets',
         '_executor',
         '_fleet',
         '_knowledge',
@@ -57,6 +63,7 @@
         '_needs',
         '_told_use',
         '_told_share',
+        '_told_accepted',
         '_told_at',
         '_needs_told_at',
     )
@@ -67,6 +74,7 @@
         executor: Executor,
         fleet: Fleet,
         knowledge: Knowledge,
+        budgets: FleetRetryBudgets,
         broadcast: Broadcast,
         rng: Random,
     ) -> None:
@@ -77,13 +85,16 @@
         self._broadcast = broadcast
         self._graph = CallGraph()
         self._needs = NeedsBook()
-        self._arrivals = FleetArrivals()
+        self._arrivals = FleetRates()
+        self._retries = FleetRates()
+        self._budgets = budgets
         #: Tells the calls of targets from the requests of clients.
         self.callers = CallerBook()
         #: Decides at the first hop by what was told.
         self.gate = RootGate(
             needs=self._needs,
             arrivals=self._arrivals,
+            retries=self._retries,
             callers=self.callers,
             rng=rng,
         )
@@ -91,6 +102,7 @@
         self._reports_told = 0
         self._told_use = float(0)
         self._told_share = float(1)
+        self._told_accepted = float(1)
         self._told_at = float('-inf')
         self._needs_told_at = float('-inf')
 
@@ -102,20 +114,22 @@
         self.gate.heard(
             entry.service,
             entry.target_id,
-            share=news.share,
-            slots=news.load.limit,
-            now=clock_now(),
+            TargetRoom(
+                share=news.share,
+                slots=news.load.limit,
+                sent_per_second=news.sent_per_second,
+                refused_per_second=news.refused_per_second,
+            ),
+            clock_now(),
         )
 
     def take_needs(self, news: NeedsNews) -> None:
         """Take what runs at a target need, and who sends which kinds."""
         self.callers.learn(news.service, news.node, news.arrived_by_kind)
-        self._arrivals.learn(
-            news.node,
-            news.arrived_by_kind,
-            news.seconds,
-            clock_now(),
-        )
+        now = clock_now()
+        arrived = dict[str, float](news.arrived_by_kind)
+        self._arrivals.learn(news.node, arrived, news.seconds, now)
+        self._retries.learn(news.node, news.retries_by_service, 1, now)
         for kind, seconds in news.seconds_by_kind.items():
             told = KindNeeds(
                 node=news.node,
@@ -149,25 +163,36 @@
             return
         load = self._executor.queue.load()
         share = self._executor.demand.share
+        refusals = self._executor.refusals
+        accepted = refusals.accepted
         use = (load.running + load.waiting) / max(1, load.limit)
         has_changed = (
             abs(use - self._told_use) > _USE_STEP
             or abs(share - self._told_share) > _SHARE_STEP
+            or abs(accepted - self._told_accepted) > _ACCEPTED_STEP
         )
         if not has_changed and now - self._told_at < _LOAD_SECONDS:
             return
         self._told_use = use
         self._told_share = share
+        self._told_accepted = accepted
         self._told_at = now
-        news = LoadNews(target_id=entry.target_id, load=load, share=share)
+        news = LoadNews(
+            target_id=entry.target_id,
+            load=load,
+            share=share,
+            sent_per_second=refusals.sent_per_second,
+            refused_per_second=refusals.refused_per_second,
+        )
         self.take_load(news)
         self._broadcast(FrameKind.LOAD, encode_load(news))
-        if news.share < 1:
+        if share < 1 or accepted < 1 - _ACCEPTED_STEP:
             _log.info(
                 'demand above capacity',
                 extra={
                     'use': round(self._executor.demand.use, 2),
                     'share': round(share, 2),
+                    'accepted': round(accepted, 2),
                     'running': load.running,
                     'waiting': load.waiting,
                     'limit': load.limit,
@@ -194,6 +219,7 @@
             arrived_by_kind=self._take_arrived(),
             seconds_by_kind=seconds_by_kind,
             calls_by_kind_by_kind=calls_by_kind_by_kind,
+            retries_by_service=self._budgets.per_second_by_service(now),
             revision=own.revision,
             version=own.version,
         )
--- a/src/lovageshunt/sidecar/_reading.py
+++ b/src/lovageshunt/sidecar/_reading.py
@@ -68,7 +68,7 @@
     if response.header(dialect.not_run):
         return ReadAnswer(
             outcome=Outcome.NOT_RUN,
-            reason=RefusalReason.QUEUE_FULL,
+            reason=RefusalReason.SHED,
             detail=f'refused by the target with {response.status}',
             reported=reported,
         )
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -19,7 +19,11 @@
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Request, ServerConnection, ServerLimits
 from lovageshunt.links import FrameKind, Greeting, IncomingLink
-from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudget
+from lovageshunt.retries import (
+    FleetBudgetSettings,
+    FleetRetryBudget,
+    FleetRetryBudgets,
+)
 from lovageshunt.routes import Configuration
 from lovageshunt.settings import Address, SidecarSettings
 from lovageshunt.sidecar._answering import Answering
@@ -92,6 +96,7 @@
         )
         target = settings.target
         self._resends = FleetRetryBudget(_part_of(budget, _RESEND_PART))
+        self._retries = FleetRetryBudgets(budget)
         self._links = NodeLinks(
             port=settings.listen.nodes.port,
             greeting=greeting,
@@ -122,6 +127,7 @@
             executor=self._executor,
             fleet=self._fleet,
             knowledge=self.knowledge,
+            budgets=self._retries,
             broadcast=self._links.broadcast,
             rng=rng,
         )
@@ -136,7 +142,7 @@
             dialect=dialect,
             executor=self._executor,
             fleet=self._fleet,
-            budget=budget,
+            budgets=self._retries,
             reports=self._reports,
             answers=Answering(dialect.attempt_id, self._meters),
             rng=rng,
@@ -270,6 +276,7 @@
     def _note_target(self) -> None:
         """Take what the list says of the target beside this node."""
         self._resends.node_count = self._fleet.node_count
+        self._retries.node_count = self._fleet.node_count
         own = self._fleet.own_entry
         if own is not None:
             self._executor.serve_target(own.target_id, own.slots)
--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -144,5 +144,11 @@
 
     def test_keeps_every_field(self) -> None:
         """Load, share and target arrive as they left."""
-        news = LoadNews(target_id='i-1', load=LOAD, share=0.5)
+        news = LoadNews(
+            target_id='i-1',
+            load=LOAD,
+            share=0.5,
+            sent_per_second=40,
+            refused_per_second=2.5,
+        )
         assert decode_load(encode_load(news)) == news
--- a/tests/pressure/test_needs.py
+++ b/tests/pressure/test_needs.py
@@ -34,6 +34,11 @@
         work = book().work_of('check')
         assert work == pytest.approx({'a': 0.2, 'b': 0.2, 'c': 0.12})
 
+    def test_counts_the_runs(self) -> None:
+        """Runs below are counted as often as they are called for."""
+        runs = book().runs_of('check')
+        assert runs == pytest.approx({'a': 1, 'b': 2, 'c': 8})
+
     def test_knows_nothing_of_other_kinds(self) -> None:
         """A kind that nobody told of needs nothing known."""
         assert not book().work_of('other')
--- a/tests/pressure/test_root_gate.py
+++ b/tests/pressure/test_root_gate.py
@@ -9,10 +9,11 @@
 
 from lovageshunt.pressure import (
     CallerBook,
-    FleetArrivals,
+    FleetRates,
     KindNeeds,
     NeedsBook,
     RootGate,
+    TargetRoom,
 )
 
 IMPORTANCE = {'buy': 0, 'check': 2, 'view': 2}
@@ -28,20 +29,31 @@
 
     def __init__(self, room: float) -> None:
         self.slots = round(room * USED_SLOTS * 100)
-        self.arrivals = FleetArrivals()
+        self.arrivals = FleetRates()
+        self.retries = FleetRates()
+        self.accepted = float(1)
+        self.retries_per_second = float(0)
         self.callers = CallerBook()
         self.gate = RootGate(
             needs=needs_of_the_load(),
             arrivals=self.arrivals,
+            retries=self.retries,
             callers=self.callers,
             rng=Random(3),
         )
 
     def tell(self, now: float) -> None:
         # A hundred times the slots and the load, for whole numbers of slots.
-        self.gate.heard('bottom', 't1', share=1, slots=self.slots, now=now)
+        room = TargetRoom(
+            share=1,
+            slots=self.slots,
+            sent_per_second=1000,
+            refused_per_second=1000 * (1 - self.accepted),
+        )
+        self.gate.heard('bottom', 't1', room, now)
         counts = {kind: rate * 100 for kind, rate in RATES.items()}
         self.arrivals.learn('n', counts, 1, now)
+        self.retries.learn('n', {'bottom': self.retries_per_second}, 1, now)
 
 
 def needs_of_the_load() -> NeedsBook:
@@ -64,7 +76,11 @@
 
 def let_in(room: float, seconds: int = 20) -> Counter[str]:
     """Offer the load to a bottom with so much room; return what passes."""
-    fleet = Fleet(room)
+    return offered_to(Fleet(room), seconds)
+
+
+def offered_to(fleet: Fleet, seconds: int = 20) -> Counter[str]:
+    """Offer the load to a fleet; return the parts of it that pass."""
     passed: Counter[str] = Counter()
     offered: Counter[str] = Counter()
     for tick in range(seconds * 10):
@@ -138,3 +154,79 @@
         }
         assert len(waits) > 100
         assert 0 < min(waits) < max(waits) < 1
+
+
+class TestRefusedCalls:
+    """A bottom with room whose targets refuse every other call.
+
+    A purchase needs 4 retries there and a lookup 8, so a hundred times the
+    load needs 96,000 a second.
+    """
+
+    def test_leaves_the_retries_to_the_more_important(self) -> None:
+        """Retries for the purchases only are left to them."""
+        shares = offered_to(refusing(retries_per_second=16_000))
+        assert shares['buy'] > 0.85
+        assert shares['check'] < 0.1
+
+    def test_lets_all_in_if_there_are_enough(self) -> None:
+        """Nobody is refused while the retries suffice."""
+        shares = offered_to(refusing(retries_per_second=97_000))
+        assert set(shares.values()) == {1}
+
+    def test_lets_some_in_without_any(self) -> None:
+        """Some go on, so that the end of the refusals is seen."""
+        shares = offered_to(refusing(retries_per_second=0))
+        assert 0 < shares['buy'] < 0.1
+
+    def test_leaves_other_kinds_alone(self) -> None:
+        """A kind that calls nothing there is not refused for it."""
+        assert offered_to(refusing(retries_per_second=0))['view'] == 1
+
+    def test_serves_more_callers(self) -> None:
+        """With calls sent again while there are retries, more of what the
+        callers hold dear gets its answer than with all let in: a purchase is
+        worth three lookups.
+        """
+        gated = worth_served(offered_to(refusing(retries_per_second=16_000)))
+        open_door = worth_served(Counter({'buy': 1, 'check': 1}))
+        assert gated > 2 * open_door
+
+
+def refusing(retries_per_second: float) -> Fleet:
+    """Return a fleet with ample slots whose bottom refuses half."""
+    fleet = Fleet(1.2)
+    fleet.accepted = 1 / 2
+    fleet.retries_per_second = retries_per_second
+    return fleet
+
+
+class Spare:
+    """The retries that are left in a second."""
+
+    def __init__(self, left: int) -> None:
+        self.left = left
+
+    def gets_through(self, rng: Random) -> bool:
+        """Send one call until it is accepted or no retry is left."""
+        while rng.random() < 1 / 2:
+            if self.left == 0:
+                return False
+            self.left -= 1
+        return True
+
+
+def worth_served(shares: Counter[str], seconds: int = 20) -> float:
+    """Play the calls that these shares make, with 160 retries a second."""
+    rng = Random(5)
+    worth = 0
+    for _ in range(seconds):
+        spare = Spare(160)
+        buys = [('buy', 4)] * round(RATES['buy'] * shares['buy'])
+        checks = [('check', 8)] * round(RATES['check'] * shares['check'])
+        roots = buys + checks
+        rng.shuffle(roots)
+        for kind, calls in roots:
+            if all(spare.gets_through(rng) for _ in range(calls)):
+                worth += 3 if kind == 'buy' else 1
+    return worth
--- a/tests/retries/test_verdict.py
+++ b/tests/retries/test_verdict.py
@@ -68,6 +68,15 @@
 
         assert not _verdict(full).is_retry
 
+    def test_refusal_of_a_target_with_room_is_tried_again(self):
+        """Its next answer may be another; six in a row are enough."""
+        shed = Failure(outcome=Outcome.NOT_RUN, reason=RefusalReason.SHED)
+        for tries in range(1, 6):
+            shed.tries = tries
+            assert _verdict(shed, is_repeatable=False).is_retry
+        shed.tries = 6
+        assert not _verdict(shed).is_retry
+
     def test_failure_of_a_deeper_hop_travels_up(self):
         """The hop nearest to the failure has retried it already."""
         failed = Failure(
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -92,6 +92,21 @@
         placement.heard('n', load(6), 0)
         assert chosen(placement) == {'n': 200}
 
+    def test_goes_to_no_other_than_it_may(self) -> None:
+        """A call that may go to some targets only is sent to one of them."""
+        placement = placement_of(*BOTH)
+        call = Wanted(
+            kind='k',
+            seconds=1,
+            may_explore=False,
+            among=frozenset(('f',)),
+        )
+        found = placement.choose(call, 0)
+        assert found is not None
+        assert found.node == 'f'
+        call.excluded = call.among or NOBODY
+        assert placement.choose(call, 0) is None
+
     def test_spills_by_the_difference_in_load(self) -> None:
         """A full near target gives away calls, not all at once."""
         placement = placement_of(*BOTH)
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -5,7 +5,7 @@
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.http1 import Request, ServerConnection
 from lovageshunt.links import RunAnswer, RunOrder
-from lovageshunt.retries import FleetBudgetSettings
+from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudgets
 from lovageshunt.sidecar._answering import Answering
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
@@ -98,10 +98,12 @@
             dialect=DIALECT,
             executor=self.executor,
             fleet=OwnTargets(),
-            budget=FleetBudgetSettings(
-                ratio=0.2,
-                reserve=RESERVE,
-                window_seconds=10,
+            budgets=FleetRetryBudgets(
+                FleetBudgetSettings(
+                    ratio=0.2,
+                    reserve=RESERVE,
+                    window_seconds=10,
+                ),
             ),
             reports=InnerReports(),
             answers=Answering(DIALECT.attempt_id, Meters('n')),
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -179,6 +179,28 @@
             assert status_of(got) == 503
             assert float(got.headers['retry-after']) > 0
 
+    @pytest.mark.parametrize('path', ['/read/a', '/buy/a'])
+    async def test_sends_what_was_refused_again(self, path: str) -> None:
+        """A call that targets refuse at random gets through, and runs once
+        although it is sent more often than there may be targets.
+        """
+        async with world_of(2) as world:
+            turns = count()
+            ran: list[str] = []
+
+            async def refusing(received: Received) -> bytes:
+                if next(turns) < 4:
+                    extra = 'X-Not-Run: 1\r\n'
+                    return answer(received, status=503, extra=extra)
+                ran.append(received.attempt)
+                return answer(received)
+
+            for target in world.targets:
+                target.serve = refusing
+            client = await client_of(world.hosts[0])
+            assert status_of(await client.ask(path, body=b'x')) == 200
+            assert ran == [path]
+
     async def test_says_not_run_of_nothing_that_may_have_run(self) -> None:
         """A lookup that ran once is not told not to have run by a second
         target's refusal.
