--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -194,6 +194,12 @@
         meaning='share of its demand that the target has room for, 1 if all',
         alert='below 0.5 for 1 min',
     ),
+    MetricSpec(
+        name='lovageshunt_target_accepted_share',
+        kind=GAUGE,
+        meaning='share of the calls sent to it that the target does not refuse',
+        alert='below 0.9 for 10 s while lovageshunt_target_calls has room',
+    ),
     MetricSpec(
         name='lovageshunt_target_calls',
         kind=GAUGE,
--- a/src/lovageshunt/pressure/__init__.py
+++ b/src/lovageshunt/pressure/__init__.py
@@ -13,8 +13,8 @@
 from lovageshunt.pressure._needs import KindNeeds, NeedsBook
 from lovageshunt.pressure._rates import FleetRates
 from lovageshunt.pressure._refusals import RefusalMeter
-from lovageshunt.pressure._root_gate import RootGate, RootVerdict
-from lovageshunt.pressure._target_room import TargetRoom
+from lovageshunt.pressure._root_gate import RootGate, RootVerdict, Shortage
+from lovageshunt.pressure._target_room import TargetRoom, TargetRooms
 
 __all__ = [
     'CallCounts',
@@ -29,5 +29,7 @@
     'RefusalMeter',
     'RootGate',
     'RootVerdict',
+    'Shortage',
     'TargetRoom',
+    'TargetRooms',
 ]
--- a/src/lovageshunt/pressure/_target_room.py
+++ b/src/lovageshunt/pressure/_target_room.py
@@ -1,6 +1,14 @@
-"""What one target has room for, as its node tells it."""
+"""What the targets of the services have room for, as their nodes tell it."""
+
+from statistics import median_high
+from typing import Final
 
 from lovageshunt._record import Record
+from lovageshunt.pressure._refusals import accepted_share
+
+#: What was not told for so long is forgotten, in seconds: nodes tell it each
+#: second at least.
+_MEMORY_SECONDS: Final = 2.0
 
 
 class TargetRoom(Record):
@@ -26,3 +34,66 @@
         self.slots = slots
         self.sent_per_second = sent_per_second
         self.refused_per_second = refused_per_second
+
+
+class _Heard(Record):
+    """The room that one target told, and when."""
+
+    __slots__ = ('room', 'at')
+
+    def __init__(self, *, room: TargetRoom, at: float) -> None:
+        """Take both."""
+        self.room = room
+        self.at = at
+
+
+class TargetRooms:
+    """The latest word of every target, by service."""
+
+    __slots__ = ('_heard_by_target_by_service',)
+
+    def __init__(self) -> None:
+        """Begin with no target."""
+        self._heard_by_target_by_service: dict[str, dict[str, _Heard]] = {}
+
+    @property
+    def services(self) -> list[str]:
+        """Return the services of which something was told."""
+        return list(self._heard_by_target_by_service)
+
+    def heard(
+        self,
+        service: str,
+        target_id: str,
+        room: TargetRoom,
+        now: float,
+    ) -> None:
+        """Take what a target has room for."""
+        by_target = self._heard_by_target_by_service.setdefault(service, {})
+        by_target[target_id] = _Heard(room=room, at=now)
+
+    def slots_of(self, service: str, now: float) -> float:
+        """Return the slots of a service that requests may use."""
+        rooms = self._lately(service, now)
+        if not rooms:
+            return 0
+        # One target that is full while others have room is a matter of
+        # placing, so the one in the middle speaks for all.
+        share = median_high(room.share for room in rooms)
+        return share * sum(room.slots for room in rooms)
+
+    def accepted_of(self, service: str, now: float) -> float:
+        """Return the share of the calls that a service's targets accept."""
+        rooms = self._lately(service, now)
+        return accepted_share(
+            sum(room.sent_per_second for room in rooms),
+            sum(room.refused_per_second for room in rooms),
+        )
+
+    def _lately(self, service: str, now: float) -> list[TargetRoom]:
+        """Return what the targets of a service told lately."""
+        by_target = self._heard_by_target_by_service.get(service, {})
+        for target_id, heard in list(by_target.items()):
+            if now - heard.at > _MEMORY_SECONDS:
+                by_target.pop(target_id)
+        return [heard.room for heard in by_target.values()]
--- a/src/lovageshunt/retries/_fleet_budget.py
+++ b/src/lovageshunt/retries/_fleet_budget.py
@@ -107,8 +107,8 @@
         When a service begins to refuse calls, all of them together would
         spend what a window allows within a second.
         """
-        span = self._settings.window_seconds / _BUCKETS
-        return self._bucket(now).retries < _PACE * span * self.per_second(now)
+        part = self.per_second(now) * self._bucket_seconds
+        return self._bucket(now).retries < _PACE * part
 
     def per_second(self, now: float) -> float:
         """Return the retries a second that a window allows, spent or not."""
@@ -116,6 +116,10 @@
         allowed = self._allowed(_most_requests(requests, 0))
         return allowed / self._settings.window_seconds
 
+    @property
+    def _bucket_seconds(self) -> float:
+        return self._settings.window_seconds / _BUCKETS
+
     def _allowed(self, requests: float) -> float:
         settings = self._settings
         reserve = settings.reserve / max(1, self.node_count)
@@ -132,8 +136,7 @@
 
     def _bucket(self, now: float) -> _Bucket:
         """Return the bucket of this moment; forget the old ones."""
-        span = self._settings.window_seconds / _BUCKETS
-        number = now // span
+        number = now // self._bucket_seconds
         oldest = number - 2 * _BUCKETS
         while self._buckets and self._buckets[0].number <= oldest:
             self._buckets.popleft()
--- a/src/lovageshunt/sidecar/_answering.py
+++ b/src/lovageshunt/sidecar/_answering.py
@@ -61,6 +61,7 @@
         inputs: dict[str, Any] = {}
         if verdict is not None:
             inputs['full'] = verdict.service
+            inputs['short_of'] = verdict.shortage
             inputs['share'] = round(verdict.share, 3)
         status = _BAD_GATEWAY if call.has_run else _UNAVAILABLE
         self._answer(call, status, reason, retry_ms, **inputs)
--- a/src/lovageshunt/sidecar/_meters.py
+++ b/src/lovageshunt/sidecar/_meters.py
@@ -57,6 +57,7 @@
         *,
         load: LoadReport,
         share: float,
+        accepted: float,
         version: int,
         is_platform_away: bool,
     ) -> None:
@@ -66,6 +67,7 @@
         self._metrics.cell(calls, 'waiting').value = load.waiting
         for name, number in (
             ('lovageshunt_demand_share', share),
+            ('lovageshunt_target_accepted_share', accepted),
             ('lovageshunt_configuration_version', version),
             ('lovageshunt_platform_away', float(is_platform_away)),
         ):
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -111,7 +111,7 @@
         entry = self._fleet.heard(news)
         if entry is None:
             return
-        self.gate.heard(
+        self.gate.rooms.heard(
             entry.service,
             entry.target_id,
             TargetRoom(
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -219,6 +219,7 @@
         self._meters.note(
             load=self._executor.queue.load(),
             share=self._executor.demand.share,
+            accepted=self._executor.refusals.accepted,
             version=self.knowledge.greeting.version,
             is_platform_away=self.knowledge.is_platform_away,
         )
--- a/tests/pressure/test_root_gate.py
+++ b/tests/pressure/test_root_gate.py
@@ -13,6 +13,7 @@
     KindNeeds,
     NeedsBook,
     RootGate,
+    Shortage,
     TargetRoom,
 )
 
@@ -50,7 +51,7 @@
             sent_per_second=1000,
             refused_per_second=1000 * (1 - self.accepted),
         )
-        self.gate.heard('bottom', 't1', room, now)
+        self.gate.rooms.heard('bottom', 't1', room, now)
         counts = {kind: rate * 100 for kind, rate in RATES.items()}
         self.arrivals.learn('n', counts, 1, now)
         self.retries.learn('n', {'bottom': self.retries_per_second}, 1, now)
@@ -137,8 +138,8 @@
         """A target that tells nothing for long holds nobody back."""
         fleet = Fleet(0.1)
         fleet.tell(0)
-        assert fleet.gate.room_of('bottom', 1) > 0
-        assert fleet.gate.room_of('bottom', 10) == 0
+        assert fleet.gate.rooms.slots_of('bottom', 1) > 0
+        assert fleet.gate.rooms.slots_of('bottom', 10) == 0
         verdicts = [fleet.gate.verdict('check', 2, 10) for _ in range(50)]
         assert all(each.retry_seconds is None for each in verdicts)
 
@@ -179,6 +180,18 @@
         shares = offered_to(refusing(retries_per_second=0))
         assert 0 < shares['buy'] < 0.1
 
+    def test_says_what_is_short(self) -> None:
+        """Operators can tell a lack of retries from one of slots."""
+        for fleet, shortage in (
+            (refusing(retries_per_second=0), Shortage.RETRIES),
+            (Fleet(0.02), Shortage.SLOTS),
+        ):
+            fleet.tell(0)
+            verdicts = [fleet.gate.verdict('check', 2, 1) for _ in range(50)]
+            found = {each.shortage for each in verdicts if each.retry_seconds}
+            assert found == {shortage}
+            assert {each.service for each in verdicts} == {'bottom'}
+
     def test_leaves_other_kinds_alone(self) -> None:
         """A kind that calls nothing there is not refused for it."""
         assert offered_to(refusing(retries_per_second=0))['view'] == 1
