Part the node's package by job

Ruled out: public names in each part's __init__ (they import one another, and the parts are the daemon's own; `node` offers NodeDaemon and Gate as before).

Mend: serving, gate, egress, control and admin, with the tests beside them; what stays at the top builds and runs a node. Only imports and places changed.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -29,7 +29,7 @@
     StoredAnswer,
 )
 from lovageshunt.node import Gate
-from lovageshunt.node._gate_messages import CallArrived, CallEnded
+from lovageshunt.node.gate._messages import CallArrived, CallEnded
 from lovageshunt.retries import (
     AllowancePool,
     Failure,
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -9,34 +9,38 @@
 from lovageshunt.calls import ContextKey
 from lovageshunt.client import ClientOptions, Engine, Transport
 from lovageshunt.membership import new_incarnation
-from lovageshunt.node._admin import Admin
-from lovageshunt.node._below import CallingTargetLink, CallsBelow
-from lovageshunt.node._call_meter import CallMeter
-from lovageshunt.node._calls import Calls
-from lovageshunt.node._control import Control
 from lovageshunt.node._decisions import election_of, gate_of
-from lovageshunt.node._egress import Egress
-from lovageshunt.node._fleet_view import FleetView
-from lovageshunt.node._identity import Identity
-from lovageshunt.node._ingress import Ingress
-from lovageshunt.node._inquiries import Inquiries
-from lovageshunt.node._life import NodeLife
-from lovageshunt.node._outbox import Outbox
-from lovageshunt.node._peer_link import PeerLink
-from lovageshunt.node._platform_loop import PlatformLoop
-from lovageshunt.node._reports import Reports
 from lovageshunt.node._runtime import Runtime
-from lovageshunt.node._security import (
+from lovageshunt.node.admin._admin import Admin
+from lovageshunt.node.admin._reports import Reports
+from lovageshunt.node.admin._security import (
     admin_tls,
     client_tls,
     ingress_tls,
     read_context_key,
     read_token,
 )
-from lovageshunt.node._servers import EmbeddedServer, ServerTls, make_server
-from lovageshunt.node._settler import Settler
-from lovageshunt.node._settling import Settling
-from lovageshunt.node._target import TargetLink
+from lovageshunt.node.admin._servers import (
+    EmbeddedServer,
+    ServerTls,
+    make_server,
+)
+from lovageshunt.node.control._control import Control
+from lovageshunt.node.control._fleet_view import FleetView
+from lovageshunt.node.control._identity import Identity
+from lovageshunt.node.control._inquiries import Inquiries
+from lovageshunt.node.control._life import NodeLife
+from lovageshunt.node.control._outbox import Outbox
+from lovageshunt.node.control._peer_link import PeerLink
+from lovageshunt.node.control._platform_loop import PlatformLoop
+from lovageshunt.node.control._settler import Settler
+from lovageshunt.node.control._settling import Settling
+from lovageshunt.node.egress._below import CallingTargetLink, CallsBelow
+from lovageshunt.node.egress._egress import Egress
+from lovageshunt.node.serving._call_meter import CallMeter
+from lovageshunt.node.serving._calls import Calls
+from lovageshunt.node.serving._ingress import Ingress
+from lovageshunt.node.serving._target import TargetLink
 from lovageshunt.observability import Metrics, Traces
 from lovageshunt.published import PlatformReader
 from lovageshunt.settings import NodeSettings
--- a/src/lovageshunt/node/_daemon.py
+++ b/src/lovageshunt/node/_daemon.py
@@ -8,7 +8,7 @@
 from typing import Final
 
 from lovageshunt.node._assembly import Assembly
-from lovageshunt.node._servers import EmbeddedServer
+from lovageshunt.node.admin._servers import EmbeddedServer
 from lovageshunt.settings import NodeSettings
 
 _log = getLogger(__name__)
--- a/src/lovageshunt/node/_decisions.py
+++ b/src/lovageshunt/node/_decisions.py
@@ -7,8 +7,8 @@
 from lovageshunt.clock import now
 from lovageshunt.idempotency import RunOnce, RunOnceSettings
 from lovageshunt.membership import ElectionSettings, ReaderElection
-from lovageshunt.node._gate import Gate
-from lovageshunt.node._identity import Identity
+from lovageshunt.node.control._identity import Identity
+from lovageshunt.node.gate._gate import Gate
 from lovageshunt.retries import Quarantine, QuarantineSettings
 from lovageshunt.settings import NodeSettings
 
--- a/src/lovageshunt/node/_runtime.py
+++ b/src/lovageshunt/node/_runtime.py
@@ -22,17 +22,17 @@
     Woke,
 )
 from lovageshunt.membership import EpochClock, PauseEnded
-from lovageshunt.node._calls import Calls
-from lovageshunt.node._control import Control
-from lovageshunt.node._envelope import Envelope
-from lovageshunt.node._errands import Errands
-from lovageshunt.node._gate import Gate
-from lovageshunt.node._gate_messages import LeaveBegun, TimePassed
-from lovageshunt.node._identity import Identity
-from lovageshunt.node._inquiries import Inquiries, wait_for_answer
-from lovageshunt.node._life import NodeLife
-from lovageshunt.node._settler import Settler
-from lovageshunt.node._target import TargetLink
+from lovageshunt.node.control._control import Control
+from lovageshunt.node.control._envelope import Envelope
+from lovageshunt.node.control._identity import Identity
+from lovageshunt.node.control._inquiries import Inquiries, wait_for_answer
+from lovageshunt.node.control._life import NodeLife
+from lovageshunt.node.control._settler import Settler
+from lovageshunt.node.gate._gate import Gate
+from lovageshunt.node.gate._messages import LeaveBegun, TimePassed
+from lovageshunt.node.serving._calls import Calls
+from lovageshunt.node.serving._errands import Errands
+from lovageshunt.node.serving._target import TargetLink
 from lovageshunt.observability import Cell
 from lovageshunt.retries import PeerReported
 
--- a/src/lovageshunt/node/_admin.py
+++ b/src/lovageshunt/node/admin/_admin.py
@@ -12,20 +12,23 @@
 
 from lovageshunt.errors import MalformedEnvelopeError, MalformedSnapshotError
 from lovageshunt.idempotency import InquiryAnswer
-from lovageshunt.node._envelope import MAX_ENVELOPE_BYTES, decode_envelope
-from lovageshunt.node._inquiry_codec import (
+from lovageshunt.node._runtime import Runtime
+from lovageshunt.node.admin._reports import Reports
+from lovageshunt.node.admin._servers import PEER_IS_KNOWN
+from lovageshunt.node.control._envelope import (
+    MAX_ENVELOPE_BYTES,
+    decode_envelope,
+)
+from lovageshunt.node.control._inquiry_codec import (
     decode_hand_over,
     decode_inquiry,
     encode_inquiry_answer,
 )
-from lovageshunt.node._peer_link import (
+from lovageshunt.node.control._peer_link import (
     EXCHANGE_PATH,
     HAND_OVER_PATH,
     INQUIRY_PATH,
 )
-from lovageshunt.node._reports import Reports
-from lovageshunt.node._runtime import Runtime
-from lovageshunt.node._servers import PEER_IS_KNOWN
 
 _JSON: Final = 'application/json'
 _UNAUTHORIZED: Final = 401
--- a/src/lovageshunt/node/_reports.py
+++ b/src/lovageshunt/node/admin/_reports.py
@@ -7,10 +7,10 @@
 from lovageshunt.account import Account, AccountSnapshot, KeptSnapshots, Role
 from lovageshunt.calls import LOWEST_IMPORTANCE, RANK_COUNT
 from lovageshunt.clock import now
-from lovageshunt.node._control import Control
-from lovageshunt.node._gate import Gate
-from lovageshunt.node._life import NodeLife
-from lovageshunt.node._peer_link import PeerLink
+from lovageshunt.node.control._control import Control
+from lovageshunt.node.control._life import NodeLife
+from lovageshunt.node.control._peer_link import PeerLink
+from lovageshunt.node.gate._gate import Gate
 from lovageshunt.observability import Metrics, Traces
 from lovageshunt.rules import Conflict
 
--- a/src/lovageshunt/node/_security.py
+++ b/src/lovageshunt/node/admin/_security.py
@@ -5,7 +5,7 @@
 
 from lovageshunt.calls import ContextKey
 from lovageshunt.errors import ContextKeyError, SecurityFileError
-from lovageshunt.node._servers import ServerTls
+from lovageshunt.node.admin._servers import ServerTls
 from lovageshunt.settings import SecuritySection
 
 
--- /dev/null
+++ b/src/lovageshunt/node/control/__init__.py
@@ -0,0 +1,1 @@
+"""The node's part in the fleet: members, rules, inquiries, peers."""
--- a/src/lovageshunt/node/_control.py
+++ b/src/lovageshunt/node/control/_control.py
@@ -18,10 +18,10 @@
     PeerSilent,
     Ticked,
 )
-from lovageshunt.node._envelope import Envelope
-from lovageshunt.node._fleet_view import FleetView
-from lovageshunt.node._identity import Identity
-from lovageshunt.node._outbox import Outbox
+from lovageshunt.node.control._envelope import Envelope
+from lovageshunt.node.control._fleet_view import FleetView
+from lovageshunt.node.control._identity import Identity
+from lovageshunt.node.control._outbox import Outbox
 from lovageshunt.retries import SuspectReport
 from lovageshunt.routing import RouteMember
 from lovageshunt.rules import (
--- a/src/lovageshunt/node/_fleet_view.py
+++ b/src/lovageshunt/node/control/_fleet_view.py
@@ -23,9 +23,9 @@
     ReadList,
     SendDigest,
 )
-from lovageshunt.node._identity import Identity
-from lovageshunt.node._outbox import Outbox
-from lovageshunt.node._service_peers import ServicePeers
+from lovageshunt.node.control._identity import Identity
+from lovageshunt.node.control._outbox import Outbox
+from lovageshunt.node.control._service_peers import ServicePeers
 
 _log = getLogger(__name__)
 
--- a/src/lovageshunt/node/_inquiries.py
+++ b/src/lovageshunt/node/control/_inquiries.py
@@ -34,19 +34,19 @@
     Redirect,
     StoredAnswer,
 )
-from lovageshunt.node._border import Admissible, forwarded_context
-from lovageshunt.node._control import Control
-from lovageshunt.node._inquiry_codec import (
+from lovageshunt.node.control._control import Control
+from lovageshunt.node.control._inquiry_codec import (
     decode_inquiry_answer,
     encode_hand_over,
     encode_inquiry,
 )
-from lovageshunt.node._peer_link import (
+from lovageshunt.node.control._peer_link import (
     HAND_OVER_PATH,
     INQUIRY_PATH,
     PeerLink,
 )
-from lovageshunt.node._target import forwardable, passing_headers
+from lovageshunt.node.serving._border import Admissible, forwarded_context
+from lovageshunt.node.serving._target import forwardable, passing_headers
 from lovageshunt.retries import SuspectReport
 
 _ANSWER_SECONDS: Final = 1.0
--- a/src/lovageshunt/node/_outbox.py
+++ b/src/lovageshunt/node/control/_outbox.py
@@ -3,9 +3,9 @@
 from asyncio import Task, create_task, wait
 from collections.abc import Callable
 
-from lovageshunt.node._envelope import Envelope
-from lovageshunt.node._identity import Identity
-from lovageshunt.node._peer_link import PeerLink
+from lovageshunt.node.control._envelope import Envelope
+from lovageshunt.node.control._identity import Identity
+from lovageshunt.node.control._peer_link import PeerLink
 
 #: Called with a peer's name and the incarnation that answered, empty if none
 #: did.
--- a/src/lovageshunt/node/_peer_link.py
+++ b/src/lovageshunt/node/control/_peer_link.py
@@ -6,7 +6,7 @@
 from expression import Result
 
 from lovageshunt.client import ExchangeLost, Transport, WholeAnswer
-from lovageshunt.node._envelope import Envelope, encode_envelope
+from lovageshunt.node.control._envelope import Envelope, encode_envelope
 
 EXCHANGE_PATH: Final = '/v1/exchange'
 INQUIRY_PATH: Final = '/v1/inquiry'
--- a/src/lovageshunt/node/_platform_loop.py
+++ b/src/lovageshunt/node/control/_platform_loop.py
@@ -10,7 +10,7 @@
 from lovageshunt._record import Record
 from lovageshunt.errors import PlatformUnavailableError
 from lovageshunt.membership import ListRead, ListReadFailed, VmList
-from lovageshunt.node._reading import document_of, vm_list_of
+from lovageshunt.node.control._reading import document_of, vm_list_of
 from lovageshunt.published import (
     PUBLISHED_RULES,
     PUBLISHED_VMS,
--- a/src/lovageshunt/node/_settler.py
+++ b/src/lovageshunt/node/control/_settler.py
@@ -6,8 +6,8 @@
 from lovageshunt._record import Record
 from lovageshunt.clock import now
 from lovageshunt.idempotency import Settled
-from lovageshunt.node._life import NodeLife
-from lovageshunt.node._settling import Settling
+from lovageshunt.node.control._life import NodeLife
+from lovageshunt.node.control._settling import Settling
 
 _log = getLogger(__name__)
 
--- a/src/lovageshunt/node/_settling.py
+++ b/src/lovageshunt/node/control/_settling.py
@@ -5,9 +5,9 @@
 
 from lovageshunt.client import LossKind
 from lovageshunt.membership import Bulletin, Member
-from lovageshunt.node._control import Control
-from lovageshunt.node._outbox import Outbox
-from lovageshunt.node._peer_link import PeerLink
+from lovageshunt.node.control._control import Control
+from lovageshunt.node.control._outbox import Outbox
+from lovageshunt.node.control._peer_link import PeerLink
 
 _ROUND_SECONDS: Final = 1.0
 
--- /dev/null
+++ b/src/lovageshunt/node/egress/__init__.py
@@ -0,0 +1,1 @@
+"""The calls that the target makes through its node."""
--- a/src/lovageshunt/node/_below.py
+++ b/src/lovageshunt/node/egress/_below.py
@@ -16,7 +16,7 @@
 )
 from lovageshunt.client import CallScope, Engine, Inbound, Transport
 from lovageshunt.clock import now
-from lovageshunt.node._target import TargetLink, TargetReply
+from lovageshunt.node.serving._target import TargetLink, TargetReply
 
 #: What the target's own outcome becomes once it has called others: nothing
 #: of its call can be said not to have run.
--- a/src/lovageshunt/node/_egress.py
+++ b/src/lovageshunt/node/egress/_egress.py
@@ -37,10 +37,10 @@
     CallNotRunError,
 )
 from lovageshunt.idempotency import Ending
-from lovageshunt.node._below import CallBelow, CallsBelow
-from lovageshunt.node._border import Page, page_of
-from lovageshunt.node._control import Control
-from lovageshunt.node._target import forwardable
+from lovageshunt.node.control._control import Control
+from lovageshunt.node.egress._below import CallBelow, CallsBelow
+from lovageshunt.node.serving._border import Page, page_of
+from lovageshunt.node.serving._target import forwardable
 
 #: How long a picture of members and rules is used before it is taken anew.
 _VIEW_SECONDS: Final = 0.2
--- /dev/null
+++ b/src/lovageshunt/node/gate/__init__.py
@@ -0,0 +1,1 @@
+"""One call's way through the decisions beside its target."""
--- a/src/lovageshunt/node/_gate_actions.py
+++ b/src/lovageshunt/node/gate/_actions.py
@@ -18,8 +18,8 @@
     Run,
     Wait,
 )
-from lovageshunt.node._gate_messages import CallArrived, CancelForward
-from lovageshunt.node._gate_state import RETRY_AFTER_MS, GateState
+from lovageshunt.node.gate._messages import CallArrived, CancelForward
+from lovageshunt.node.gate._state import RETRY_AFTER_MS, GateState
 from lovageshunt.retries import CallEnded as FlightEnded
 from lovageshunt.retries import (
     CallStarting,
--- a/src/lovageshunt/node/_gate_events.py
+++ b/src/lovageshunt/node/gate/_events.py
@@ -20,8 +20,8 @@
     Ticked,
     WaiterCancelled,
 )
-from lovageshunt.node._gate_actions import enter, follow
-from lovageshunt.node._gate_messages import (
+from lovageshunt.node.gate._actions import enter, follow
+from lovageshunt.node.gate._messages import (
     CallAbandoned,
     CallArrived,
     CallEnded,
@@ -30,7 +30,7 @@
     TargetDown,
     TimePassed,
 )
-from lovageshunt.node._gate_state import RETRY_AFTER_MS, Arrival, GateState
+from lovageshunt.node.gate._state import RETRY_AFTER_MS, Arrival, GateState
 from lovageshunt.retries import CallEnded as FlightEnded
 from lovageshunt.retries import PeerReported, TargetCrashed
 
--- a/src/lovageshunt/node/_gate.py
+++ b/src/lovageshunt/node/gate/_gate.py
@@ -11,8 +11,8 @@
 from lovageshunt.admission import Admission
 from lovageshunt.calls import LoadReport
 from lovageshunt.idempotency import RunOnce
-from lovageshunt.node._gate_events import take
-from lovageshunt.node._gate_state import GateState
+from lovageshunt.node.gate._events import take
+from lovageshunt.node.gate._state import GateState
 from lovageshunt.retries import Quarantine
 
 
--- a/src/lovageshunt/node/_gate_state.py
+++ b/src/lovageshunt/node/gate/_state.py
@@ -5,7 +5,7 @@
 from lovageshunt._record import Record
 from lovageshunt.admission import Admission, CallerThresholds
 from lovageshunt.idempotency import Ending, RunOnce
-from lovageshunt.node._gate_messages import CallArrived, Forward, Reply
+from lovageshunt.node.gate._messages import CallArrived, Forward, Reply
 from lovageshunt.retries import Quarantine
 
 #: When to come back after an ending that did not say it.
--- a/src/lovageshunt/node/_call.py
+++ b/src/lovageshunt/node/serving/_call.py
@@ -3,9 +3,9 @@
 from asyncio import Future, Task, get_running_loop
 
 from lovageshunt.client import Inbound
-from lovageshunt.node._border import Admissible
-from lovageshunt.node._gate_messages import Reply
-from lovageshunt.node._target import TargetReply
+from lovageshunt.node.gate._messages import Reply
+from lovageshunt.node.serving._border import Admissible
+from lovageshunt.node.serving._target import TargetReply
 from lovageshunt.observability import ActiveSpan
 
 
--- a/src/lovageshunt/node/_call_meter.py
+++ b/src/lovageshunt/node/serving/_call_meter.py
@@ -6,9 +6,9 @@
 from lovageshunt.account import Account
 from lovageshunt.calls import LOWEST_IMPORTANCE, Outcome, RefusalReason
 from lovageshunt.clock import now
-from lovageshunt.node._border import Admissible
-from lovageshunt.node._call import CallInProgress
-from lovageshunt.node._gate_messages import Reply
+from lovageshunt.node.gate._messages import Reply
+from lovageshunt.node.serving._border import Admissible
+from lovageshunt.node.serving._call import CallInProgress
 from lovageshunt.observability import ActiveSpan, Metrics, Traces
 from lovageshunt.rules import KindRule
 
--- a/src/lovageshunt/node/_calls.py
+++ b/src/lovageshunt/node/serving/_calls.py
@@ -25,11 +25,10 @@
     Redirect,
     StoredAnswer,
 )
-from lovageshunt.node._border import Admissible, forwarded_context
-from lovageshunt.node._call import CallInProgress
-from lovageshunt.node._call_meter import CallMeter
-from lovageshunt.node._gate import Gate
-from lovageshunt.node._gate_messages import (
+from lovageshunt.node.control._identity import Identity
+from lovageshunt.node.control._inquiries import Inquiries
+from lovageshunt.node.gate._gate import Gate
+from lovageshunt.node.gate._messages import (
     CallAbandoned,
     CallEnded,
     CallRedirected,
@@ -38,9 +37,10 @@
     Reply,
     TargetDown,
 )
-from lovageshunt.node._identity import Identity
-from lovageshunt.node._inquiries import Inquiries
-from lovageshunt.node._target import (
+from lovageshunt.node.serving._border import Admissible, forwarded_context
+from lovageshunt.node.serving._call import CallInProgress
+from lovageshunt.node.serving._call_meter import CallMeter
+from lovageshunt.node.serving._target import (
     TargetLink,
     TargetReply,
     forwardable,
--- a/src/lovageshunt/node/_ingress.py
+++ b/src/lovageshunt/node/serving/_ingress.py
@@ -31,7 +31,10 @@
 from lovageshunt.clock import now
 from lovageshunt.errors import MalformedSnapshotError
 from lovageshunt.idempotency import Ending
-from lovageshunt.node._border import (
+from lovageshunt.node.control._control import Control
+from lovageshunt.node.gate._gate import Gate
+from lovageshunt.node.gate._messages import CallArrived, Reply
+from lovageshunt.node.serving._border import (
     Admissible,
     admissible_of,
     fingerprint_of,
@@ -39,12 +42,9 @@
     refusal_body,
     stated_ending,
 )
-from lovageshunt.node._call import CallInProgress
-from lovageshunt.node._call_meter import CallMeter
-from lovageshunt.node._calls import Calls
-from lovageshunt.node._control import Control
-from lovageshunt.node._gate import Gate
-from lovageshunt.node._gate_messages import CallArrived, Reply
+from lovageshunt.node.serving._call import CallInProgress
+from lovageshunt.node.serving._call_meter import CallMeter
+from lovageshunt.node.serving._calls import Calls
 from lovageshunt.rules import KindRule
 
 _MS_PER_SECOND: Final = 1000
--- a/tests/node/test_fleet_view.py
+++ b/tests/node/control/test_fleet_view.py
@@ -13,10 +13,10 @@
     ReaderElection,
     VmList,
 )
-from lovageshunt.node._fleet_view import FleetView
-from lovageshunt.node._identity import Identity
-from lovageshunt.node._outbox import Outbox
-from lovageshunt.node._peer_link import PeerLink
+from lovageshunt.node.control._fleet_view import FleetView
+from lovageshunt.node.control._identity import Identity
+from lovageshunt.node.control._outbox import Outbox
+from lovageshunt.node.control._peer_link import PeerLink
 
 
 def make_fleet_view():
--- a/tests/node/test_inquiry_codec.py
+++ b/tests/node/control/test_inquiry_codec.py
@@ -12,7 +12,7 @@
     InquiryAnswer,
     StoredAnswer,
 )
-from lovageshunt.node._inquiry_codec import (
+from lovageshunt.node.control._inquiry_codec import (
     decode_hand_over,
     decode_inquiry,
     decode_inquiry_answer,
--- a/tests/node/test_platform_loop.py
+++ b/tests/node/control/test_platform_loop.py
@@ -8,7 +8,7 @@
 from expression import Error, Ok
 
 from lovageshunt.errors import PlatformUnavailableError
-from lovageshunt.node._platform_loop import PlatformLoop
+from lovageshunt.node.control._platform_loop import PlatformLoop
 from lovageshunt.published import Published
 from lovageshunt.rules import encode_document, parse_sheet
 from tests.node.parts import SHEET
--- a/tests/node/test_gate.py
+++ b/tests/node/gate/test_gate.py
@@ -20,7 +20,7 @@
     Woke,
 )
 from lovageshunt.node import Gate
-from lovageshunt.node._gate_messages import (
+from lovageshunt.node.gate._messages import (
     CallAbandoned,
     CallArrived,
     CallEnded,
--- a/tests/node/parts.py
+++ b/tests/node/parts.py
@@ -6,7 +6,11 @@
 import orjson
 
 from lovageshunt.node._assembly import Assembly
-from lovageshunt.node._servers import EmbeddedServer, ServerTls, make_server
+from lovageshunt.node.admin._servers import (
+    EmbeddedServer,
+    ServerTls,
+    make_server,
+)
 from lovageshunt.rules import encode_document, parse_sheet
 from lovageshunt.settings import load_node_settings
 from standins.fleet import free_address
--- a/tests/node/test_calls.py
+++ b/tests/node/serving/test_calls.py
@@ -6,16 +6,16 @@
 from lovageshunt.calls import CallContext, Outcome, RefusalReason
 from lovageshunt.client import Inbound
 from lovageshunt.clock import now
-from lovageshunt.node._border import Admissible
-from lovageshunt.node._calls import Calls
-from lovageshunt.node._gate_messages import (
+from lovageshunt.node.gate._messages import (
     CallAbandoned,
     CallEnded,
     CancelForward,
     Forward,
     TargetDown,
 )
-from lovageshunt.node._target import TargetReply
+from lovageshunt.node.serving._border import Admissible
+from lovageshunt.node.serving._calls import Calls
+from lovageshunt.node.serving._target import TargetReply
 from lovageshunt.rules import default_kind
 
 
--- a/tests/node/test_target.py
+++ b/tests/node/serving/test_target.py
@@ -12,7 +12,7 @@
     encode_answer,
 )
 from lovageshunt.client import Inbound, Transport
-from lovageshunt.node._target import TargetLink, passing_headers
+from lovageshunt.node.serving._target import TargetLink, passing_headers
 from tests.client.wire import exchange_with
 
 _INBOUND = Inbound(
--- a/tests/node/test_daemon.py
+++ b/tests/node/test_daemon.py
@@ -8,7 +8,7 @@
 import pytest
 
 from lovageshunt.node import NodeDaemon
-from lovageshunt.node._servers import ServerTls, make_server
+from lovageshunt.node.admin._servers import ServerTls, make_server
 from lovageshunt.settings import load_node_settings
 from tests.node.parts import NodeParts, answer, read_body, serving
 
--- a/tests/node/test_runtime.py
+++ b/tests/node/test_runtime.py
@@ -3,9 +3,9 @@
 import asyncio
 from types import SimpleNamespace
 
-from lovageshunt.node._gate_messages import TimePassed
-from lovageshunt.node._life import NodeLife
 from lovageshunt.node._runtime import Runtime
+from lovageshunt.node.control._life import NodeLife
+from lovageshunt.node.gate._messages import TimePassed
 
 _TURNS = 3
 _ENOUGH_SECONDS = 3
