State the fields of a VM once

Announcement, ListNews, ListedVm and Member each stated the same six fields, checked them by the same six names and copied them one by one.

Mend: VmFacts has them; the four add their own, and `facts()` copies them. Wire names and their order are as before.

--- a/src/lovageshunt/membership/_listing.py
+++ b/src/lovageshunt/membership/_listing.py
@@ -162,6 +162,4 @@
 
 
 def _news(vm: ListedVm, state: VmState, revision: int) -> ListNews:
-    fields = vm.as_dict()
-    fields['state'] = state
-    return ListNews(revision=revision, **fields)
+    return ListNews(revision=revision, state=state, **vm.facts())
--- a/src/lovageshunt/membership/_member.py
+++ b/src/lovageshunt/membership/_member.py
@@ -1,9 +1,11 @@
 """A VM of a service as this node sees it."""
 
-from lovageshunt._record import Record
+from typing import Unpack
 
+from lovageshunt.membership._vms import VmFactFields, VmFacts
 
-class Member(Record):
+
+class Member(VmFacts):
     """A VM that a call may be sent to, or lately could.
 
     ``incarnation`` is empty until the node itself was heard. ``is_suspect``
@@ -13,12 +15,6 @@
     """
 
     __slots__ = (
-        'name',
-        'service',
-        'failure_domain',
-        'region',
-        'address',
-        'admin_address',
         'incarnation',
         'is_leaving',
         'is_suspect',
@@ -28,24 +24,14 @@
     def __init__(
         self,
         *,
-        name: str,
-        service: str,
-        failure_domain: str,
-        region: str,
-        address: str,
-        admin_address: str = '',
         incarnation: str = '',
         is_leaving: bool = False,
         is_suspect: bool = False,
         last_heard: float = -1.0,
+        **facts: Unpack[VmFactFields],
     ) -> None:
         """Take every field by name; the defaults suit a VM never heard."""
-        self.name = name
-        self.service = service
-        self.failure_domain = failure_domain
-        self.region = region
-        self.address = address
-        self.admin_address = admin_address
+        super().__init__(**facts)
         self.incarnation = incarnation
         self.is_leaving = is_leaving
         self.is_suspect = is_suspect
--- a/src/lovageshunt/membership/_messages.py
+++ b/src/lovageshunt/membership/_messages.py
@@ -1,13 +1,13 @@
 """What nodes tell each other about members, and its checked decoding."""
 
-from typing import Any, Final, Self, TypeVar
+from typing import Any, Final, Self, TypeVar, Unpack
 
 import orjson
 
 from lovageshunt._record import Record
 from lovageshunt.errors import MalformedMembershipError
 from lovageshunt.membership._news import NO_NEWS
-from lovageshunt.membership._vms import VmState
+from lovageshunt.membership._vms import VmFactFields, VmFacts, VmState
 
 #: No count of milliseconds on the wire may be larger.
 _MAX_MS: Final = 2**31
@@ -20,7 +20,7 @@
 _MessageT = TypeVar('_MessageT')
 
 
-class Announcement(Record):
+class Announcement(VmFacts):
     """A node's own word about itself; nobody else makes one.
 
     ``incarnation`` sorts by the time at which the node started. ``age_ms``
@@ -28,12 +28,6 @@
     """
 
     __slots__ = (
-        'name',
-        'service',
-        'failure_domain',
-        'region',
-        'address',
-        'admin_address',
         'incarnation',
         'is_leaving',
         'age_ms',
@@ -42,23 +36,13 @@
     def __init__(
         self,
         *,
-        name: str,
-        service: str,
-        failure_domain: str,
-        region: str,
-        address: str,
         incarnation: str,
-        admin_address: str = '',
         is_leaving: bool = False,
         age_ms: int = 0,
+        **facts: Unpack[VmFactFields],
     ) -> None:
         """Take every field by name."""
-        self.name = name
-        self.service = service
-        self.failure_domain = failure_domain
-        self.region = region
-        self.address = address
-        self.admin_address = admin_address
+        super().__init__(**facts)
         self.incarnation = incarnation
         self.is_leaving = is_leaving
         self.age_ms = age_ms
@@ -67,16 +51,7 @@
     def from_fields(cls, fields: object) -> Self:
         """Decode an announcement; raises ``MalformedMembershipError``."""
         known = _checked_fields(cls, fields)
-        _check_texts(
-            known,
-            'name',
-            'service',
-            'failure_domain',
-            'region',
-            'address',
-            'admin_address',
-            'incarnation',
-        )
+        _check_texts(known, *VmFacts.__slots__, 'incarnation')
         _check_count(known, 'age_ms', _MAX_MS)
         if not isinstance(known.get('is_leaving', False), bool):
             raise MalformedMembershipError(
@@ -85,19 +60,13 @@
         return _made(cls, known)
 
 
-class ListNews(Record):
+class ListNews(VmFacts):
     """What a reader of the platform saw change in its list.
 
     ``state`` is ``GONE`` when the list names the VM no longer.
     """
 
     __slots__ = (
-        'name',
-        'service',
-        'failure_domain',
-        'region',
-        'address',
-        'admin_address',
         'state',
         'revision',
         'age_ms',
@@ -106,23 +75,13 @@
     def __init__(
         self,
         *,
-        name: str,
-        service: str,
-        failure_domain: str,
-        region: str,
-        address: str,
         state: VmState,
         revision: int,
-        admin_address: str = '',
         age_ms: int = 0,
+        **facts: Unpack[VmFactFields],
     ) -> None:
         """Take every field by name."""
-        self.name = name
-        self.service = service
-        self.failure_domain = failure_domain
-        self.region = region
-        self.address = address
-        self.admin_address = admin_address
+        super().__init__(**facts)
         self.state = state
         self.revision = revision
         self.age_ms = age_ms
@@ -131,15 +90,7 @@
     def from_fields(cls, fields: object) -> Self:
         """Decode news of the list; raises ``MalformedMembershipError``."""
         known = _checked_fields(cls, fields)
-        _check_texts(
-            known,
-            'name',
-            'service',
-            'failure_domain',
-            'region',
-            'address',
-            'admin_address',
-        )
+        _check_texts(known, *VmFacts.__slots__)
         _check_count(known, 'age_ms', _MAX_MS)
         _check_count(known, 'revision', _MAX_REVISION)
         try:
--- a/src/lovageshunt/membership/_tracked.py
+++ b/src/lovageshunt/membership/_tracked.py
@@ -124,25 +124,9 @@
 
 def tracked_from_list(vm: ListedVm) -> Tracked:
     """Return a VM that is known from the list alone."""
-    member = Member(
-        name=vm.name,
-        service=vm.service,
-        failure_domain=vm.failure_domain,
-        region=vm.region,
-        address=vm.address,
-        admin_address=vm.admin_address,
-    )
-    return Tracked(member, vm.state)
+    return Tracked(Member(**vm.facts()), vm.state)
 
 
 def tracked_from_word(announcement: Announcement) -> Tracked:
     """Return a VM that is known from its own word alone."""
-    member = Member(
-        name=announcement.name,
-        service=announcement.service,
-        failure_domain=announcement.failure_domain,
-        region=announcement.region,
-        address=announcement.address,
-        admin_address=announcement.admin_address,
-    )
-    return Tracked(member, listed=None)
+    return Tracked(Member(**announcement.facts()), listed=None)
--- a/src/lovageshunt/membership/_view.py
+++ b/src/lovageshunt/membership/_view.py
@@ -255,12 +255,4 @@
 
 
 def _listed_vm(news: ListNews) -> ListedVm:
-    return ListedVm(
-        name=news.name,
-        service=news.service,
-        failure_domain=news.failure_domain,
-        region=news.region,
-        address=news.address,
-        admin_address=news.admin_address,
-        state=news.state,
-    )
+    return ListedVm(state=news.state, **news.facts())
--- a/src/lovageshunt/membership/_vms.py
+++ b/src/lovageshunt/membership/_vms.py
@@ -1,6 +1,7 @@
 """The list of VMs as the platform publishes it."""
 
 from enum import StrEnum
+from typing import NotRequired, TypedDict, Unpack
 
 from lovageshunt._record import Record
 
@@ -13,8 +14,19 @@
     GONE = 'gone'
 
 
-class ListedVm(Record):
-    """One entry of the list.
+class VmFactFields(TypedDict):
+    """The fields of ``VmFacts``, for those that have more."""
+
+    name: str
+    service: str
+    failure_domain: str
+    region: str
+    address: str
+    admin_address: NotRequired[str]
+
+
+class VmFacts(Record):
+    """What does not change in a VM's life.
 
     ``address`` is where the node takes calls and ``admin_address`` where it
     takes administration and exchange, each "ip:port".
@@ -27,7 +39,6 @@
         'region',
         'address',
         'admin_address',
-        'state',
     )
 
     def __init__(
@@ -39,7 +50,6 @@
         region: str,
         address: str,
         admin_address: str = '',
-        state: VmState = VmState.LIVE,
     ) -> None:
         """Take every field by name."""
         self.name = name
@@ -48,6 +58,32 @@
         self.region = region
         self.address = address
         self.admin_address = admin_address
+
+    def facts(self) -> VmFactFields:
+        """Return these fields, for another record of the same VM."""
+        return {
+            'name': self.name,
+            'service': self.service,
+            'failure_domain': self.failure_domain,
+            'region': self.region,
+            'address': self.address,
+            'admin_address': self.admin_address,
+        }
+
+
+class ListedVm(VmFacts):
+    """One entry of the list."""
+
+    __slots__ = ('state',)
+
+    def __init__(
+        self,
+        *,
+        state: VmState = VmState.LIVE,
+        **facts: Unpack[VmFactFields],
+    ) -> None:
+        """Take every field by name."""
+        super().__init__(**facts)
         self.state = state
 
 
