--- a/tests/cli/test_status.py
+++ b/tests/cli/test_status.py
@@ -3,8 +3,8 @@
 import orjson
 
 from lovageshunt.cli import main
+from tests.authority import Authority
 from tests.cli.admin_server import admin_server
-from tests.cli.certificate import write_certificate
 
 BODY = {'node': 'n1', 'incarnation': 'a', 'service': 'balances', 'limit': 12}
 
@@ -45,13 +45,14 @@
 
     def test_nodes_are_asked_by_tls(self, tmp_path):
         """A node whose certificate the authority vouches for is asked."""
-        certificate = write_certificate(tmp_path)
+        authority = Authority(tmp_path, 'authority')
+        certificate = authority.certificate('node')
         with admin_server({'/v1/status': BODY}, '', certificate) as address:
             code = main(
                 [
                     'status',
                     f'--nodes={address}',
-                    f'--authority-file={certificate[0]}',
+                    f'--authority-file={authority.path}',
                 ],
             )
 
@@ -59,9 +60,8 @@
 
     def test_unknown_authority_is_refused(self, capsys, tmp_path):
         """A node whose certificate another authority made gives no answer."""
-        certificate = write_certificate(tmp_path)
-        (tmp_path / 'other').mkdir()
-        other, _ = write_certificate(tmp_path / 'other')
+        certificate = Authority(tmp_path, 'authority').certificate('node')
+        other = Authority(tmp_path, 'other').path
         with admin_server({'/v1/status': BODY}, '', certificate) as address:
             code = main(
                 ['status', f'--nodes={address}', f'--authority-file={other}'],
--- a/tests/node/admin/test_security.py
+++ b/tests/node/admin/test_security.py
@@ -15,7 +15,7 @@
 from lovageshunt.errors import SecurityFileError
 from lovageshunt.node import NodeDaemon
 from lovageshunt.settings import load_node_settings
-from tests.node.authority import Authority
+from tests.authority import Authority
 from tests.node.parts import NodeParts, answer, deployment, read_body
 
 EXCHANGE = '/v1/exchange'
