--- a/src/lovageshunt/node/serving/_calls.py
+++ b/src/lovageshunt/node/serving/_calls.py
@@ -1,6 +1,6 @@
 """The calls in progress at this node, and what is done for them."""
 
-from asyncio import CancelledError, Task, create_task, shield
+from asyncio import CancelledError, Task, create_task
 from collections.abc import Coroutine
 from functools import singledispatchmethod
 from itertools import count
@@ -8,44 +8,34 @@
 from typing import Any
 
 from lovageshunt._record import Record
-from lovageshunt.calls import (
-    CONTEXT_HEADER,
-    ContextKey,
-    Outcome,
-    RefusalReason,
-    encode_context,
-)
+from lovageshunt.calls import ContextKey, RefusalReason
 from lovageshunt.client import Inbound
 from lovageshunt.clock import now
 from lovageshunt.idempotency import (
     AnswerInquiry,
-    Ending,
     HandOver,
     Inquire,
     Redirect,
-    StoredAnswer,
 )
 from lovageshunt.node.control._identity import Identity
 from lovageshunt.node.control._inquiries import Inquiries
 from lovageshunt.node.gate._gate import Gate
 from lovageshunt.node.gate._messages import (
     CallAbandoned,
-    CallEnded,
     CallRedirected,
     CancelForward,
     Forward,
     Reply,
-    TargetDown,
 )
-from lovageshunt.node.serving._border import Admissible, forwarded_context
+from lovageshunt.node.serving._border import Admissible
 from lovageshunt.node.serving._call import CallInProgress
 from lovageshunt.node.serving._call_meter import CallMeter
-from lovageshunt.node.serving._target import (
-    TargetLink,
-    TargetReply,
-    forwardable,
-    passing_headers,
+from lovageshunt.node.serving._forwarder import (
+    Forwarder,
+    ended_by,
+    outcome_if_cancelled,
 )
+from lovageshunt.node.serving._target import TargetLink, TargetReply
 from lovageshunt.observability import ActiveSpan
 from lovageshunt.retries import TellPeers
 
@@ -66,16 +56,18 @@
         meter: CallMeter,
     ) -> None:
         """Begin with no calls."""
-        self._key = key
-        self._identity = identity
         self._gate = gate
-        self._target = target
         self._inquiries = inquiries
         self._meter = meter
         self._by_ticket: dict[str, CallInProgress] = {}
         self._numbers = count(1)
         self._tasks: set[Task[None]] = set()
-        self._crash_check: Task[None] | None = None
+        self._forwarder = Forwarder(
+            identity=identity,
+            target=target,
+            key=key,
+            tell=self.handle,
+        )
 
     @property
     def request_ids(self) -> list[str]:
@@ -176,58 +168,21 @@
 
     async def _forward(self, call: CallInProgress) -> None:
         reply = TargetReply(
-            outcome=_outcome_if_cancelled(call),
+            outcome=outcome_if_cancelled(call),
             reason=RefusalReason.CANCELLED,
         )
         call.has_begun = True
         try:
             if not call.is_cancelled:
-                reply = await self._dispatch(call)
+                reply = await self._forwarder.forward(call)
         except CancelledError:
             _log.debug('call %s was cancelled', call.ticket)
         except Exception:
             _log.exception('call %s could not be forwarded', call.ticket)
         call.target_reply = reply
-        self.handle(_ended(call, reply))
+        self.handle(ended_by(call, reply))
         self._by_ticket.pop(call.ticket, None)
 
-    async def _dispatch(self, call: CallInProgress) -> TargetReply:
-        context = call.admissible.context
-        rule = call.admissible.rule
-        at = now()
-        sent = forwarded_context(
-            context,
-            home=None if rule.is_repeatable else self._identity.home,
-            seconds_left=call.deadline - at,
-            elapsed_seconds=at - call.arrived_at,
-            trace_parent=call.span.trace_parent,
-        )
-        headers = forwardable(call.inbound.headers)
-        headers[CONTEXT_HEADER] = encode_context(sent, self._key)
-        reply = await self._target.dispatch(
-            call.inbound,
-            call_id=context.call_id,
-            headers=headers,
-            timeout_seconds=call.deadline - at,
-            is_repeatable=rule.is_repeatable,
-        )
-        if reply.was_cut:
-            await self._check_target()
-        return reply
-
-    async def _check_target(self) -> None:
-        """Find out once for all calls cut together whether it went down."""
-        if self._crash_check is None or self._crash_check.done():
-            self._crash_check = create_task(self._tell_crash())
-        # A call that is cancelled meanwhile leaves the check to the others.
-        await shield(self._crash_check)
-
-    async def _tell_crash(self) -> None:
-        is_healthy = await self._target.is_healthy()
-        if not is_healthy:
-            _log.error('the target went down with calls in flight')
-            self.handle(TargetDown())
-
     async def _redirect(self, call: CallInProgress, action: Redirect) -> None:
         ending = await self._inquiries.redirect(
             call.inbound,
@@ -244,35 +199,3 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
-
-
-def _outcome_if_cancelled(call: CallInProgress) -> Outcome:
-    is_repeatable = call.admissible.rule.is_repeatable
-    return Outcome.FAILED if is_repeatable else Outcome.UNKNOWN
-
-
-def _ended(call: CallInProgress, reply: TargetReply) -> CallEnded:
-    below = {} if reply.info is None else reply.info.threshold_by_service
-    return CallEnded(
-        ticket=call.ticket,
-        ending=Ending(
-            outcome=reply.outcome,
-            reason=reply.reason,
-            answer=_stored(reply),
-        ),
-        is_complete=reply.whole is not None,
-        was_shed=reply.was_shed,
-        retry_after_ms=reply.retry_after_ms,
-        threshold_by_service=below,
-    )
-
-
-def _stored(reply: TargetReply) -> StoredAnswer | None:
-    whole = reply.whole
-    if whole is None:
-        return None
-    return StoredAnswer(
-        status=whole.status,
-        headers=passing_headers(whole.headers),
-        body=whole.body,
-    )
