Do once what was done twice for each retry and each inner call

A question to the retry budget listed the buckets of two windows twice; the share of repeats, asked for each call of the target, made a whole load record to read one count of it; the arrivals of each report were copied for a type's sake.

Ruled out: keeping the sums between questions (state that follows from the buckets).

--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -70,6 +70,11 @@
         """Return how many calls may be at the target at once."""
         return max(1, int(self._slots * (1 - _SPARE_SHARE)))
 
+    @property
+    def running_count(self) -> int:
+        """Return how many calls are at the target."""
+        return len(self._running)
+
     @property
     def backlog_slot_seconds(self) -> float:
         """Return the work that waits, in seconds of one slot."""
@@ -78,7 +83,7 @@
     def load(self) -> LoadReport:
         """Return the load for the next answer."""
         return LoadReport(
-            running=len(self._running),
+            running=self.running_count,
             waiting=len(self._queue),
             limit=self._slots,
             service_ms=self._service_seconds * _MS_PER_SECOND,
--- a/src/lovageshunt/pressure/_rates.py
+++ b/src/lovageshunt/pressure/_rates.py
@@ -1,5 +1,6 @@
 """Rates of a whole fleet, added up from what its nodes tell."""
 
+from collections.abc import Mapping
 from typing import Final
 
 from lovageshunt._record import Record
@@ -33,7 +34,7 @@
     def learn(
         self,
         node: str,
-        count_by_key: dict[str, float],
+        count_by_key: Mapping[str, float],
         seconds: float,
         now: float,
     ) -> None:
--- a/src/lovageshunt/retries/_fleet_budget.py
+++ b/src/lovageshunt/retries/_fleet_budget.py
@@ -86,8 +86,9 @@
         They are if every window that this moment is or will be in has room
         for them, even if no more requests come.
         """
-        requests = _sums(each.requests for each in self._recent(now))
-        retries = _sums(each.retries for each in self._recent(now))
+        recent = self._recent(now)
+        requests = _sums(bucket.requests for bucket in recent)
+        retries = _sums(bucket.retries for bucket in recent)
         return all(
             _latest(retries, later) + count
             <= self._allowed(_most_requests(requests, later))
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -106,7 +106,7 @@
     @property
     def repeat_share(self) -> float:
         """Return the part of the runs in progress that are repeats."""
-        running = self._queue.load().running
+        running = self._queue.running_count
         return self._repeats_running / running if running else 0
 
     def serve_target(self, target_id: str, slots: int) -> None:
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -127,8 +127,12 @@
         """Take what runs at a target need, and who sends which kinds."""
         self.callers.learn(news.service, news.node, news.arrived_by_kind)
         now = clock_now()
-        arrived = dict[str, float](news.arrived_by_kind)
-        self._arrivals.learn(news.node, arrived, news.seconds, now)
+        self._arrivals.learn(
+            news.node,
+            news.arrived_by_kind,
+            news.seconds,
+            now,
+        )
         self._retries.learn(news.node, news.retries_by_service, 1, now)
         for kind, seconds in news.seconds_by_kind.items():
             told = KindNeeds(
