--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -207,11 +207,9 @@
         """Log the targets that are added, shutting down or removed."""
         known = self.entry_by_id
         for entry in entries:
-            before = known.get(entry.target_id)
-            if before is None:
-                _log_target('target added', entry)
-            elif entry.is_leaving and not before.is_leaving:
-                _log_target('target shutting down', entry)
+            message = _change_of(known.get(entry.target_id), entry)
+            if message:
+                _log_target(message, entry)
         listed = {entry.target_id for entry in entries}
         for target_id in known.keys() - listed:
             _log_target('target removed', known[target_id])
@@ -229,6 +227,17 @@
         return placement
 
 
+def _change_of(before: TargetEntry | None, entry: TargetEntry) -> str:
+    """Return what to log of an entry, empty if nothing has changed."""
+    if before is None:
+        return 'target added'
+    if entry.is_leaving and not before.is_leaving:
+        return 'target shutting down'
+    if before.is_leaving and not entry.is_leaving:
+        return 'target no longer shutting down'
+    return ''
+
+
 def _log_target(message: str, entry: TargetEntry) -> None:
     _log.info(
         message,
--- a/src/lovageshunt/sidecar/_target_list.py
+++ b/src/lovageshunt/sidecar/_target_list.py
@@ -1,9 +1,11 @@
 """The platform's target list, kept through outages of the platform."""
 
+from logging import getLogger
 from typing import Final
 
 from lovageshunt.sidecar._fleet import TargetEntry
 
+_log = getLogger(__name__)
 #: How long a target that is missing after an outage of the platform is kept,
 #: in seconds. A live target registers again within two seconds of the
 #: platform's return; this is slightly more.
@@ -60,6 +62,10 @@
             and not entry.is_leaving
         ):
             self._kept_until_by_id[target_id] = now + _GRACE_SECONDS
+            _log.info(
+                'keeping a target that was removed after an outage',
+                extra={'target': target_id, 'seconds': _GRACE_SECONDS},
+            )
             return
         self._entry_by_id.pop(target_id)
 
