--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self.versions: list[int] = []
         self.ids: set[str] = set()
+        self.leaving_ids: set[str] = set()
         self.revision = 0
         self.is_platform_unreachable = True
 
@@ -34,6 +35,9 @@
         revision: int,
     ) -> None:
         self.ids = {entry.target_id for entry in entries}
+        self.leaving_ids = {
+            entry.target_id for entry in entries if entry.is_leaving
+        }
         self.revision = revision
 
 
@@ -71,6 +75,14 @@
         store.close()
 
 
+async def lose_next_watch(store: StoreStandIn) -> None:
+    """Leave the next request to the store unanswered, and only that one."""
+    before = store.request_count
+    store.is_silent = True
+    await until(lambda: store.request_count > before)
+    store.is_silent = False
+
+
 async def until(condition: Callable[[], bool], seconds: float = 4) -> None:
     async with asyncio.timeout(seconds):
         while not condition():
@@ -161,3 +173,39 @@
             store.put('servers/i-3', entry())
             await until(lambda: 'i-3' in fleet_state.ids)
             assert set(fleet_state.versions) == {3}
+
+
+class TestLeavingTargets:
+    """How late a node may learn that a target leaves.
+
+    A platform that is stable for a second has its news applied within 2 s.
+    """
+
+    async def test_a_lost_watch_hides_no_leaving_target(self) -> None:
+        """News that follows a lost watch by 1 s applies within 2 s."""
+        async with following() as (store, fleet_state):
+            await lose_next_watch(store)
+            await asyncio.sleep(1)
+            store.put('servers/i-1', entry(state='draining'))
+            await until(lambda: fleet_state.leaving_ids == {'i-1'}, 2)
+
+    async def test_a_short_outage_keeps_no_removed_target(self) -> None:
+        """A target that is removed after a short outage goes within 2 s."""
+        async with following() as (store, fleet_state):
+            store.status = 503
+            await until(lambda: fleet_state.is_platform_unreachable)
+            store.status = None
+            await asyncio.sleep(1)
+            store.remove('servers/i-1')
+            await until(lambda: fleet_state.ids == {'i-2'}, 2)
+
+    async def test_a_silent_platform_is_found_back_within_a_second(
+        self,
+    ) -> None:
+        """After a silent outage the next read succeeds within 1 s."""
+        async with following() as (store, fleet_state):
+            store.is_silent = True
+            await until(lambda: fleet_state.is_platform_unreachable, 8)
+            await asyncio.sleep(1.5)
+            store.is_silent = False
+            await until(lambda: not fleet_state.is_platform_unreachable, 1)
