--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -151,8 +151,10 @@
             store.status = 503
             store.remove('servers/i-1')
             await until(lambda: fleet_state.is_platform_unreachable)
+            await asyncio.sleep(0.5)
             store.status = None
             await until(lambda: not fleet_state.is_platform_unreachable)
+            await asyncio.sleep(1)
             assert 'i-1' in fleet_state.ids
             await until(lambda: fleet_state.ids == {'i-2'})
 
