Never take back the news that a target leaves

Callers' requests could reach a target after the store had acknowledged that it leaves, when an older list came after the news: the one of another node, or a node's own list that it publishes again when a kept target expires.

Cause: the list that came last was the truth, whatever its age.

Departures remembers, in a bounded number, which incarnations said that they leave; a list cannot undo it, a later incarnation under the same id can. It also remembers which targets were removed, until they register again.

--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -8,7 +8,12 @@
 from lovageshunt._record import Record
 from lovageshunt.clock import now as clock_now
 from lovageshunt.links import Dialer, RunAnswer, TargetLoadReport
-from lovageshunt.routing import Placement, PlacementRequest, RouteMember
+from lovageshunt.routing import (
+    Departures,
+    Placement,
+    PlacementRequest,
+    RouteMember,
+)
 
 _log = getLogger(__name__)
 #: Responses with this status or above count as errors of the target, except
@@ -87,6 +92,7 @@
         self._placement_by_service: dict[str, Placement] = {}
         self._dialer_by_host: dict[str, Dialer] = {}
         self._leaving_hosts: set[str] = set()
+        self._departures = Departures()
         self.entry_by_id: dict[str, TargetEntry] = {}
         self.node_count = 0
 
@@ -103,6 +109,7 @@
     def replace_targets(self, entries: list[TargetEntry]) -> None:
         """Replace the listed targets and open links to new nodes."""
         now = clock_now()
+        self._note_departures(entries)
         self._log_changes(entries)
         self.entry_by_id = {entry.target_id: entry for entry in entries}
         members_by_service: dict[str, list[RouteMember]] = {
@@ -203,6 +210,19 @@
         for dialer in self._dialer_by_host.values():
             dialer.close()
 
+    def _note_departures(self, entries: list[TargetEntry]) -> None:
+        """Record who leaves; a leaving target cannot be listed as ready."""
+        listed = {entry.target_id for entry in entries}
+        for target_id in self.entry_by_id.keys() - listed:
+            self._departures.note_removed(target_id)
+        for entry in entries:
+            self._departures.note_listed(entry.target_id)
+            if entry.is_leaving:
+                self._departures.note_leaving(entry.target_id, entry.started_ms)
+            entry.is_leaving = self._departures.is_leaving(
+                entry.target_id, entry.started_ms
+            )
+
     def _log_changes(self, entries: list[TargetEntry]) -> None:
         """Log the targets that are added, shutting down or removed."""
         known = self.entry_by_id
@@ -233,8 +253,8 @@
         return 'target added'
     if entry.is_leaving and not before.is_leaving:
         return 'target shutting down'
-    if before.is_leaving and not entry.is_leaving:
-        return 'target no longer shutting down'
+    if before.started_ms != entry.started_ms:
+        return 'target restarted'
     return ''
 
 
