Stop calls for a departed target at the node beside it

Cause: that node sent whatever arrived, also after it had the news, so every other node had to be up to date by itself; and calls that waited in its queue, or for a connection, were sent whenever their turn came.

It now refuses such calls as not run, those that wait at the moment of the news too, and does not send a request again on a second connection. The first hop sends them to another target at once; as the target never got them, they do not count among the attempts that the route allows, so also a route with a single attempt is served. A target that was removed without a word counts as departed until it is listed; one that this node has not heard of is served, for that news may be late.

The answers to orders moved to a module of their own. The orders of the executor's tests carried no attempt id, so the fake target broke off every request unseen; they carry one now, and the counts that they check hold.

--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -52,6 +52,11 @@
             self._connection = None
             self._ended(end, response)
 
+    def withdraw(self) -> None:
+        """End the exchange unsent, unless it has been given a connection."""
+        if self._connection is None:
+            self.end(ExchangeEnd.UNSENT, None)
+
     def cancel(self) -> None:
         """Cancel the exchange; close its connection if it was sent."""
         if self._connection is not None:
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -1,8 +1,8 @@
 """Queues orders and runs them at the target beside this node."""
 
 from asyncio import TimerHandle, get_running_loop
+from collections.abc import Callable
 from functools import singledispatchmethod
-from logging import getLogger
 from typing import Final
 
 from lovageshunt.admission import (
@@ -26,7 +26,6 @@
     Exchange,
     ExchangeEnd,
     Response,
-    forwarded_fields,
 )
 from lovageshunt.links import RunAnswer, RunOrder
 from lovageshunt.pressure import (
@@ -36,15 +35,12 @@
     TargetDemandMeter,
 )
 from lovageshunt.retries import FleetRetryBudget
-from lovageshunt.sidecar._classification import (
-    ClassifiedResponse,
-    classify_response,
-)
+from lovageshunt.sidecar._classification import classify_response
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._metrics import SidecarMetrics
 from lovageshunt.sidecar._run import EndedCallback, Run
+from lovageshunt.sidecar._run_answers import answer_of, refusal_of_departed
 
-_log = getLogger(__name__)
 #: The longest idle time of a connection that a non-repeatable request is sent
 #: on, in seconds: a server seldom closes connections that were used recently.
 _MAX_IDLE_SECONDS: Final = 1.0
@@ -67,6 +63,7 @@
     asked of it, ``watch`` what runs in it, and ``refusals`` the calls that it
     refuses although a slot was free. ``resend_budget`` limits how often a
     request is sent again because the target closed its connection.
+    ``has_left`` tells whether a target must get no more calls.
     """
 
     def __init__(
@@ -78,8 +75,10 @@
         header_names: HeaderNames,
         metrics: SidecarMetrics,
         resend_budget: FleetRetryBudget,
+        has_left: Callable[[str], bool],
     ) -> None:
         self._resend_budget = resend_budget
+        self._has_left = has_left
         self._header_names = header_names
         self._metrics = metrics
         self.pool = ConnectionPool(host, port, _INITIAL_MAX_CONNECTIONS)
@@ -124,6 +123,9 @@
         """Queue an order; call ``ended`` once, unless it is abandoned."""
         self._next_number += 1
         run = Run(str(self._next_number), order, ended)
+        if self._has_left(order.target_id):
+            self._answer(run, refusal_of_departed(self._queue.load()))
+            return run
         self._run_by_call_id[run.call_id] = run
         self.demand.asked(order.kind)
         now = clock_now()
@@ -152,6 +154,18 @@
             self._run_by_call_id.pop(run.call_id, None)
         self._handle(Cancelled(run.call_id))
 
+    def withdraw_departed(self) -> None:
+        """Refuse the orders that have not been sent to a target that left."""
+        for run in list(self._run_by_call_id.values()):
+            if not self._has_left(run.order.target_id):
+                continue
+            if run.sending is not None:
+                run.sending.withdraw()
+                continue
+            self._run_by_call_id.pop(run.call_id)
+            self._handle(Cancelled(run.call_id))
+            self._answer(run, refusal_of_departed(self._queue.load()))
+
     def advance(self, now: float) -> bool:
         """Close elapsed windows; return whether one of demand was closed."""
         self.refusals.advance(now)
@@ -270,48 +284,17 @@
                 was_shed=classified.outcome is Outcome.NOT_RUN,
             ),
         )
-        self._answer(run, self._answer_of(run, classified, response))
+        self._answer(
+            run, answer_of(run, classified, response, self._queue.load())
+        )
 
     def _may_resend(self, run: Run) -> bool:
         if run.resent or not run.order.is_repeatable:
             return False
+        if self._has_left(run.order.target_id):
+            return False
         return self._resend_budget.spend(clock_now())
 
-    def _answer_of(
-        self,
-        run: Run,
-        classified: ClassifiedResponse,
-        response: Response | None,
-    ) -> RunAnswer:
-        load = self._queue.load()
-        if classified.outcome is Outcome.ANSWERED and response is not None:
-            return RunAnswer(
-                outcome=classified.outcome,
-                load=load,
-                status=response.status,
-                fields=forwarded_fields(response.headers, frozenset()),
-                body=response.body,
-            )
-        reason = classified.reason
-        if (
-            classified.reason is RefusalReason.CANCELLED
-            and run.ended is not None
-        ):
-            # The order was not abandoned, so the deadline cancelled it.
-            reason = RefusalReason.DEADLINE
-        _log.info(
-            'run failed',
-            extra={
-                'request_id': run.order.attempt_id.decode('latin-1'),
-                'outcome': classified.outcome,
-                'reason': reason,
-                'route': run.order.kind,
-                'target': run.order.target_id,
-                'detail': classified.detail,
-            },
-        )
-        return RunAnswer(outcome=classified.outcome, reason=reason, load=load)
-
     def _answer(self, run: Run, answer: RunAnswer) -> None:
         seconds = clock_now() - run.arrived_at
         self._metrics.count_run(answer.outcome, answer.reason, seconds)
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -136,6 +136,17 @@
             self._dialer_by_host[host] = dialer
         return dialer
 
+    def has_left(self, target_id: str) -> bool:
+        """Return whether no call may be sent to a target any more.
+
+        A target that was never listed here has not left: the news of it may
+        come late.
+        """
+        entry = self.entry_by_id.get(target_id)
+        if entry is not None:
+            return entry.is_leaving
+        return self._departures.is_removed(target_id)
+
     def note_leaving(self, host: str) -> None:
         """Record a node's shutdown; its target becomes the last choice."""
         self._leaving_hosts.add(host)
--- a/src/lovageshunt/sidecar/_origin_call.py
+++ b/src/lovageshunt/sidecar/_origin_call.py
@@ -107,8 +107,11 @@
         """Record why an attempt at a target failed.
 
         A target that refused the call has not run it, so that it stays
-        eligible, but other targets are tried first.
+        eligible, but other targets are tried first. A call to a target that
+        leaves was not sent to it, so that it is not one of its attempts.
         """
+        if reason is RefusalReason.LEAVING:
+            self.sent_to -= {target_id}
         if reason is RefusalReason.SHED:
             self._refusing_targets |= {target_id}
             self.excluded = self._failed_targets | {target_id}
--- /dev/null
+++ b/src/lovageshunt/sidecar/_run_answers.py
@@ -0,0 +1,53 @@
+"""The answers that a node gives to orders."""
+
+from logging import getLogger
+
+from lovageshunt.calls import LoadReport, Outcome, RefusalReason
+from lovageshunt.http1 import Response, forwarded_fields
+from lovageshunt.links import RunAnswer
+from lovageshunt.sidecar._classification import ClassifiedResponse
+from lovageshunt.sidecar._run import Run
+
+_log = getLogger(__name__)
+
+
+def answer_of(
+    run: Run,
+    classified: ClassifiedResponse,
+    response: Response | None,
+    load: LoadReport,
+) -> RunAnswer:
+    """Return the answer to an order whose exchange with the target ended."""
+    if classified.outcome is Outcome.ANSWERED and response is not None:
+        return RunAnswer(
+            outcome=classified.outcome,
+            load=load,
+            status=response.status,
+            fields=forwarded_fields(response.headers, frozenset()),
+            body=response.body,
+        )
+    reason = classified.reason
+    if classified.reason is RefusalReason.CANCELLED and run.ended is not None:
+        # The order was not abandoned, so the deadline cancelled it.
+        reason = RefusalReason.DEADLINE
+    _log.info(
+        'run failed',
+        extra={
+            'request_id': run.order.attempt_id.decode('latin-1'),
+            'outcome': classified.outcome,
+            'reason': reason,
+            'route': run.order.kind,
+            'target': run.order.target_id,
+            'detail': classified.detail,
+        },
+    )
+    return RunAnswer(outcome=classified.outcome, reason=reason, load=load)
+
+
+def refusal_of_departed(load: LoadReport) -> RunAnswer:
+    """Return the answer to an order that is not sent: its target has left."""
+    return RunAnswer(
+        outcome=Outcome.NOT_RUN,
+        reason=RefusalReason.LEAVING,
+        load=load,
+    )
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -108,6 +108,13 @@
             port=settings.listen.nodes.port,
             greeting=greeting,
         )
+        self._fleet = Fleet(
+            own_host=own_host,
+            own_port=target.address.port,
+            own_failure_domain=settings.node.failure_domain,
+            rng=rng,
+            make_dialer=self._links.make_dialer,
+        )
         self._executor = Executor(
             host=target.address.host,
             port=target.address.port,
@@ -115,13 +122,7 @@
             header_names=header_names,
             metrics=self._metrics,
             resend_budget=self._resend_budget,
-        )
-        self._fleet = Fleet(
-            own_host=own_host,
-            own_port=target.address.port,
-            own_failure_domain=settings.node.failure_domain,
-            rng=rng,
-            make_dialer=self._links.make_dialer,
+            has_left=self._fleet.has_left,
         )
         self.fleet_state = FleetState(
             greeting,
@@ -288,9 +289,10 @@
             self._executor.pool.max_connections = own.connections
 
     def _on_targets(self) -> None:
-        """Apply the node count and the own target's published slots."""
+        """Apply the node count, departures and the own target's slots."""
         self._resend_budget.node_count = self._fleet.node_count
         self._retry_budgets.node_count = self._fleet.node_count
+        self._executor.withdraw_departed()
         own = self._fleet.own_entry
         if own is not None:
             self._executor.apply_published_slots(own.target_id, own.slots)
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -1,10 +1,11 @@
 """The executor, with a fake target and no other nodes."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Container
 
 import pytest
 
+from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
 from lovageshunt.links import RunAnswer, RunOrder
 from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudget
@@ -41,7 +42,10 @@
     held.close()
 
 
-def executor_of(target: FakeTarget) -> Executor:
+def executor_of(
+    target: FakeTarget,
+    departed: Container[str] = (),
+) -> Executor:
     settings = FleetBudgetSettings(ratio=0.2, reserve=10, window_seconds=10)
     return Executor(
         host=target.host,
@@ -50,6 +54,7 @@
         header_names=HEADER_NAMES,
         metrics=SidecarMetrics('n'),
         resend_budget=FleetRetryBudget(settings),
+        has_left=departed.__contains__,
     )
 
 
@@ -65,7 +70,7 @@
         deadline=clock_now() + 2,
         method=b'GET',
         request_target=b'/read/a',
-        fields=b'',
+        fields=f'x-attempt: {attempt}\r\n'.encode(),
         body=b'',
     )
 
@@ -99,3 +104,48 @@
         run = executor.submit(order('a', is_repeat=True), lambda _: None)
         executor.abandon(run)
         assert executor.repeat_share == 0
+
+
+class TestDeparture:
+    """A target leaves while calls wait for it."""
+
+    async def test_refuses_what_was_not_sent_yet(
+        self,
+        target: HeldTarget,
+    ) -> None:
+        """A queued call ends as not run; the one that runs is answered."""
+        departed: set[str] = set()
+        executor = executor_of(target, departed)
+        executor.apply_published_slots('i-1', 1)
+        running: list[RunAnswer] = []
+        queued: list[RunAnswer] = []
+        executor.submit(order('a', is_repeat=False), running.append)
+        async with asyncio.timeout(2):
+            while not target.received:
+                await asyncio.sleep(0.01)
+        executor.submit(order('b', is_repeat=False), queued.append)
+        departed.add('i-1')
+        executor.withdraw_departed()
+        assert queued[0].outcome is Outcome.NOT_RUN
+        assert queued[0].reason is RefusalReason.LEAVING
+        target.go_on.set()
+        async with asyncio.timeout(2):
+            while not running:
+                await asyncio.sleep(0.01)
+        assert running[0].outcome is Outcome.ANSWERED
+        assert len(target.received) == 1
+
+    async def test_sends_nothing_on_a_connection_that_comes_late(
+        self,
+        target: HeldTarget,
+    ) -> None:
+        """A call that awaits its connection ends as not run."""
+        departed: set[str] = set()
+        executor = executor_of(target, departed)
+        answers: list[RunAnswer] = []
+        executor.submit(order('a', is_repeat=False), answers.append)
+        departed.add('i-1')
+        executor.withdraw_departed()
+        assert answers[0].outcome is Outcome.NOT_RUN
+        await asyncio.sleep(0.1)
+        assert not target.received
--- a/tests/sidecar/test_origin_call.py
+++ b/tests/sidecar/test_origin_call.py
@@ -53,3 +53,11 @@
         assert call.excluded == {'a'}
         assert call.allow_last_refuser()
         assert call.excluded == frozenset()
+
+    def test_counts_no_attempt_at_a_target_that_leaves(self) -> None:
+        """A call that its target never got may still go to as many others."""
+        call = call_sent_to('a')
+        call.note_failed_attempt('a', RefusalReason.LEAVING)
+        assert call.excluded == {'a'}
+        assert call.attempts_left(1) == 1
+        assert call.allowed_targets(1) is None
