Act on what a target says of its leaving, at every node

Callers' requests could reach a target that leaves as long as neither node on their way had read it from the platform.

Cause: the field was not read, and nodes told each other when they stop themselves, but not when their targets leave.

The node beside a target reads the field in every answer of that target, also in refusals, and takes the target's own word or the list's, whichever is first. The news holds for that incarnation: an earlier one changes nothing. Nodes of an earlier build ignore the new kind of frame.

--- a/src/lovageshunt/links/__init__.py
+++ b/src/lovageshunt/links/__init__.py
@@ -1,6 +1,10 @@
 """Persistent connections between nodes; each multiplexes many calls."""
 
-from lovageshunt.links._codec import decode_demand, encode_message
+from lovageshunt.links._codec import (
+    decode_demand,
+    decode_leaving,
+    encode_message,
+)
 from lovageshunt.links._dialer import Dialer, LinkListener
 from lovageshunt.links._frames import (
     Frame,
@@ -18,6 +22,7 @@
 from lovageshunt.links._messages import (
     DemandReport,
     Greeting,
+    LeavingNotice,
     RunAnswer,
     RunOrder,
     TargetLoadReport,
@@ -30,6 +35,7 @@
     'FrameReader',
     'Greeting',
     'IncomingLink',
+    'LeavingNotice',
     'LinkListener',
     'TargetLoadReport',
     'DemandReport',
@@ -40,6 +46,7 @@
     'decode_answer',
     'decode_load',
     'decode_demand',
+    'decode_leaving',
     'decode_order',
     'encode_answer',
     'encode_frame',
--- a/src/lovageshunt/links/_codec.py
+++ b/src/lovageshunt/links/_codec.py
@@ -6,7 +6,11 @@
 
 from lovageshunt._record import Record
 from lovageshunt.errors import MalformedFrameError
-from lovageshunt.links._messages import DemandReport, Greeting
+from lovageshunt.links._messages import (
+    DemandReport,
+    Greeting,
+    LeavingNotice,
+)
 
 
 def encode_message(message: Record) -> bytes:
@@ -32,6 +36,15 @@
         raise MalformedFrameError(str(error)) from error
 
 
+def decode_leaving(payload: bytes) -> LeavingNotice:
+    """Decode a notice; raise ``MalformedFrameError`` if malformed."""
+    fields = _json_object(payload)
+    try:
+        return LeavingNotice(**fields)
+    except TypeError as error:
+        raise MalformedFrameError(str(error)) from error
+
+
 def _json_object(payload: bytes) -> dict[str, Any]:
     try:
         fields = orjson.loads(payload)
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -49,6 +49,7 @@
     LEAVING = 9
     SNAPSHOT_REQUEST = 10
     SNAPSHOT = 11
+    TARGET_LEAVING = 12
 
 
 class Frame(Record):
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -158,6 +158,20 @@
         self.refused_per_second = refused_per_second
 
 
+class LeavingNotice(Record):
+    """A target said that it leaves; sent by the node beside it.
+
+    ``started_ms`` is when its incarnation started, 0 if its node does not
+    know.
+    """
+
+    __slots__ = ('target_id', 'started_ms')
+
+    def __init__(self, *, target_id: str, started_ms: int) -> None:
+        self.target_id = target_id
+        self.started_ms = started_ms
+
+
 class DemandReport(Record):
     """The demand at one node, reported to every node periodically.
 
--- a/src/lovageshunt/routing/_placement.py
+++ b/src/lovageshunt/routing/_placement.py
@@ -109,6 +109,12 @@
             candidate.cold_until = cold_until_by_id.get(member.node, 0)
             self._by_id[member.node] = candidate
 
+    def note_leaving(self, target_id: str) -> None:
+        """Choose a listed target no more."""
+        candidate = self._by_id.get(target_id)
+        if candidate is not None:
+            candidate.member.is_leaving = True
+
     def record_reported_load(
         self, target_id: str, load: LoadReport, now: float
     ) -> None:
--- a/src/lovageshunt/sidecar/_classification.py
+++ b/src/lovageshunt/sidecar/_classification.py
@@ -18,12 +18,13 @@
 
 
 class ClassifiedResponse(Record):
-    """An outcome with its reason, and the load that the target reported.
+    """An outcome with its reason, and what the target reported of itself.
 
-    ``detail`` explains the outcome in the log.
+    ``detail`` explains the outcome in the log. ``is_leaving`` is true if the
+    target said that it leaves.
     """
 
-    __slots__ = ('outcome', 'reason', 'detail', 'reported')
+    __slots__ = ('outcome', 'reason', 'detail', 'reported', 'is_leaving')
 
     def __init__(
         self,
@@ -32,11 +33,13 @@
         reason: RefusalReason | None = None,
         detail: str = '',
         reported: LoadReported | None = None,
+        is_leaving: bool = False,
     ) -> None:
         self.outcome = outcome
         self.reason = reason
         self.detail = detail
         self.reported = reported
+        self.is_leaving = is_leaving
 
 
 def classify_response(
@@ -59,7 +62,10 @@
         )
     if end is not ExchangeEnd.COMPLETE or response is None:
         return _unknown('response lost or truncated')
-    return _classify_complete(response, header_names)
+    classified = _classify_complete(response, header_names)
+    if response.status != _MISDIRECTED:
+        classified.is_leaving = bool(response.header(header_names.leaving))
+    return classified
 
 
 def _classify_complete(
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -63,7 +63,8 @@
     asked of it, ``watch`` what runs in it, and ``refusals`` the calls that it
     refuses although a slot was free. ``resend_budget`` limits how often a
     request is sent again because the target closed its connection.
-    ``has_left`` tells whether a target must get no more calls.
+    ``has_left`` tells whether a target must get no more calls; ``on_leaving``
+    is called when a target says in an answer that it leaves.
     """
 
     def __init__(
@@ -76,9 +77,11 @@
         metrics: SidecarMetrics,
         resend_budget: FleetRetryBudget,
         has_left: Callable[[str], bool],
+        on_leaving: Callable[[str], None],
     ) -> None:
         self._resend_budget = resend_budget
         self._has_left = has_left
+        self._on_leaving = on_leaving
         self._header_names = header_names
         self._metrics = metrics
         self.pool = ConnectionPool(host, port, _INITIAL_MAX_CONNECTIONS)
@@ -275,6 +278,9 @@
             self.demand.ran(run.order.kind, now - run.sent_at)
         elif classified.outcome is not Outcome.NOT_RUN:
             self.demand.failed(run.order.kind, now - run.sent_at)
+        if classified.is_leaving:
+            # Other nodes must hear it before the answer is passed on.
+            self._on_leaving(run.order.target_id)
         if classified.reported is not None:
             self._handle(classified.reported)
         self._handle(
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -7,7 +7,12 @@
 
 from lovageshunt._record import Record
 from lovageshunt.clock import now as clock_now
-from lovageshunt.links import Dialer, RunAnswer, TargetLoadReport
+from lovageshunt.links import (
+    Dialer,
+    LeavingNotice,
+    RunAnswer,
+    TargetLoadReport,
+)
 from lovageshunt.routing import (
     Departures,
     Placement,
@@ -145,7 +150,26 @@
         entry = self.entry_by_id.get(target_id)
         if entry is not None:
             return entry.is_leaving
-        return self._departures.is_removed(target_id)
+        is_removed = self._departures.is_removed(target_id)
+        return is_removed or self._departures.is_leaving(target_id, 0)
+
+    def note_target_leaving(self, notice: LeavingNotice) -> bool:
+        """Send no more calls to a target; return whether that is news.
+
+        An earlier incarnation of a listed target changes nothing.
+        """
+        entry = self.entry_by_id.get(notice.target_id)
+        if entry is None:
+            return self._departures.note_leaving(
+                notice.target_id, notice.started_ms
+            )
+        if 0 < notice.started_ms < entry.started_ms or entry.is_leaving:
+            return False
+        self._departures.note_leaving(entry.target_id, entry.started_ms)
+        entry.is_leaving = True
+        self._placement(entry.service).note_leaving(entry.target_id)
+        _log_target('target says that it leaves', entry)
+        return True
 
     def note_leaving(self, host: str) -> None:
         """Record a node's shutdown; its target becomes the last choice."""
--- a/src/lovageshunt/sidecar/_header_names.py
+++ b/src/lovageshunt/sidecar/_header_names.py
@@ -14,8 +14,9 @@
     ``target_id`` names the only target that may run a request,
     ``caller_service`` the service that sent it. ``proof`` is on every
     response that a target made by running a request, ``not_run`` on those
-    that state that the request was not run. ``load`` carries a target's load;
-    ``read_load`` decodes it and returns ``None`` for a malformed value.
+    that state that the request was not run. ``leaving`` is on the responses of
+    a target that leaves. ``load`` carries a target's load; ``read_load``
+    decodes it and returns ``None`` for a malformed value.
     """
 
     __slots__ = (
@@ -25,6 +26,7 @@
         'caller_service',
         'proof',
         'not_run',
+        'leaving',
         'load',
         'read_load',
     )
@@ -38,6 +40,7 @@
         caller_service: bytes,
         proof: bytes,
         not_run: bytes,
+        leaving: bytes,
         load: bytes,
         read_load: Callable[[bytes], LoadReported | None],
     ) -> None:
@@ -47,6 +50,7 @@
         self.caller_service = caller_service
         self.proof = proof
         self.not_run = not_run
+        self.leaving = leaving
         self.load = load
         self.read_load = read_load
 
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -14,10 +14,12 @@
     OrderHandler,
     RecentOrders,
     decode_demand,
+    decode_leaving,
     decode_load,
 )
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import FleetState
+from lovageshunt.sidecar._leaving import LeavingTargets
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._snapshot import decode_snapshot, encode_snapshot
 
@@ -30,7 +32,7 @@
 class FrameHandler:
     """Handles the frames that belong to no call."""
 
-    __slots__ = ('_fleet', '_fleet_state', '_reports')
+    __slots__ = ('_fleet', '_fleet_state', '_reports', '_leaving')
 
     def __init__(
         self,
@@ -38,10 +40,12 @@
         fleet: Fleet,
         fleet_state: FleetState,
         reports: PressureReports,
+        leaving: LeavingTargets,
     ) -> None:
         self._fleet = fleet
         self._fleet_state = fleet_state
         self._reports = reports
+        self._leaving = leaving
 
     def on_incoming(self, link: IncomingLink, frame: Frame) -> None:
         """Handle a frame on a link that the other node opened."""
@@ -61,6 +65,8 @@
             report = decode_demand(frame.payload)
             self._reports.handle_demand(report)
             self._request(report.revision, report.version, reply)
+        elif frame.kind == FrameKind.TARGET_LEAVING:
+            self._leaving.handle(decode_leaving(frame.payload))
         elif frame.kind == FrameKind.LEAVING:
             self._fleet.note_leaving(host)
         else:
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -30,6 +30,7 @@
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._knowledge import FleetState
+from lovageshunt.sidecar._leaving import LeavingTargets
 from lovageshunt.sidecar._metrics import MetricsHandler, SidecarMetrics
 from lovageshunt.sidecar._node_links import FrameHandler, NodeLinks
 from lovageshunt.sidecar._origin import Origin
@@ -123,6 +124,7 @@
             metrics=self._metrics,
             resend_budget=self._resend_budget,
             has_left=self._fleet.has_left,
+            on_leaving=self._on_target_leaving,
         )
         self.fleet_state = FleetState(
             greeting,
@@ -130,6 +132,11 @@
             self._on_configuration,
             self._on_targets,
         )
+        self._leaving = LeavingTargets(
+            fleet=self._fleet,
+            executor=self._executor,
+            broadcast=self._links.broadcast,
+        )
         self._reports = PressureReports(
             executor=self._executor,
             fleet=self._fleet,
@@ -142,6 +149,7 @@
             fleet=self._fleet,
             fleet_state=self.fleet_state,
             reports=self._reports,
+            leaving=self._leaving,
         )
         self._origin = Origin(
             own_host=own_host,
@@ -220,6 +228,7 @@
 
     def _tick(self) -> None:
         self._reports.advance()
+        self._leaving.advance()
         now = monotonic()
         if now - self._swept_at < _SWEEP_SECONDS:
             return
@@ -292,11 +301,14 @@
         """Apply the node count, departures and the own target's slots."""
         self._resend_budget.node_count = self._fleet.node_count
         self._retry_budgets.node_count = self._fleet.node_count
-        self._executor.withdraw_departed()
+        self._leaving.apply_list()
         own = self._fleet.own_entry
         if own is not None:
             self._executor.apply_published_slots(own.target_id, own.slots)
 
+    def _on_target_leaving(self, target_id: str) -> None:
+        self._leaving.note_own(target_id)
+
     def _accept_client(self) -> ServerConnection:
         return ServerConnection(self._origin, self._limits, self._clients)
 
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -55,6 +55,7 @@
         metrics=SidecarMetrics('n'),
         resend_budget=FleetRetryBudget(settings),
         has_left=departed.__contains__,
+        on_leaving=lambda _: None,
     )
 
 
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -26,6 +26,7 @@
     caller_service=b'x-caller',
     proof=b'x-proof',
     not_run=b'x-not-run',
+    leaving=b'x-leaving',
     load=b'x-load',
     read_load=lambda text: LoadReported(running=0, slots=int(text)),
 )
