Log and expose the limit of calls that a target names

The node beside a target now decodes the field in every whole answer of that target, refusals included, logs each change and exposes the value as a gauge, -1 without a limit. An answer of another target at the same address counts for nothing, and a malformed value leaves the last one in force. What is done with calls does not change. Two places that cancelled the exchange of a run are one.

--- a/src/lovageshunt/admission/__init__.py
+++ b/src/lovageshunt/admission/__init__.py
@@ -13,6 +13,7 @@
     Event,
     Finished,
     LoadReported,
+    RateLimitReported,
     Refuse,
 )
 from lovageshunt.admission._levels import OPEN_THRESHOLD, is_refused
@@ -35,6 +36,7 @@
     'Event',
     'Finished',
     'LoadReported',
+    'RateLimitReported',
     'Refuse',
     'TargetQueue',
     'is_refused',
--- a/src/lovageshunt/admission/_events.py
+++ b/src/lovageshunt/admission/_events.py
@@ -88,6 +88,19 @@
         self.slots = slots
 
 
+class RateLimitReported(Record):
+    """The target answered, and named a limit of calls or none.
+
+    ``per_second`` is the number of calls a second that it takes from all
+    nodes together, ``None`` if it names no limit.
+    """
+
+    __slots__ = ('per_second',)
+
+    def __init__(self, *, per_second: float | None) -> None:
+        self.per_second = per_second
+
+
 class DrainStarted(Record):
     """The target is shutting down."""
 
@@ -136,6 +149,7 @@
     | Cancelled
     | AdmissionTicked
     | LoadReported
+    | RateLimitReported
     | DrainStarted
 )
 Action: TypeAlias = Admit | Refuse | Abort
--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -201,6 +201,13 @@
         alert='below 0.9 for 10 s while running calls in '
         'lovageshunt_target_calls are below the slots',
     ),
+    MetricSpec(
+        name='lovageshunt_target_rate_limit',
+        kind=GAUGE,
+        meaning='calls a second that the target says it takes, '
+        '-1 without limit',
+        alert='0 or above for 1 min',
+    ),
     MetricSpec(
         name='lovageshunt_target_calls',
         kind=GAUGE,
--- a/src/lovageshunt/sidecar/_classification.py
+++ b/src/lovageshunt/sidecar/_classification.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from lovageshunt._record import Record
-from lovageshunt.admission import LoadReported
+from lovageshunt.admission import LoadReported, RateLimitReported
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.http1 import ExchangeEnd, Response
 from lovageshunt.sidecar._header_names import HeaderNames
@@ -21,10 +21,18 @@
     """An outcome with its reason, and what the target reported of itself.
 
     ``detail`` explains the outcome in the log. ``is_leaving`` is true if the
-    target said that it leaves.
+    target said that it leaves, ``rate_limit`` is ``None`` if the response does
+    not tell whether it limits its calls.
     """
 
-    __slots__ = ('outcome', 'reason', 'detail', 'reported', 'is_leaving')
+    __slots__ = (
+        'outcome',
+        'reason',
+        'detail',
+        'reported',
+        'is_leaving',
+        'rate_limit',
+    )
 
     def __init__(
         self,
@@ -34,12 +42,14 @@
         detail: str = '',
         reported: LoadReported | None = None,
         is_leaving: bool = False,
+        rate_limit: RateLimitReported | None = None,
     ) -> None:
         self.outcome = outcome
         self.reason = reason
         self.detail = detail
         self.reported = reported
         self.is_leaving = is_leaving
+        self.rate_limit = rate_limit
 
 
 def classify_response(
@@ -65,9 +75,20 @@
     classified = _classify_complete(response, header_names)
     if response.status != _MISDIRECTED:
         classified.is_leaving = bool(response.header(header_names.leaving))
+        classified.rate_limit = _rate_limit_of(response, header_names)
     return classified
 
 
+def _rate_limit_of(
+    response: Response,
+    header_names: HeaderNames,
+) -> RateLimitReported | None:
+    limit = response.header(header_names.rate_limit)
+    if not limit:
+        return RateLimitReported(per_second=None)
+    return header_names.read_rate_limit(limit)
+
+
 def _classify_complete(
     response: Response,
     header_names: HeaderNames,
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -3,6 +3,7 @@
 from asyncio import TimerHandle, get_running_loop
 from collections.abc import Callable
 from functools import singledispatchmethod
+from logging import getLogger
 from typing import Final
 
 from lovageshunt.admission import (
@@ -16,6 +17,7 @@
     Event,
     Finished,
     LoadReported,
+    RateLimitReported,
     Refuse,
     TargetQueue,
 )
@@ -41,6 +43,7 @@
 from lovageshunt.sidecar._run import EndedCallback, Run
 from lovageshunt.sidecar._run_answers import answer_of, refusal_of_departed
 
+_log = getLogger(__name__)
 #: The longest idle time of a connection that a non-repeatable request is sent
 #: on, in seconds: a server seldom closes connections that were used recently.
 _MAX_IDLE_SECONDS: Final = 1.0
@@ -64,7 +67,9 @@
     refuses although a slot was free. ``resend_budget`` limits how often a
     request is sent again because the target closed its connection.
     ``has_left`` tells whether a target must get no more calls; ``on_leaving``
-    is called when a target says in an answer that it leaves.
+    is called when a target says in an answer that it leaves. ``rate_limit``
+    is the number of calls a second that the target takes, ``None`` without a
+    limit.
     """
 
     def __init__(
@@ -93,6 +98,7 @@
         self._published = ('', 0)
         self._next_number = 0
         self._repeats_running = 0
+        self.rate_limit: float | None = None
         self._tick: TimerHandle | None = None
         self._tick_due = float(0)
 
@@ -215,7 +221,7 @@
         self._send(run)
         delay = max(0, run.order.deadline - clock_now()) + _CANCEL_DELAY_SECONDS
         loop = get_running_loop()
-        run.overdue = loop.call_later(delay, self._cancel_overdue, run)
+        run.overdue = loop.call_later(delay, run.cancel_exchange)
 
     @_perform.register
     def _refuse(self, action: Refuse) -> None:
@@ -233,8 +239,8 @@
     @_perform.register
     def _abort(self, action: Abort) -> None:
         run = self._run_by_call_id.get(action.call_id)
-        if run is not None and run.sending is not None:
-            run.sending.cancel()
+        if run is not None:
+            run.cancel_exchange()
 
     def _send(self, run: Run) -> None:
         exchange = Exchange(
@@ -246,11 +252,6 @@
         max_idle = None if run.order.is_repeatable else _MAX_IDLE_SECONDS
         run.sending = self.pool.send(exchange, max_idle)
 
-    def _cancel_overdue(self, run: Run) -> None:
-        """Cancel a call that still runs after its deadline."""
-        if run.sending is not None:
-            run.sending.cancel()
-
     def _on_ended(
         self,
         run: Run,
@@ -283,6 +284,8 @@
             self._on_leaving(run.order.target_id)
         if classified.reported is not None:
             self._handle(classified.reported)
+        if classified.rate_limit is not None:
+            self._apply_rate_limit(run.order.target_id, classified.rate_limit)
         self._handle(
             Finished(
                 run.call_id,
@@ -294,6 +297,18 @@
             run, answer_of(run, classified, response, self._queue.load())
         )
 
+    def _apply_rate_limit(
+        self, target_id: str, reported: RateLimitReported
+    ) -> None:
+        """Apply the limit that the target names with an answer, or none."""
+        if reported.per_second != self.rate_limit:
+            _log.info(
+                'target limits its calls',
+                extra={'target': target_id, 'per_second': reported.per_second},
+            )
+        self.rate_limit = reported.per_second
+        self._handle(reported)
+
     def _may_resend(self, run: Run) -> bool:
         if run.resent or not run.order.is_repeatable:
             return False
--- a/src/lovageshunt/sidecar/_header_names.py
+++ b/src/lovageshunt/sidecar/_header_names.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from lovageshunt._record import Record
-from lovageshunt.admission import LoadReported
+from lovageshunt.admission import LoadReported, RateLimitReported
 
 
 class HeaderNames(Record):
@@ -16,7 +16,9 @@
     response that a target made by running a request, ``not_run`` on those
     that state that the request was not run. ``leaving`` is on the responses of
     a target that leaves. ``load`` carries a target's load; ``read_load``
-    decodes it and returns ``None`` for a malformed value.
+    decodes it and returns ``None`` for a malformed value. ``rate_limit`` is on
+    the responses of a target that limits the calls a second that it takes;
+    ``read_rate_limit`` decodes it in the same way.
     """
 
     __slots__ = (
@@ -29,6 +31,8 @@
         'leaving',
         'load',
         'read_load',
+        'rate_limit',
+        'read_rate_limit',
     )
 
     def __init__(
@@ -43,6 +47,8 @@
         leaving: bytes,
         load: bytes,
         read_load: Callable[[bytes], LoadReported | None],
+        rate_limit: bytes,
+        read_rate_limit: Callable[[bytes], RateLimitReported | None],
     ) -> None:
         self.attempt_id = attempt_id
         self.time_left = time_left
@@ -53,6 +59,8 @@
         self.leaving = leaving
         self.load = load
         self.read_load = read_load
+        self.rate_limit = rate_limit
+        self.read_rate_limit = read_rate_limit
 
     @property
     def overwritten(self) -> frozenset[bytes]:
--- a/src/lovageshunt/sidecar/_metrics.py
+++ b/src/lovageshunt/sidecar/_metrics.py
@@ -57,16 +57,19 @@
         load: LoadReport,
         share: float,
         accepted: float,
+        rate_limit: float | None,
         version: int,
         is_platform_unreachable: bool,
     ) -> None:
-        """Set the gauges to the present values."""
+        """Set the gauges to the present values; no limit is set to -1."""
+        limit = -1 if rate_limit is None else rate_limit
         calls = 'lovageshunt_target_calls'
         self._registry.series(calls, 'running').value = load.running
         self._registry.series(calls, 'waiting').value = load.waiting
         for name, number in (
             ('lovageshunt_demand_share', share),
             ('lovageshunt_target_accepted_share', accepted),
+            ('lovageshunt_target_rate_limit', limit),
             ('lovageshunt_configuration_version', version),
             ('lovageshunt_platform_away', float(is_platform_unreachable)),
         ):
--- a/src/lovageshunt/sidecar/_run.py
+++ b/src/lovageshunt/sidecar/_run.py
@@ -52,6 +52,11 @@
         self.resent = False
         self.is_repeat = order.is_repeat
 
+    def cancel_exchange(self) -> None:
+        """Cancel the exchange with the target, if it has begun."""
+        if self.sending is not None:
+            self.sending.cancel()
+
     def encoded(self, header_names: HeaderNames) -> bytes:
         """Encode the request with the time left until its deadline."""
         order = self.order
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -237,6 +237,7 @@
             load=self._executor.queue.load(),
             share=self._executor.demand.share,
             accepted=self._executor.refusals.accepted,
+            rate_limit=self._executor.rate_limit,
             version=self.fleet_state.greeting.version,
             is_platform_unreachable=self.fleet_state.is_platform_unreachable,
         )
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -4,7 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
-from lovageshunt.admission import LoadReported
+from lovageshunt.admission import LoadReported, RateLimitReported
 from lovageshunt.routes import Configuration, Destination, Route, ServiceLimits
 from lovageshunt.settings import (
     Address,
@@ -29,6 +29,8 @@
     leaving=b'x-leaving',
     load=b'x-load',
     read_load=lambda text: LoadReported(running=0, slots=int(text)),
+    rate_limit=b'x-limit',
+    read_rate_limit=lambda text: RateLimitReported(per_second=float(text)),
 )
 CLIENTS_PORT = 18301
 NODES_PORT = 18302
