Hold the limit of calls that a target names, at its node

Cause: the limit was not read. Class of fault: a target's capacity is taken to be its slots; nothing else that it says of what it can bear reaches the places that decide. Ruled out: senders that each keep to it, and resends; the code had neither.

The node beside the target sees every call whoever sends it, so it holds the limit exactly: a token bucket in the queue that already orders calls by what matters most, with half a second of burst. What could not be sent before its time is up is refused at once, with when there will be room, and the first hop sends it to another target; what waits when the limit is named is looked at again. A request that is sent once more on a second connection takes a token. A limit of 0 lets one call in two seconds ask whether it is over. It ends with an answer without the field, or with another target at the address.

The limit also bounds the slots in the target's load reports, to those that so many calls occupy: placement, the first hop's capacity and the share of demand that fits all use that one figure.

--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -4,7 +4,8 @@
 hops cannot refuse the same requests by rank. Instead, calls that belong to
 work in progress are dispatched first, then the more important ones, then
 those with the nearer deadline. A call is refused if it could not finish
-before its deadline.
+before its deadline. A target may also limit the calls a second that it takes;
+the same order decides which calls it gets.
 """
 
 from functools import singledispatchmethod
@@ -20,9 +21,11 @@
     Event,
     Finished,
     LoadReported,
+    RateLimitReported,
     Refuse,
 )
 from lovageshunt.admission._queue import WaitingCall, WaitingQueue
+from lovageshunt.admission._rate_limit import RateLimit
 from lovageshunt.admission._running import RunningCalls
 from lovageshunt.calls import LoadReport, RefusalReason
 from lovageshunt.errors import DuplicateCallError
@@ -53,6 +56,7 @@
         '_max_waiting',
         '_queue',
         '_running',
+        '_rate_limit',
         '_queue_deadlines',
         '_service_seconds',
         '_is_draining',
@@ -63,6 +67,7 @@
         self._max_waiting = max_waiting
         self._queue = WaitingQueue()
         self._running = RunningCalls()
+        self._rate_limit = RateLimit()
         #: A heap; entries of calls that have left the queue are skipped when
         #: they become due.
         self._queue_deadlines: list[tuple[float, str]] = []
@@ -74,6 +79,19 @@
         """Return how many calls may run in the target at once."""
         return max(1, int(self._slots * (1 - _RESERVED_SHARE)))
 
+    @property
+    def capacity(self) -> int:
+        """Return how many calls the target has room for on average.
+
+        A target that limits the calls a second has no use for more slots than
+        these occupy.
+        """
+        per_second = self._rate_limit.per_second
+        if per_second is None:
+            return self._slots
+        used = max(1, round(per_second * self._service_seconds))
+        return min(self._slots, used)
+
     @property
     def running_count(self) -> int:
         """Return how many calls run in the target."""
@@ -89,13 +107,20 @@
         return LoadReport(
             running=self.running_count,
             waiting=len(self._queue),
-            limit=self._slots,
+            limit=self.capacity,
             service_ms=self._service_seconds * _MS_PER_SECOND,
         )
 
-    def next_wake(self) -> float | None:
+    def next_wake(self, now: float) -> float | None:
         """Return the time by which ``AdmissionTicked`` is due, if any."""
-        return self._queue_deadlines[0][0] if self._queue_deadlines else None
+        times = [due for due, _ in self._queue_deadlines[:1]]
+        if self._queue and len(self._running) < self.limit:
+            times.append(now + self._rate_limit.wait_seconds(1, now))
+        return min(times, default=None)
+
+    def take_another(self, now: float) -> bool:
+        """Count a call that is sent once more; return whether it may be."""
+        return self._rate_limit.take(now)
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Handle an event and return the actions to carry out, in order.
@@ -132,16 +157,17 @@
             deadline=event.deadline,
         )
         if self._is_draining:
-            actions.append(self._refusal(call, RefusalReason.LEAVING))
+            actions.append(self._refusal(call, RefusalReason.LEAVING, now))
             return
-        if not self._can_finish(call, event.queue_deadline, now):
-            actions.append(self._refusal(call, RefusalReason.OVERLOAD))
+        reason = self._shortage(call, event.queue_deadline, now)
+        if reason is not None:
+            actions.append(self._refusal(call, reason, now))
             return
         self._queue.add(call)
         heappush(self._queue_deadlines, (event.queue_deadline, call.call_id))
         if len(self._queue) > self._max_waiting:
             last = self._queue.remove(self._queue.last().call_id)
-            actions.append(self._refusal(last, RefusalReason.QUEUE_FULL))
+            actions.append(self._refusal(last, RefusalReason.QUEUE_FULL, now))
 
     @_handle_event.register
     def _on_finished(
@@ -181,6 +207,27 @@
         if event.slots > 0:
             self._slots = event.slots
 
+    @_handle_event.register
+    def _on_rate_limit_reported(
+        self,
+        event: RateLimitReported,
+        actions: list[Action],
+        now: float,
+    ) -> None:
+        if event.per_second == self._rate_limit.per_second:
+            return
+        self._rate_limit.change(event.per_second, now)
+        due_by_call_id = {
+            call_id: due for due, call_id in self._queue_deadlines
+        }
+        for call in self._queue.ordered():
+            ahead = self._queue.ahead_of(call) + 1
+            sent_at = now + self._rate_limit.wait_seconds(ahead, now)
+            if sent_at > due_by_call_id[call.call_id]:
+                self._queue.remove(call.call_id)
+                reason = RefusalReason.QUEUE_FULL
+                actions.append(self._refusal(call, reason, now))
+
     @_handle_event.register
     def _on_drain_started(
         self,
@@ -191,23 +238,35 @@
         self._is_draining = True
         for call in self._queue.ordered():
             self._queue.remove(call.call_id)
-            actions.append(self._refusal(call, RefusalReason.LEAVING))
+            actions.append(self._refusal(call, RefusalReason.LEAVING, now))
 
-    def _can_finish(
+    def _shortage(
         self,
         call: WaitingCall,
         queue_deadline: float,
         now: float,
-    ) -> bool:
-        if len(self._running) < self.limit:
-            return now < call.deadline
+    ) -> RefusalReason | None:
+        """Return why a call cannot be sent and finished in time, if so.
+
+        A limit of calls is a matter of this target alone, so that another one
+        may have room for the call.
+        """
         ahead = self._queue.ahead_of(call) + 1
+        sent_at = now + self._rate_limit.wait_seconds(ahead, now)
+        if sent_at > min(queue_deadline, call.deadline):
+            return RefusalReason.QUEUE_FULL
+        if len(self._running) < self.limit:
+            return None if now < call.deadline else RefusalReason.OVERLOAD
         starts_at = now + ahead * self._service_seconds / self._slots
         ends_at = starts_at + self._service_seconds
-        return starts_at <= queue_deadline and ends_at <= call.deadline
+        if starts_at <= queue_deadline and ends_at <= call.deadline:
+            return None
+        return RefusalReason.OVERLOAD
 
     def _dispatch_waiting(self, actions: list[Action], now: float) -> None:
         while self._queue and len(self._running) < self.limit:
+            if not self._rate_limit.take(now):
+                return
             call = self._queue.remove(self._queue.first().call_id)
             self._running.start(
                 call.call_id,
@@ -221,11 +280,14 @@
             call_id = heappop(self._queue_deadlines)[1]
             if call_id in self._queue:
                 call = self._queue.remove(call_id)
-                actions.append(self._refusal(call, RefusalReason.DEADLINE))
+                actions.append(self._refusal(call, RefusalReason.DEADLINE, now))
 
-    def _refusal(self, call: WaitingCall, reason: RefusalReason) -> Refuse:
+    def _refusal(
+        self, call: WaitingCall, reason: RefusalReason, now: float
+    ) -> Refuse:
         ahead = len(self._queue) + 1
         seconds = ahead * self._service_seconds / self._slots
+        seconds = max(seconds, self._rate_limit.wait_seconds(ahead, now))
         return Refuse(
             call_id=call.call_id,
             reason=reason,
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -125,6 +125,9 @@
         """
         if (target_id, slots) == self._published:
             return
+        if target_id != self._published[0]:
+            self.rate_limit = None
+            self._handle(RateLimitReported(per_second=None))
         self._published = (target_id, slots)
         self._handle(LoadReported(running=0, slots=slots))
 
@@ -180,7 +183,7 @@
         self.refusals.advance(now)
         return self.demand.advance(
             now,
-            slots=self._queue.limit,
+            slots=min(self._queue.limit, self._queue.capacity),
             backlog_slot_seconds=self._queue.backlog_slot_seconds,
         )
 
@@ -194,7 +197,7 @@
         self._set_tick()
 
     def _set_tick(self) -> None:
-        due = self._queue.next_wake()
+        due = self._queue.next_wake(clock_now())
         if due is None:
             return
         if self._tick is not None:
@@ -300,7 +303,12 @@
     def _apply_rate_limit(
         self, target_id: str, reported: RateLimitReported
     ) -> None:
-        """Apply the limit that the target names with an answer, or none."""
+        """Apply the limit that the target names with an answer, or none.
+
+        An answer of an earlier target at this address changes nothing.
+        """
+        if target_id != (self._published[0] or target_id):
+            return
         if reported.per_second != self.rate_limit:
             _log.info(
                 'target limits its calls',
@@ -314,7 +322,10 @@
             return False
         if self._has_left(run.order.target_id):
             return False
-        return self._resend_budget.spend(clock_now())
+        now = clock_now()
+        if not self._resend_budget.may_spend(now):
+            return False
+        return self._queue.take_another(now) and self._resend_budget.spend(now)
 
     def _answer(self, run: Run, answer: RunAnswer) -> None:
         seconds = clock_now() - run.arrived_at
--- a/src/lovageshunt/sidecar/_origin_call.py
+++ b/src/lovageshunt/sidecar/_origin_call.py
@@ -11,6 +11,10 @@
 from lovageshunt.sidecar._fleet import TargetEntry
 
 _MS_PER_SECOND: Final = 1000
+#: Reasons with which a target's node refuses a call instead of sending it.
+_UNSENT_REASONS: Final = frozenset(
+    (RefusalReason.LEAVING, RefusalReason.QUEUE_FULL),
+)
 
 
 class Attempt:
@@ -107,10 +111,10 @@
         """Record why an attempt at a target failed.
 
         A target that refused the call has not run it, so that it stays
-        eligible, but other targets are tried first. A call to a target that
-        leaves was not sent to it, so that it is not one of its attempts.
+        eligible, but other targets are tried first. A call that the target's
+        node did not send to it is not one of the attempts that are counted.
         """
-        if reason is RefusalReason.LEAVING:
+        if reason in _UNSENT_REASONS:
             self.sent_to -= {target_id}
         if reason is RefusalReason.SHED:
             self._refusing_targets |= {target_id}
--- a/tests/admission/test_rate_limit.py
+++ b/tests/admission/test_rate_limit.py
@@ -8,9 +8,10 @@
     Arrived,
     Finished,
     RateLimitReported,
+    Refuse,
     TargetQueue,
 )
-from lovageshunt.calls import level_of
+from lovageshunt.calls import RefusalReason, level_of
 
 _STEP_SECONDS = 0.01
 #: The window in which the calls of a limited target are counted.
@@ -96,3 +97,72 @@
         load.play(20, per_second=44)
         allowed = 1.5 * 4.4 * _WINDOW_SECONDS + 5
         assert load.most_in_a_window() <= allowed
+
+    def test_a_target_gets_the_calls_that_it_names(self) -> None:
+        """Of the calls a second that it takes, at least nine tenths come."""
+        load = limited(4.4)
+        load.play(20, per_second=44)
+        assert len(load.admitted) >= 0.9 * 4.4 * 20
+
+    def test_scarce_calls_go_to_what_matters_most(self) -> None:
+        """With a limit of a third of the load the best third gets it."""
+        load = limited(10)
+        load.play(20, per_second=30)
+        sent = load.by_importance()
+        assert sent[1] >= 0.9 * load.arrived / 3
+        assert sent[1] > 5 * (sent[2] + sent[3])
+
+    def test_a_limit_ends_with_an_answer_without_it(self) -> None:
+        """After that, all calls are sent again."""
+        load = limited(4.4)
+        load.play(2, per_second=44)
+        load.queue.handle(RateLimitReported(per_second=None), load.now)
+        before = load.arrived - len(load.admitted)
+        load.play(5, per_second=44)
+        assert load.arrived - len(load.admitted) <= before + 1
+
+    def test_a_limit_of_none_a_second_lets_some_calls_ask(self) -> None:
+        """A few calls are sent, five in 4 s at the most."""
+        load = limited(0)
+        load.play(20, per_second=44)
+        assert len(load.admitted) >= 5
+        assert load.most_in_a_window() <= 5
+
+    def test_a_small_change_of_the_limit_saves_up_no_calls(self) -> None:
+        """A limit that is named anew ten times a second still holds."""
+        load = limited(4.4)
+        for at in range(100):
+            named = 4.4 + at % 2 / 10
+            limit = RateLimitReported(per_second=named)
+            load.queue.handle(limit, load.now)
+            load.play(0.1, per_second=44)
+        assert load.most_in_a_window() <= 1.5 * 4.5 * _WINDOW_SECONDS + 5
+
+    def test_refuses_at_once_what_would_wait_too_long(self) -> None:
+        """Calls that wait when the limit is named may run elsewhere."""
+        queue = TargetQueue(slots=1)
+        for call_id in ('r', 'a', 'b'):
+            queue.handle(
+                Arrived(call_id=call_id, level=level_of(1, 0), deadline=1),
+                0,
+            )
+        actions = queue.handle(RateLimitReported(per_second=0.8), 0)
+        assert len(actions) == 1
+        assert isinstance(actions[0], Refuse)
+        assert actions[0].reason is RefusalReason.QUEUE_FULL
+        assert actions[0].retry_after_ms >= 1000
+
+    def test_reports_the_room_that_the_limit_leaves(self) -> None:
+        """Ten calls a second of 50 ms each need one slot of 40."""
+        load = limited(10)
+        load.play(2, per_second=44)
+        assert load.queue.load().limit == 1
+        load.queue.handle(RateLimitReported(per_second=None), load.now)
+        assert load.queue.load().limit == 40
+
+    def test_counts_a_call_that_is_sent_again(self) -> None:
+        """Its second sending takes the place of another call."""
+        queue = TargetQueue(slots=40)
+        queue.handle(RateLimitReported(per_second=1), 0)
+        assert queue.take_another(0)
+        assert not queue.take_another(0)
--- a/tests/sidecar/test_origin_call.py
+++ b/tests/sidecar/test_origin_call.py
@@ -1,5 +1,7 @@
 """The targets that the next attempt of a request may use."""
 
+import pytest
+
 from lovageshunt.calls import RefusalReason
 from lovageshunt.http1 import Request
 from lovageshunt.sidecar._origin_call import OriginCall
@@ -54,10 +56,17 @@
         assert call.allow_last_refuser()
         assert call.excluded == frozenset()
 
-    def test_counts_no_attempt_at_a_target_that_leaves(self) -> None:
+    @pytest.mark.parametrize(
+        'reason',
+        [RefusalReason.LEAVING, RefusalReason.QUEUE_FULL],
+    )
+    def test_counts_no_attempt_that_was_not_sent(
+        self,
+        reason: RefusalReason,
+    ) -> None:
         """A call that its target never got may still go to as many others."""
         call = call_sent_to('a')
-        call.note_failed_attempt('a', RefusalReason.LEAVING)
+        call.note_failed_attempt('a', reason)
         assert call.excluded == {'a'}
         assert call.attempts_left(1) == 1
         assert call.allowed_targets(1) is None
--- a/tests/sidecar/test_rate_limit.py
+++ b/tests/sidecar/test_rate_limit.py
@@ -51,3 +51,14 @@
             clients = [await limited_client(world, at) for at in (0, 1)]
             await asyncio.gather(*(press(client) for client in clients))
             assert 2 <= len(target.received) <= _ALLOWED
+
+    async def test_what_exceeds_the_limit_runs_at_another_target(self) -> None:
+        """Every request is served while the other target has room."""
+        async with world_of(3) as world:
+            world.targets[1].serve = limits
+            fleet_state = world.nodes[0].fleet_state
+            fleet_state.is_platform_unreachable = False
+            fleet_state.apply_targets(world.entries()[1:], 2)
+            client = await client_of(world.hosts[0])
+            assert set(await press(client)) == {'HTTP/1.1 200 OK'}
+            assert len(world.targets[1].received) <= _ALLOWED
