Bound the bytes that a target sends without end

A node kept all of them until the deadline of the request: at the speed of a local connection that is hundreds of megabytes of the 64 that a node may use.

Cause: the client side of http1 had no limit on what it receives, only the server side had. Shown on: after 4 MB in a status line, a field, fields, a body, chunks or interim responses the exchange had not ended.

A response now has a limit for its head and trailer (64 KiB) and for all of its bytes (4 MiB), responses that are ignored before it included, and a pool one for what all its connections hold (16 MiB). What exceeds them closes the connection and ends the exchange as incomplete, so that the outcome is unknown. The body is collected in one buffer, as many small chunks would cost several times their size. In time they are bounded by the deadline, as before; a test on real connections shows it for a fast and a slow sender.

--- a/src/lovageshunt/http1/__init__.py
+++ b/src/lovageshunt/http1/__init__.py
@@ -5,7 +5,11 @@
 """
 
 from lovageshunt.http1._client import ClientConnection, Exchange
-from lovageshunt.http1._limits import ServerLimits
+from lovageshunt.http1._limits import (
+    ResponseBuffers,
+    ResponseLimits,
+    ServerLimits,
+)
 from lovageshunt.http1._messages import (
     ExchangeEnd,
     Request,
@@ -26,6 +30,8 @@
     'Request',
     'RequestHandler',
     'Response',
+    'ResponseBuffers',
+    'ResponseLimits',
     'PendingExchange',
     'ServerConnection',
     'ServerLimits',
--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -2,11 +2,13 @@
 
 from asyncio import BaseTransport, Protocol, Transport
 from collections.abc import Callable
+from logging import getLogger
 from time import monotonic
 from typing import Final, cast
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from lovageshunt.http1._limits import ResponseBuffers
 from lovageshunt.http1._messages import (
     BODILESS_STATUSES,
     ExchangeEnd,
@@ -15,6 +17,7 @@
     first_header,
 )
 
+_log = getLogger(__name__)
 #: Lower statuses are those of interim responses, which precede the final one.
 _MIN_FINAL_STATUS: Final = 200
 _FRAMING_FIELDS: Final = frozenset((b'content-length', b'transfer-encoding'))
@@ -50,14 +53,18 @@
     """One connection to a server, for one exchange at a time.
 
     ``on_free`` is called whenever the connection may be used again,
-    ``on_closed`` once it is closed. ``idle_since`` is on the monotonic
-    clock, in seconds. ``idle_limit_seconds`` is how long the server keeps an
-    idle connection, or ``None`` if it did not announce that.
+    ``on_closed`` once it is closed. ``buffers`` limits what the connections of
+    a pool hold of responses that are not complete. ``idle_since`` is on the
+    monotonic clock, in seconds. ``idle_limit_seconds`` is how long the server
+    keeps an idle connection, or ``None`` if it did not announce that.
     """
 
     __slots__ = (
         '_on_closed',
         '_on_free',
+        '_buffers',
+        '_held_bytes',
+        '_header_bytes',
         '_transport',
         '_parser',
         '_exchange',
@@ -80,9 +87,12 @@
         self,
         on_closed: Callable[['ClientConnection'], None],
         on_free: Callable[['ClientConnection'], None],
+        buffers: ResponseBuffers,
     ) -> None:
         self._on_closed = on_closed
         self._on_free = on_free
+        self._buffers = buffers
+        self._held_bytes = 0
         self._transport: Transport | None = None
         self._parser = HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -134,18 +144,24 @@
         self._on_closed(self)
 
     def data_received(self, data: bytes) -> None:
-        """Parse data from the server; close an idle connection on any."""
+        """Parse data from the server; close an idle connection on any.
+
+        A response that exceeds a limit ends the exchange as incomplete.
+        """
         if self._exchange is None:
             self.close()
             return
         self._has_bytes = True
+        self._held_bytes += len(data)
+        if not self._buffers.hold(len(data)) or self._is_too_long():
+            self._cut()
+            return
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
             self._has_surplus = True
             if self._complete_response is None:
-                self.close()
-                self._end(ExchangeEnd.INCOMPLETE, None)
+                self._cut()
         self._deliver()
 
     # Called by the parser.
@@ -156,13 +172,15 @@
             self._has_surplus = True
         self._status = 0
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._header_bytes = 0
+        self._body = bytearray()
         self._is_delimited = False
         self._is_stale = False
         self._has_head = False
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; note if it determines where the body ends."""
+        self._header_bytes += len(name) + len(text)
         lower = name.lower()
         if lower in _FRAMING_FIELDS:
             self._is_delimited = True
@@ -185,7 +203,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Keep the response for delivery, unless it is interim or stale."""
@@ -201,7 +219,7 @@
         return Response(
             status=self._status,
             headers=self._headers,
-            body=b''.join(self._body),
+            body=bytes(self._body),
         )
 
     def _deliver(self) -> None:
@@ -214,12 +232,33 @@
             self.close()
         self._end(ExchangeEnd.COMPLETE, response)
 
+    def _is_too_long(self) -> bool:
+        """Return whether the response exceeds a limit, complete or not."""
+        limits = self._buffers.limits
+        if not self._has_head and self._held_bytes > limits.head_bytes:
+            return True
+        if self._header_bytes > limits.head_bytes:
+            return True
+        return self._held_bytes > limits.head_bytes + limits.body_bytes
+
+    def _cut(self) -> None:
+        """Close the connection and end the exchange as incomplete."""
+        if self._exchange is not None:
+            _log.warning(
+                'response was cut off: malformed or too long',
+                extra={'bytes': self._held_bytes},
+            )
+        self.close()
+        self._end(ExchangeEnd.INCOMPLETE, None)
+
     def _end(self, end: ExchangeEnd, response: Response | None) -> None:
         exchange = self._exchange
         if exchange is None:
             return
         self._exchange = None
         self._is_first = False
+        self._buffers.release(self._held_bytes)
+        self._held_bytes = 0
         self.idle_since = monotonic()
         if self._transport is not None:
             self._on_free(self)
--- a/src/lovageshunt/http1/_limits.py
+++ b/src/lovageshunt/http1/_limits.py
@@ -1,4 +1,4 @@
-"""Limits on the size and the duration of client requests."""
+"""Limits on the size and the duration of messages that are received."""
 
 from lovageshunt._record import Record
 
@@ -26,3 +26,45 @@
         self.body_bytes = body_bytes
         self.head_seconds = head_seconds
         self.idle_seconds = idle_seconds
+
+
+class ResponseLimits(Record):
+    """Limits on what the servers of one pool may send.
+
+    ``head_bytes`` limits everything before the body, and the fields after it;
+    ``body_bytes`` one response as a whole, with responses that are ignored
+    before it. ``total_bytes`` limits what all connections of the pool hold
+    together. A response that exceeds a limit is cut off.
+    """
+
+    __slots__ = ('head_bytes', 'body_bytes', 'total_bytes')
+
+    def __init__(
+        self,
+        *,
+        head_bytes: int = 65536,
+        body_bytes: int = 4194304,
+        total_bytes: int = 16777216,
+    ) -> None:
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.total_bytes = total_bytes
+
+
+class ResponseBuffers:
+    """Counts the bytes of responses that the connections of a pool hold."""
+
+    __slots__ = ('limits', '_held_bytes')
+
+    def __init__(self, limits: ResponseLimits) -> None:
+        self.limits = limits
+        self._held_bytes = 0
+
+    def hold(self, count: int) -> bool:
+        """Count bytes that were received; return whether there is room."""
+        self._held_bytes += count
+        return self._held_bytes <= self.limits.total_bytes
+
+    def release(self, count: int) -> None:
+        """Count bytes that are no longer held."""
+        self._held_bytes -= count
--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from lovageshunt.http1._client import ClientConnection, Exchange
+from lovageshunt.http1._limits import ResponseBuffers, ResponseLimits
 from lovageshunt.http1._messages import ExchangeEnd, Response
 
 _log = getLogger(__name__)
@@ -67,10 +68,18 @@
 class ConnectionPool:
     """Sends exchanges to one address, reusing idle connections.
 
-    At most ``max_connections`` connections are open at a time.
+    At most ``max_connections`` connections are open at a time; ``limits``
+    bounds what they hold of responses.
     """
 
-    def __init__(self, host: str, port: int, max_connections: int) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_connections: int,
+        limits: ResponseLimits | None = None,
+    ) -> None:
+        self._buffers = ResponseBuffers(limits or ResponseLimits())
         self._host = host
         self._port = port
         self.max_connections = max_connections
@@ -147,7 +156,7 @@
         try:
             async with timeout(_CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self._on_closed, self._on_free),
+                    self._new_connection,
                     self._host,
                     self._port,
                 )
@@ -166,6 +175,9 @@
             return
         pending.begin(connection)
 
+    def _new_connection(self) -> ClientConnection:
+        return ClientConnection(self._on_closed, self._on_free, self._buffers)
+
     def _on_free(self, connection: ClientConnection) -> None:
         connection.idle_since = monotonic()
         self._idle.append(connection)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -7,6 +7,8 @@
     Exchange,
     ExchangeEnd,
     Response,
+    ResponseBuffers,
+    ResponseLimits,
 )
 from tests.http1.wire import FakeTransport
 
@@ -19,13 +21,19 @@
 class Wire:
     """A connection over a fake transport, with one exchange sent."""
 
-    def __init__(self, *, has_body: bool = True) -> None:
+    def __init__(
+        self,
+        *,
+        has_body: bool = True,
+        buffers: ResponseBuffers | None = None,
+    ) -> None:
         self.ends: list[tuple[ExchangeEnd, Response | None]] = []
         self.closed: list[ClientConnection] = []
         self.freed: list[ClientConnection] = []
         self.connection = ClientConnection(
             self.closed.append,
             self.freed.append,
+            buffers or ResponseBuffers(ResponseLimits()),
         )
         self.transport = FakeTransport()
         self.connection.connection_made(self.transport)
@@ -177,3 +185,60 @@
         head, _, body = COMPLETE.partition(b'\r\n\r\n')
         wire.receive(head + b'\r\nKeep-Alive: ' + field + b'\r\n\r\n' + body)
         assert wire.connection.idle_limit_seconds == seconds
+
+
+HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\n'
+#: Far more than a response may have, in bytes.
+_ENDLESS_BYTES = 16 * 1024 * 1024
+_PART_BYTES = 65536
+
+
+def endless(part: bytes) -> list[bytes]:
+    """Repeat bytes until they are more than any response may have."""
+    piece = part * (_PART_BYTES // len(part) + 1)
+    return [piece] * (_ENDLESS_BYTES // len(piece))
+
+
+class TestBytesWithoutEnd:
+    """A target in trouble sends bytes until its connection is closed."""
+
+    @pytest.mark.parametrize(
+        ('start', 'part'),
+        [
+            (b'', b'HTTP'),
+            (b'HTTP/1.1 200 ', b'OK'),
+            (HEAD + b'X-Long: ', b'x'),
+            (HEAD, b'X-More: y\r\n'),
+            (HEAD + b'\r\n', b'body'),
+            (HEAD + b'Content-Length: 99999999999\r\n\r\n', b'body'),
+            (HEAD + b'Transfer-Encoding: chunked\r\n\r\n', b'1\r\nx\r\n'),
+            (
+                HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n',
+                b'X-More: y\r\n',
+            ),
+            (b'', b'HTTP/1.1 103 Early Hints\r\n\r\n'),
+            (b'', STALE),
+        ],
+    )
+    def test_are_cut_off(self, start: bytes, part: bytes) -> None:
+        """In whatever part of a response they come, the exchange ends."""
+        wire = Wire()
+        wire.receive(start)
+        for piece in endless(part):
+            wire.receive(piece)
+            if wire.ends:
+                break
+        assert wire.only_end is ExchangeEnd.INCOMPLETE
+        assert wire.transport.is_aborted
+
+    def test_are_bounded_for_all_connections_together(self) -> None:
+        """When the pool's room is used up, the next bytes end an exchange."""
+        buffers = ResponseBuffers(ResponseLimits(total_bytes=300000))
+        wires = [Wire(buffers=buffers) for _ in range(4)]
+        for wire in wires:
+            wire.receive(HEAD + b'\r\n', b'x' * 99000)
+        assert [len(wire.ends) for wire in wires] == [0, 0, 0, 1]
+        wires[0].connection.cancel()
+        other = Wire(buffers=buffers)
+        other.receive(HEAD + b'\r\n', b'x' * 99000)
+        assert not other.ends
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -150,3 +150,54 @@
         assert answers[0].outcome is Outcome.NOT_RUN
         await asyncio.sleep(0.1)
         assert not target.received
+
+
+class EndlessTarget(FakeTarget):
+    """Sends a body without end: ``part`` again and again, with pauses."""
+
+    def __init__(self, host: str, part: bytes, pause: float) -> None:
+        super().__init__(host)
+        self._part = part
+        self._pause = pause
+
+    async def _on_connection(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 200 OK\r\nX-Attempt: a\r\n\r\n')
+        try:
+            while True:
+                writer.write(self._part)
+                await writer.drain()
+                await asyncio.sleep(self._pause)
+        except ConnectionError:
+            self.ended_early += 1
+
+
+class TestBytesWithoutEnd:
+    """A target in trouble sends a body that does not end."""
+
+    @pytest.mark.parametrize(
+        ('part', 'pause'),
+        [(b'x' * 65536, 0), (b'x', 0.02)],
+    )
+    async def test_end_with_the_deadline_at_the_latest(
+        self,
+        part: bytes,
+        pause: float,
+    ) -> None:
+        """The outcome is unknown, and the target's connection is closed."""
+        target = EndlessTarget(own_host(9), part, pause)
+        await target.open()
+        answers: list[RunAnswer] = []
+        executor = executor_of(target)
+        endless = order('a', is_repeat=False)
+        endless.deadline = clock_now() + 0.3
+        executor.submit(endless, answers.append)
+        async with asyncio.timeout(2):
+            while not (answers and target.ended_early):
+                await asyncio.sleep(0.01)
+        assert answers[0].outcome is Outcome.UNKNOWN
+        target.close()
