Refuse the worse of a new and a waiting call when the threshold fell

Cause: an arrival is compared with the threshold alone, and what waits is not.

Tried first and not kept: comparing waiting calls with the threshold again when they are dispatched.

Now the better call takes the place of the worst one that waits, which is refused in its stead, unless the better one could not finish anyway.

--- a/src/lovageshunt/admission/_admission.py
+++ b/src/lovageshunt/admission/_admission.py
@@ -125,6 +125,8 @@
             deadline=event.deadline,
         )
         reason = self._refusal_reason(call)
+        if reason is RefusalReason.OVERLOAD and self._precedes_last(call):
+            reason = self._replace_last(call, actions)
         if reason is not None:
             actions.append(self._refusal(call, reason))
             return
@@ -188,6 +190,23 @@
             return RefusalReason.DEADLINE
         return None
 
+    def _precedes_last(self, call: WaitingCall) -> bool:
+        """Return whether a worse call waits, admitted by an earlier threshold.
+
+        The threshold in force is then no reason to refuse the better one.
+        """
+        return bool(self._queue) and self._queue.last().order > call.order
+
+    def _replace_last(
+        self, call: WaitingCall, actions: list[Action]
+    ) -> RefusalReason | None:
+        """Refuse the last waiting call for a better one that can finish."""
+        if not self._can_finish(call):
+            return RefusalReason.DEADLINE
+        last = self._queue.remove(self._queue.last().call_id)
+        actions.append(self._refusal(last, RefusalReason.OVERLOAD))
+        return None
+
     def _can_finish(self, call: WaitingCall) -> bool:
         if not self._running:
             # The service time may be outdated, and only a call that runs
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -160,6 +160,13 @@
 TestAlways = AdmissionMachine.TestCase
 
 
+class FirstChoice:
+    """Picks the first of several calls."""
+
+    def choice(self, calls):
+        return calls[0]
+
+
 def level_of(importance, rank=MIDDLE):
     return importance * RANK_COUNT + rank
 
@@ -217,6 +224,33 @@
         with pytest.raises(DuplicateCallError):
             arrive(admission, 'a', 0)
 
+    @pytest.mark.parametrize('seconds', [0, 1])
+    def test_no_worse_call_is_dispatched_as_a_better_one_is_refused(
+        self,
+        seconds,
+    ):
+        """A threshold that fell refuses none that is better than one waiting.
+
+        The worse call is refused in its place, if the better one has time.
+        """
+        machine = AdmissionMachine()
+        nothing = {'importance': 0, 'rank': 0, 'seconds': 0, 'delay': 0}
+        machine.wait(0.001)
+        for _ in range(6):
+            machine.arrive(count=1, **nothing)
+        machine.arrive(importance=1, rank=325, seconds=1, count=5, delay=0)
+        machine.arrive(count=6, **nothing)
+        machine.wait(0.1)
+        machine.wait(0.1)
+        worse = max(machine.waiting, key=lambda call: machine.calls[call])
+        machine.arrive(
+            importance=1, rank=328, seconds=seconds, count=1, delay=0
+        )
+        assert (worse in machine.waiting) == (not seconds)
+        machine.finish(
+            FirstChoice(), was_complete=False, was_shed=False, delay=0
+        )
+
 
 class TestDrain:
     """A target that is shutting down."""
