Give the processes of a test run a loopback host of their own

Cause: free_address() finds a free port and releases it before the node listens there. On 127.0.0.1 connections of every process get ports of the same range, so one could take it in between. Tried first and not kept: ports below that range, drawn at random; two runs beside each other can draw the same.

Each process that runs fleets now uses a loopback host of its own, from its process id, as the other tests do; connections start from 127.0.0.1. The certificates of tests name both hosts.

The failure was seen once and not produced again, so that it is mended follows from the cause, not from a count of runs.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -19,6 +19,9 @@
 _POLL_INTERVAL_SECONDS = 0.1
 _STOP_TIMEOUT_SECONDS = 20.0
 _ASSIGNED_PORTS: set[int] = set()
+_OCTET_VALUES = 250
+#: Tests use lower ones for hosts of their own.
+_LAST_OCTET = 251
 _FAILURE_DOMAINS = ('a', 'b', 'c')
 
 
@@ -340,14 +343,25 @@
 
 
 def free_address() -> str:
-    """Return a free loopback address, never the same one twice."""
+    """Return a free loopback address, never the same one twice.
+
+    No other process uses its host, and connections start from another one, so
+    that none takes the port before a process listens there.
+    """
+    host = own_host()
     while True:
         with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
+            probe.bind((host, 0))
             port = probe.getsockname()[1]
         if port not in _ASSIGNED_PORTS:
             _ASSIGNED_PORTS.add(port)
-            return f'127.0.0.1:{port}'
+            return f'{host}:{port}'
+
+
+def own_host() -> str:
+    """Return a loopback host, different in each process that runs fleets."""
+    high, low = divmod(os.getpid(), _OCTET_VALUES)
+    return f'127.{1 + high % _OCTET_VALUES}.{low}.{_LAST_OCTET}'
 
 
 def _has_failed(vm: Vm) -> bool:
--- a/tests/authority.py
+++ b/tests/authority.py
@@ -7,7 +7,12 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 
-LOOPBACK = x509.IPAddress(ip_address('127.0.0.1'))
+from standins.fleet import own_host
+
+#: The hosts of single servers, and of fleets of processes.
+LOOPBACK = [
+    x509.IPAddress(ip_address(host)) for host in ('127.0.0.1', own_host())
+]
 
 
 class Authority:
@@ -32,7 +37,7 @@
         key = ec.generate_private_key(ec.SECP256R1())
         certificate = (
             _builder(_name(name), self.name, key)
-            .add_extension(x509.SubjectAlternativeName([LOOPBACK]), False)
+            .add_extension(x509.SubjectAlternativeName(LOOPBACK), False)
             .sign(self.key, hashes.SHA256())
         )
         key_path = self.folder / f'{name}.key'
