Order what nodes know by the store's era, then its revision

Cause: the revision alone ordered everything. A watch from a revision that the new era had passed again skipped all its changes up to there, and between nodes the old era's higher revision won.

The client of the store reads the era of each answer. Nodes exchange one number that grows with the era, then the revision, in the fields that they have: nodes of an earlier build send revisions alone and count as older. A list that is older than the one in force is now ignored; a node's own old list could replace a newer one of a peer (read as a fault earlier).

Evidence: of the new tests, three of the follower fail on the code before, with the stand-in playing the return.

--- a/src/lovageshunt/sidecar/_knowledge.py
+++ b/src/lovageshunt/sidecar/_knowledge.py
@@ -19,7 +19,8 @@
     """The newest configuration and targets, from the platform or from nodes.
 
     ``greeting`` is sent on this node's links; its ``version`` and
-    ``revision`` tell how new this state is. While
+    ``revision`` tell how new this state is. Revisions are positions, see
+    ``position_of``. While
     ``is_platform_unreachable``, newer state is requested from other nodes.
 
     ``on_configuration`` is called with each configuration that comes into
@@ -73,8 +74,21 @@
         entries: list[TargetEntry],
         revision: int,
     ) -> None:
-        """Replace the targets, as of a platform revision greater than 0."""
-        self.greeting.revision = max(revision, self.greeting.revision)
+        """Replace the targets, as of a platform position greater than 0.
+
+        Ignore a list that is older than the one in force: another node may
+        have sent a newer one meanwhile.
+        """
+        if revision < self.greeting.revision:
+            _log.info(
+                'ignoring an older target list',
+                extra={
+                    'revision': revision,
+                    'known': self.greeting.revision,
+                },
+            )
+            return
+        self.greeting.revision = revision
         self._fleet.replace_targets(entries)
         self._on_targets()
 
--- a/src/lovageshunt/sidecar/_target_list.py
+++ b/src/lovageshunt/sidecar/_target_list.py
@@ -55,6 +55,13 @@
         if now - failing_since >= _MIN_OUTAGE_SECONDS:
             self._grace_ends_at = now + _GRACE_SECONDS
 
+    def note_older_copy(self, now: float) -> None:
+        """Record that the platform is back with an older copy of its data.
+
+        Targets that registered since the copy register again.
+        """
+        self._grace_ends_at = now + _GRACE_SECONDS
+
     def replace(self, entries: list[TargetEntry], now: float) -> None:
         """Apply a complete list: put its entries and remove all others."""
         listed = {entry.target_id for entry in entries}
--- a/standins/store.py
+++ b/standins/store.py
@@ -13,6 +13,18 @@
 from lovageshunt.http1 import Request, ServerConnection, ServerLimits
 
 
+class StoreCopy:
+    """The items of a store as of a revision."""
+
+    __slots__ = ('revision', 'items')
+
+    def __init__(
+        self, revision: int, items: dict[str, dict[str, object]]
+    ) -> None:
+        self.revision = revision
+        self.items = items
+
+
 class StoreStandIn:
     """Serves items on a loopback port.
 
@@ -31,6 +43,8 @@
         self.status: int | None = None
         #: Whether requests are accepted and never answered.
         self.is_silent = False
+        #: Sent with each answer; ``None`` leaves the field out.
+        self.era: int | None = 1
         #: Watches from before this revision get status 410.
         self.compacted_revision = 0
         self._items: dict[str, dict[str, object]] = {}
@@ -75,13 +89,33 @@
         self._items.pop(key)
         self._record({'key': key, 'rev': self.revision, 'tombstone': True})
 
+    def copy(self) -> 'StoreCopy':
+        """Return a copy of the items and their revision, for ``restore``."""
+        return StoreCopy(self.revision, dict(self._items))
+
+    def restore(self, copy: 'StoreCopy') -> None:
+        """Return from a copy: a new era, in which revisions are reused."""
+        self.era = (self.era or 0) + 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._events = [
+            event
+            for event in self._events
+            if int(event['rev']) <= self.revision  # type: ignore[call-overload]
+        ]
+
+    def _fields(self) -> bytes:
+        return b'' if self.era is None else b'store-era: %d\r\n' % self.era
+
     def handle(self, request: Request, connection: ServerConnection) -> None:
         """Answer one request; implements the server interface of ``http1``."""
         self.request_count += 1
         if self.is_silent:
             return
         if self.status is not None:
-            connection.respond(status=self.status, fields=b'', body=b'')
+            connection.respond(
+                status=self.status, fields=self._fields(), body=b''
+            )
             return
         url = urlsplit(request.target.decode())
         query = {name: found[0] for name, found in parse_qs(url.query).items()}
@@ -111,7 +145,9 @@
             'has_more': len(found) > self.page_size,
             'at': self.revision,
         }
-        connection.respond(status=200, fields=b'', body=orjson.dumps(body))
+        connection.respond(
+            status=200, fields=self._fields(), body=orjson.dumps(body)
+        )
 
     async def _watch(
         self,
@@ -120,7 +156,7 @@
     ) -> None:
         after = int(query['after'])
         if after < self.compacted_revision:
-            connection.respond(status=410, fields=b'', body=b'{}')
+            connection.respond(status=410, fields=self._fields(), body=b'{}')
             return
         try:
             async with asyncio.timeout(int(query['wait_ms']) / 1000):
@@ -129,10 +165,14 @@
         except TimeoutError:
             pass
         if self.status is not None:
-            connection.respond(status=self.status, fields=b'', body=b'')
+            connection.respond(
+                status=self.status, fields=self._fields(), body=b''
+            )
             return
         body = {'events': self._events_after(after), 'at': self.revision}
-        connection.respond(status=200, fields=b'', body=orjson.dumps(body))
+        connection.respond(
+            status=200, fields=self._fields(), body=orjson.dumps(body)
+        )
 
     def _events_after(self, after: int) -> list[dict[str, object]]:
         return [event for event in self._events if int(event['rev']) > after]  # type: ignore[call-overload]
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -211,3 +211,80 @@
             await asyncio.sleep(1.5)
             store.is_silent = False
             await until(lambda: not fleet_state.is_platform_unreachable, 1)
+
+
+class TestOlderCopy:
+    """The store returns from a copy some seconds old, in a new era."""
+
+    async def test_its_changes_are_read_though_revisions_are_reused(
+        self,
+    ) -> None:
+        """Targets of the new era are listed, those of the old one are not."""
+        async with following() as (store, fleet_state):
+            copy = store.copy()
+            for number in range(3, 8):
+                store.put(f'servers/i-{number}', entry())
+            await until(lambda: 'i-7' in fleet_state.ids)
+            store.restore(copy)
+            for number in range(13, 19):
+                store.put(f'servers/i-{number}', entry())
+            wanted = {f'i-{number}' for number in (1, 2, *range(13, 19))}
+            await until(lambda: wanted <= fleet_state.ids, 2)
+            await until(lambda: fleet_state.ids == wanted, 4)
+
+    async def test_a_target_that_is_not_in_it_stays_until_it_writes(
+        self,
+    ) -> None:
+        """A target that registers again 1 s later is listed all the while."""
+        async with following() as (store, fleet_state):
+            copy = store.copy()
+            store.put('servers/i-3', entry())
+            await until(lambda: 'i-3' in fleet_state.ids)
+            store.restore(copy)
+            missing = [
+                await missing_for(fleet_state, 'i-3', 1),
+            ]
+            store.put('servers/i-3', entry())
+            missing.append(await missing_for(fleet_state, 'i-3', 2.5))
+            assert missing == [False, False]
+
+    async def test_answers_of_an_older_era_are_dropped(self) -> None:
+        """An answer with a smaller era changes nothing."""
+        async with following() as (store, fleet_state):
+            store.era = 5
+            store.put('servers/i-3', entry())
+            await until(lambda: 'i-3' in fleet_state.ids)
+            store.era = 4
+            store.remove('servers/i-3')
+            assert not await missing_for(fleet_state, 'i-3', 1)
+            store.era = 5
+            await until(lambda: 'i-3' not in fleet_state.ids)
+
+    async def test_an_answer_without_an_era_is_of_the_known_one(self) -> None:
+        """Changes apply as before, without reading everything again."""
+        async with following() as (store, fleet_state):
+            store.era = None
+            store.remove('servers/i-1')
+            await until(lambda: fleet_state.ids == {'i-2'}, 1)
+
+    async def test_positions_of_a_new_era_are_greater(self) -> None:
+        """Nodes that compare one number prefer the state of the new era."""
+        async with following() as (store, fleet_state):
+            copy = store.copy()
+            store.put('servers/i-3', entry())
+            await until(lambda: 'i-3' in fleet_state.ids)
+            before = fleet_state.revision
+            store.restore(copy)
+            await until(lambda: fleet_state.revision > before)
+
+
+async def missing_for(
+    fleet_state: FakeFleetState, target_id: str, seconds: float
+) -> bool:
+    """Return whether a target was missing at any time from now on."""
+    ends_at = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < ends_at:
+        if target_id not in fleet_state.ids:
+            return True
+        await asyncio.sleep(0.01)
+    return False
