Give no freed slot to a call that waits for a departed target

Found in reading the change again: when the news of a leaving target came while one call awaited its connection and another a slot, refusing the first freed the slot and the second could be sent to the target that leaves, on an idle connection. Calls that wait are now refused before those that await a connection. A test covers both kinds at once; it passes on the code before too, as there was no idle connection, so the fault is from reading, not from a run.

--- a/src/lovageshunt/admission/_rate_limit.py
+++ b/src/lovageshunt/admission/_rate_limit.py
@@ -50,16 +50,17 @@
             return 0
         self._refill(now)
         missing = calls - _ROUNDING - self._available
-        return max(0, missing / self._rate(self.per_second))
+        return max(0, missing / _rate_of(self.per_second))
 
     def _refill(self, now: float) -> None:
         if self.per_second is None:
             return
-        rate = self._rate(self.per_second)
+        rate = _rate_of(self.per_second)
         gained = (now - self._updated_at) * rate
         most = max(1, rate * _BURST_SECONDS)
         self._available = min(most, self._available + gained)
         self._updated_at = now
 
-    def _rate(self, per_second: float) -> float:
-        return max(per_second, _MIN_PER_SECOND)
+
+def _rate_of(per_second: float) -> float:
+    return max(per_second, _MIN_PER_SECOND)
--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -221,9 +221,7 @@
             call_id: due for due, call_id in self._queue_deadlines
         }
         for call in self._queue.ordered():
-            ahead = self._queue.ahead_of(call) + 1
-            sent_at = now + self._rate_limit.wait_seconds(ahead, now)
-            if sent_at > due_by_call_id[call.call_id]:
+            if self._sent_at(call, now) > due_by_call_id[call.call_id]:
                 self._queue.remove(call.call_id)
                 reason = RefusalReason.QUEUE_FULL
                 actions.append(self._refusal(call, reason, now))
@@ -251,18 +249,22 @@
         A limit of calls is a matter of this target alone, so that another one
         may have room for the call.
         """
-        ahead = self._queue.ahead_of(call) + 1
-        sent_at = now + self._rate_limit.wait_seconds(ahead, now)
-        if sent_at > min(queue_deadline, call.deadline):
+        if self._sent_at(call, now) > min(queue_deadline, call.deadline):
             return RefusalReason.QUEUE_FULL
         if len(self._running) < self.limit:
             return None if now < call.deadline else RefusalReason.OVERLOAD
+        ahead = self._queue.ahead_of(call) + 1
         starts_at = now + ahead * self._service_seconds / self._slots
         ends_at = starts_at + self._service_seconds
         if starts_at <= queue_deadline and ends_at <= call.deadline:
             return None
         return RefusalReason.OVERLOAD
 
+    def _sent_at(self, call: WaitingCall, now: float) -> float:
+        """Return when the limit of calls allows to send a call."""
+        ahead = self._queue.ahead_of(call) + 1
+        return now + self._rate_limit.wait_seconds(ahead, now)
+
     def _dispatch_waiting(self, actions: list[Action], now: float) -> None:
         while self._queue and len(self._running) < self.limit:
             if not self._rate_limit.take(now):
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -167,16 +167,23 @@
         self._handle(Cancelled(run.call_id))
 
     def withdraw_departed(self) -> None:
-        """Refuse the orders that have not been sent to a target that left."""
-        for run in list(self._run_by_call_id.values()):
-            if not self._has_left(run.order.target_id):
-                continue
+        """Refuse the orders that have not been sent to a target that left.
+
+        Those that wait go first: a slot that becomes free is not for them.
+        """
+        departed = [
+            run
+            for run in self._run_by_call_id.values()
+            if self._has_left(run.order.target_id)
+        ]
+        waiting_runs = [run for run in departed if run.sending is None]
+        for waiting in waiting_runs:
+            self._run_by_call_id.pop(waiting.call_id)
+            self._handle(Cancelled(waiting.call_id))
+            self._answer(waiting, refusal_of_departed(self._queue.load()))
+        for run in departed:
             if run.sending is not None:
                 run.sending.withdraw()
-                continue
-            self._run_by_call_id.pop(run.call_id)
-            self._handle(Cancelled(run.call_id))
-            self._answer(run, refusal_of_departed(self._queue.load()))
 
     def advance(self, now: float) -> bool:
         """Close elapsed windows; return whether one of demand was closed."""
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -136,6 +136,23 @@
         assert running[0].outcome is Outcome.ANSWERED
         assert len(target.received) == 1
 
+    async def test_a_slot_that_becomes_free_goes_to_no_waiting_call(
+        self,
+        target: HeldTarget,
+    ) -> None:
+        """One call awaits a connection, the next a slot: both are refused."""
+        departed: set[str] = set()
+        executor = executor_of(target, departed)
+        executor.apply_published_slots('i-1', 1)
+        answers: list[RunAnswer] = []
+        executor.submit(order('a', is_repeat=False), answers.append)
+        executor.submit(order('b', is_repeat=False), answers.append)
+        departed.add('i-1')
+        executor.withdraw_departed()
+        reasons = {answer.outcome for answer in answers}
+        assert (len(answers), reasons) == (2, {Outcome.NOT_RUN})
+        assert executor.is_empty
+
     async def test_sends_nothing_on_a_connection_that_comes_late(
         self,
         target: HeldTarget,
