Find out whether the target crashed when calls lose their connections

Callers saw 503, "not run", of a repeatable request that its target had been running when it crashed: on a connection that had been used before, its loss counted as a closed idle connection, the request was sent again, the crashed target refused the connection, and the second sending's end ("unsent") was taken for the request's.

The node beside a target now connects when calls have lost their connections. Refused: the target crashed, and what was in flight ends as unknown. Accepted: as before, and the connection is the one that a closed call is sent again on. The answer waits for that, 0.1 s at most. A target that leaves is not checked.

--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -13,6 +13,8 @@
 #: Both ends are on one VM, so a server that takes longer to accept a
 #: connection has no capacity for it.
 _CONNECT_TIMEOUT_SECONDS: Final = 2.0
+#: The longest time to find out whether the server refuses connections.
+_CHECK_TIMEOUT_SECONDS: Final = 0.1
 #: An idle connection is not reused within this time before the server's own
 #: limit, because the server may already be closing it.
 _IDLE_MARGIN_SECONDS: Final = 1.0
@@ -111,6 +113,31 @@
             pending.begin(connection)
         return pending
 
+    async def refuses_connections(self) -> bool:
+        """Open a connection; return whether the server refuses it.
+
+        The connection is kept for later exchanges. A server that does not
+        respond in time does not refuse, nor does one at the limit of
+        connections.
+        """
+        if self._open_count >= self.max_connections:
+            return False
+        self._open_count += 1
+        try:
+            async with timeout(_CHECK_TIMEOUT_SECONDS):
+                connection = await self._connection()
+        except OSError as error:
+            self._open_count -= 1
+            _log.info(
+                'cannot connect to %s:%d after a connection was lost: %s',
+                self._host,
+                self._port,
+                error or type(error).__name__,
+            )
+            return isinstance(error, ConnectionRefusedError)
+        self._on_free(connection)
+        return False
+
     def close(self) -> None:
         """Close the idle connections; those in use stay open."""
         for connection in self._idle:
@@ -152,14 +179,9 @@
         task.add_done_callback(self._connecting.discard)
 
     async def _connect(self, pending: PendingExchange) -> None:
-        loop = get_running_loop()
         try:
             async with timeout(_CONNECT_TIMEOUT_SECONDS):
-                _, connection = await loop.create_connection(
-                    self._new_connection,
-                    self._host,
-                    self._port,
-                )
+                connection = await self._connection()
         except OSError as error:
             _log.warning(
                 'cannot connect to %s:%d: %s; check that the target is running',
@@ -175,6 +197,14 @@
             return
         pending.begin(connection)
 
+    async def _connection(self) -> ClientConnection:
+        _, connection = await get_running_loop().create_connection(
+            self._new_connection,
+            self._host,
+            self._port,
+        )
+        return connection
+
     def _new_connection(self) -> ClientConnection:
         return ClientConnection(self._on_closed, self._on_free, self._buffers)
 
--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -208,6 +208,12 @@
         '-1 without limit',
         alert='0 or above for 1 min',
     ),
+    MetricSpec(
+        name='lovageshunt_target_crashes_total',
+        kind=COUNTER,
+        meaning='crashes of the target with calls in flight',
+        alert='more than 1 in 1 min',
+    ),
     MetricSpec(
         name='lovageshunt_target_calls',
         kind=GAUGE,
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -1,8 +1,8 @@
 """Queues orders and runs them at the target beside this node."""
 
-from asyncio import TimerHandle, get_running_loop
+from asyncio import get_running_loop
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from logging import getLogger
 from typing import Final
 
@@ -38,10 +38,12 @@
 )
 from lovageshunt.retries import FleetRetryBudget
 from lovageshunt.sidecar._classification import classify_response
+from lovageshunt.sidecar._crash_check import CrashCheck, log_crash
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._metrics import SidecarMetrics
 from lovageshunt.sidecar._run import EndedCallback, Run
 from lovageshunt.sidecar._run_answers import answer_of, refusal_of_departed
+from lovageshunt.sidecar._wakeup import Wakeup
 
 _log = getLogger(__name__)
 #: The longest idle time of a connection that a non-repeatable request is sent
@@ -55,6 +57,8 @@
 _MAX_WAIT_PART: Final = 0.3
 #: Responses with this status or above count as failed runs.
 _FIRST_ERROR: Final = 500
+#: How an exchange ends if the connection to the target is lost.
+_LOST_ENDS: Final = frozenset((ExchangeEnd.CLOSED, ExchangeEnd.INCOMPLETE))
 #: Limit of connections to the target until the configuration sets it.
 _INITIAL_MAX_CONNECTIONS: Final = 200
 
@@ -90,6 +94,7 @@
         self._header_names = header_names
         self._metrics = metrics
         self.pool = ConnectionPool(host, port, _INITIAL_MAX_CONNECTIONS)
+        self._crash_check = CrashCheck(self.pool, self._on_checked)
         self._queue = TargetQueue(slots=slots)
         self.demand = TargetDemandMeter(DemandSettings(), clock_now())
         self.watch = CallSampler(clock_now())
@@ -99,8 +104,7 @@
         self._next_number = 0
         self._repeats_running = 0
         self.rate_limit: float | None = None
-        self._tick: TimerHandle | None = None
-        self._tick_due = float(0)
+        self._wakeup = Wakeup(partial(self._handle, AdmissionTicked()))
 
     @property
     def is_empty(self) -> bool:
@@ -201,23 +205,9 @@
     def _handle(self, event: Event) -> None:
         for action in self._queue.handle(event, clock_now()):
             self._perform(action)
-        self._set_tick()
-
-    def _set_tick(self) -> None:
         due = self._queue.next_wake(clock_now())
-        if due is None:
-            return
-        if self._tick is not None:
-            if self._tick_due <= due:
-                return
-            self._tick.cancel()
-        self._tick_due = due
-        delay = max(0, due - clock_now())
-        self._tick = get_running_loop().call_later(delay, self._on_tick)
-
-    def _on_tick(self) -> None:
-        self._tick = None
-        self._handle(AdmissionTicked())
+        if due is not None:
+            self._wakeup.call_by(due)
 
     @singledispatchmethod
     def _perform(self, action: Action) -> None:
@@ -268,13 +258,32 @@
         end: ExchangeEnd,
         response: Response | None,
     ) -> None:
-        if end is ExchangeEnd.CLOSED and self._may_resend(run):
-            # The target closed an idle connection as the request was sent.
-            run.resent = True
-            self._repeats_running += not run.is_repeat
-            run.is_repeat = True
-            self._send(run)
+        if end in _LOST_ENDS and not self._has_left(run.order.target_id):
+            run.lost_as = end
+            self._crash_check.add(run)
             return
+        self._end(run, end, response)
+
+    def _on_checked(self, lost: list[Run], has_crashed: bool) -> None:
+        """Resend or end the calls that lost their connections."""
+        if has_crashed:
+            self._metrics.count_target_crash()
+            log_crash(self._published[0], lost)
+        for run in lost:
+            is_closed = run.lost_as is ExchangeEnd.CLOSED
+            if is_closed and not has_crashed and self._may_resend(run):
+                self._repeats_running += not run.is_repeat
+                run.note_resent()
+                self._send(run)
+            else:
+                self._end(run, ExchangeEnd.INCOMPLETE, None)
+
+    def _end(
+        self,
+        run: Run,
+        end: ExchangeEnd,
+        response: Response | None,
+    ) -> None:
         if run.overdue is not None:
             run.overdue.cancel()
         self._repeats_running -= run.is_repeat
@@ -325,7 +334,7 @@
         self._handle(reported)
 
     def _may_resend(self, run: Run) -> bool:
-        if run.resent or not run.order.is_repeatable:
+        if run.ended is None or run.resent or not run.order.is_repeatable:
             return False
         if self._has_left(run.order.target_id):
             return False
--- a/src/lovageshunt/sidecar/_metrics.py
+++ b/src/lovageshunt/sidecar/_metrics.py
@@ -51,6 +51,10 @@
         self._registry.series(name, outcome, reason or _NO_REASON).value += 1
         self._run_seconds.observe(seconds)
 
+    def count_target_crash(self) -> None:
+        """Count a crash of the target with calls in flight."""
+        self._registry.series('lovageshunt_target_crashes_total').value += 1
+
     def set_gauges(
         self,
         *,
--- a/src/lovageshunt/sidecar/_run.py
+++ b/src/lovageshunt/sidecar/_run.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lovageshunt.clock import now as clock_now
-from lovageshunt.http1 import PendingExchange, encode_request
+from lovageshunt.http1 import ExchangeEnd, PendingExchange, encode_request
 from lovageshunt.links import RunAnswer, RunOrder
 from lovageshunt.sidecar._header_names import HeaderNames
 
@@ -19,7 +19,8 @@
 
     ``ended`` is called with the answer; it is ``None`` once called, or if
     the order was abandoned. ``sending`` is the exchange with the target, if
-    the order left the queue, ``overdue`` the timer that cancels it after the
+    the order left the queue, ``lost_as`` how the target's connection ended, if
+    it did without a response, ``overdue`` the timer that cancels it after the
     deadline. ``arrived_at`` and ``sent_at`` are in seconds on the process's
     clock. ``resent`` is whether a closed connection caused a second sending.
     """
@@ -29,6 +30,7 @@
         'order',
         'ended',
         'sending',
+        'lost_as',
         'arrived_at',
         'sent_at',
         'overdue',
@@ -46,12 +48,18 @@
         self.order = order
         self.ended: EndedCallback | None = ended
         self.sending: PendingExchange | None = None
+        self.lost_as: ExchangeEnd | None = None
         self.arrived_at = clock_now()
         self.sent_at = float(0)
         self.overdue: TimerHandle | None = None
         self.resent = False
         self.is_repeat = order.is_repeat
 
+    def note_resent(self) -> None:
+        """Record that the order is sent again to the same target."""
+        self.resent = True
+        self.is_repeat = True
+
     def cancel_exchange(self) -> None:
         """Cancel the exchange with the target, if it has begun."""
         if self.sending is not None:
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -78,14 +78,17 @@
 class FakeTarget:
     """A target that responds by ``serve`` and records its requests.
 
-    ``ended_early`` counts connections that were closed before the response.
+    ``ended_early`` counts connections that were closed before the response,
+    ``crashes`` how often the target crashed.
     """
 
     def __init__(self, host: str) -> None:
         self.host = host
         self.received: list[Received] = []
         self.ended_early = 0
+        self.crashes = 0
         self.serve: Serve = self.serve_normally
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def serve_normally(self, received: Received) -> bytes:
@@ -102,11 +105,25 @@
         if self._server is not None:
             self._server.close()
 
+    @property
+    def is_up(self) -> bool:
+        return self._server is not None and self._server.is_serving()
+
+    async def crash(self, down_seconds: float) -> None:
+        """End all connections, refuse new ones, and return after a while."""
+        self.crashes += 1
+        self.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(down_seconds)
+        await self.open()
+
     async def _on_connection(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -117,6 +134,8 @@
                 await self._answer(received, reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
+        finally:
+            self._writers.discard(writer)
 
     async def _answer(
         self,
@@ -289,11 +308,12 @@
         body: bytes = b'',
         extra: str = '',
         left_ms: int = 1500,
+        attempt: str = '',
     ) -> None:
         method = 'POST' if body else 'GET'
         head = (
             f'{method} {path} HTTP/1.1\r\nHost: x.example\r\n'
-            f'X-Attempt: {path}\r\nX-Left: {left_ms}\r\n'
+            f'X-Attempt: {attempt or path}\r\nX-Left: {left_ms}\r\n'
             f'Content-Length: {len(body)}\r\n{extra}\r\n'
         )
         self.writer.write(head.encode() + body)
