Stop requests that crash targets, at all nodes of the platform's path

Callers saw a service gone for as long as one request came: each of its targets crashed as soon as it was back, and with it went what else it ran.

Cause: the product's own path keeps such requests off by a quarantine, the platform's path had none. Nothing related the crash of a target to the requests in it, nor one target's crash to another's. Ruled out: that one node stops it and others do not know; that the retries within an attempt do it (3 and 4 of the crashes).

The mend is the same machine on both paths, with what differs as its inputs. There, equal content is the same call, one crash makes a suspect and a second of it on trial condemns. Here each attempt is another request, so two crashes make a suspect and a third condemns. Crashes count only in a row: that of a run which began before an earlier crash was known accuses once, so that a failure of a whole service proves nothing. A complete answer acquits, at all nodes. A suspect runs on one target at a time, with another target to spare, and risks no third one in one attempt; a condemned request is refused at its first hop and, last, beside the target: 503, not run, with when to come back. Nodes that restart are told. Only calls that had been sent are accused.

--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -50,6 +50,7 @@
     SNAPSHOT_REQUEST = 10
     SNAPSHOT = 11
     TARGET_LEAVING = 12
+    SUSPECTS = 13
 
 
 class Frame(Record):
--- a/src/lovageshunt/node/control/_envelope.py
+++ b/src/lovageshunt/node/control/_envelope.py
@@ -10,7 +10,7 @@
     MalformedEnvelopeError,
 )
 from lovageshunt.membership import Bulletin, MembershipDigest
-from lovageshunt.retries import SuspectReport, Suspicion
+from lovageshunt.retries import SuspectReport
 from lovageshunt.rules import Message, decode_message, encode_message
 
 #: A longer envelope is rejected unread.
@@ -94,11 +94,7 @@
         Bulletin.from_fields(item) for item in fields.get('bulletins', ())
     ]
     envelope.suspects = [
-        SuspectReport(
-            fingerprint=_text(item['fingerprint']),
-            suspicion=Suspicion(item['suspicion']),
-        )
-        for item in fields.get('suspects', ())
+        SuspectReport.from_fields(item) for item in fields.get('suspects', ())
     ]
     digest = fields.get('digest')
     if digest is not None:
--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -214,6 +214,13 @@
         meaning='crashes of the target with calls in flight',
         alert='more than 1 in 1 min',
     ),
+    MetricSpec(
+        name='lovageshunt_accused_requests',
+        kind=GAUGE,
+        meaning='requests, by content, that were in flight at crashes of '
+        'targets and have not finished since',
+        alert='does not fall for 10 min',
+    ),
     MetricSpec(
         name='lovageshunt_target_calls',
         kind=GAUGE,
--- a/src/lovageshunt/retries/_quarantine.py
+++ b/src/lovageshunt/retries/_quarantine.py
@@ -1,9 +1,11 @@
 """Stops a call that crashes targets from crashing more of them.
 
 The node outlives its target, so it knows which calls were in flight when the
-target crashed. These calls are suspects: a target runs one suspect at a time,
-and a suspect runs on one target at a time, until it either finishes without a
-crash or crashes a second target.
+target crashed. All of them are accused, but only the guilty one goes on to be
+in flight at crashes without ever finishing. Once crashes accuse a call often
+enough, it is a suspect: a target runs one suspect at a time, and a suspect
+runs on one target at a time, until it either finishes without a crash or
+crashes one more target, which condemns it.
 """
 
 from functools import singledispatchmethod
@@ -26,79 +28,133 @@
     TargetCrashed,
 )
 
-#: A call whose context counts this many crashed targets is condemned.
-_MAX_CRASHES: Final = 2
 _MS_PER_SECOND: Final = 1000
+#: The entries that a node is told which has restarted.
+_MAX_TOLD: Final = 256
 
 
 class QuarantineSettings(Record):
-    """How long suspects are kept, and how many.
+    """When calls are suspects and condemned, how long, and how many.
 
-    Entries expire after ``suspect_seconds`` or ``condemned_seconds``; beyond
-    ``max_suspects`` the oldest is dropped. ``busy_retry_ms`` is the retry time
-    of a suspect that is refused while another one runs. ``trial_seconds`` is
-    how long a peer's report of a trial keeps the suspect from running here.
+    A call becomes a suspect after ``crashes_to_suspect`` crashes, each of a run
+    that began after the crash before was known, and is condemned after
+    ``crashes_to_condemn``. Entries expire after ``suspect_seconds`` or
+    ``condemned_seconds``; beyond ``max_suspects`` the oldest is dropped.
+    ``busy_retry_ms`` is the retry time of a suspect that is refused while
+    another one runs, ``spare_retry_ms`` of
+    one that waits for a second target. ``trial_seconds`` is how long a peer's
+    report of a trial keeps the suspect from running here.
     """
 
     __slots__ = (
+        'crashes_to_suspect',
+        'crashes_to_condemn',
         'suspect_seconds',
         'condemned_seconds',
         'trial_seconds',
         'busy_retry_ms',
+        'spare_retry_ms',
         'max_suspects',
     )
 
     def __init__(
         self,
         *,
+        crashes_to_suspect: int = 1,
+        crashes_to_condemn: int = 2,
         suspect_seconds: float = 300,
         condemned_seconds: float = 600,
         trial_seconds: float = 10,
         busy_retry_ms: int = 100,
+        spare_retry_ms: int = 1000,
         max_suspects: int = 4096,
     ) -> None:
+        self.crashes_to_suspect = crashes_to_suspect
+        self.crashes_to_condemn = crashes_to_condemn
         self.suspect_seconds = suspect_seconds
         self.condemned_seconds = condemned_seconds
         self.trial_seconds = trial_seconds
         self.busy_retry_ms = busy_retry_ms
+        self.spare_retry_ms = spare_retry_ms
         self.max_suspects = max_suspects
 
 
 class _Entry(Record):
-    """One suspected or condemned fingerprint, and when the entry expires.
+    """What is known of one fingerprint, and when that expires.
 
     Until ``trial_until`` a peer runs the suspect.
     """
 
-    __slots__ = ('is_condemned', 'expires_at', 'trial_until')
+    __slots__ = ('crashes', 'is_condemned', 'expires_at', 'trial_until')
 
-    def __init__(self, *, is_condemned: bool, expires_at: float) -> None:
+    def __init__(
+        self, *, crashes: int, is_condemned: bool, expires_at: float
+    ) -> None:
+        self.crashes = crashes
         self.is_condemned = is_condemned
         self.expires_at = expires_at
         self.trial_until = float(0)
 
 
+class _RunningCall(Record):
+    """A call in flight, and the crashes that accused it when it started."""
+
+    __slots__ = ('call', 'crashes')
+
+    def __init__(self, call: CallStarting, crashes: int) -> None:
+        self.call = call
+        self.crashes = crashes
+
+
 class Quarantine:
     """The suspects known to one node and the calls in flight to its target."""
 
     __slots__ = (
         '_settings',
         '_entry_by_fingerprint',
-        '_in_flight_by_id',
+        '_running_by_id',
         '_trial_call_id',
     )
 
     def __init__(self, settings: QuarantineSettings) -> None:
         self._settings = settings
         self._entry_by_fingerprint: dict[str, _Entry] = {}
-        self._in_flight_by_id: dict[str, CallStarting] = {}
+        self._running_by_id: dict[str, _RunningCall] = {}
         self._trial_call_id: str | None = None
 
     @property
     def entry_count(self) -> int:
-        """Return the number of suspected and condemned fingerprints."""
+        """Return the number of accused and condemned fingerprints."""
         return len(self._entry_by_fingerprint)
 
+    def is_suspect(self, fingerprint: str, now: float) -> bool:
+        """Return whether a call runs on trial only, or not at all."""
+        entry = self._valid_entry(fingerprint, now)
+        return entry is not None and self._needs_trial(entry)
+
+    def refusal_ms(self, fingerprint: str, now: float) -> int | None:
+        """Return when to send a call again that no target may run now.
+
+        It is condemned, or a peer has it on trial. ``None`` if it may run
+        somewhere.
+        """
+        entry = self._valid_entry(fingerprint, now)
+        if entry is None:
+            return None
+        if entry.is_condemned:
+            return round((entry.expires_at - now) * _MS_PER_SECOND)
+        if now < entry.trial_until:
+            return self._settings.busy_retry_ms
+        return None
+
+    def suspects(self, now: float) -> tuple[SuspectReport, ...]:
+        """Return reports of the latest suspects, for a node that restarted."""
+        return tuple(
+            self._report_of(fingerprint, entry, now)
+            for fingerprint, entry in self._entry_by_fingerprint.items()
+            if self._needs_trial(entry) and entry.expires_at > now
+        )[-_MAX_TOLD:]
+
     @singledispatchmethod
     def handle(
         self,
@@ -118,8 +174,9 @@
         now: float,
     ) -> list[QuarantineAction]:
         entry = self._entry_of(event, now)
-        if entry is None:
-            self._in_flight_by_id[event.call_id] = event
+        if entry is None or not self._needs_trial(entry):
+            crashes = _crashes_of(entry)
+            self._running_by_id[event.call_id] = _RunningCall(event, crashes)
             return [Proceed(call_id=event.call_id)]
         if entry.is_condemned:
             remaining_ms = round((entry.expires_at - now) * _MS_PER_SECOND)
@@ -128,15 +185,17 @@
                     call_id=event.call_id, retry_after_ms=remaining_ms
                 )
             ]
-        if self._trial_call_id is not None or now < entry.trial_until:
-            busy_ms = self._settings.busy_retry_ms
+        retry_ms = self._trial_delay_ms(event, entry, now)
+        if retry_ms is not None:
             return [
-                RefuseTemporarily(call_id=event.call_id, retry_after_ms=busy_ms)
+                RefuseTemporarily(
+                    call_id=event.call_id, retry_after_ms=retry_ms
+                )
             ]
         self._trial_call_id = event.call_id
-        self._in_flight_by_id[event.call_id] = event
+        self._running_by_id[event.call_id] = _RunningCall(event, entry.crashes)
         return [
-            _notification(event.fingerprint, Suspicion.ON_TRIAL),
+            _notification(event.fingerprint, Suspicion.ON_TRIAL, entry.crashes),
             Proceed(call_id=event.call_id),
         ]
 
@@ -146,14 +205,23 @@
         event: CallEnded,
         now: float,
     ) -> list[QuarantineAction]:
-        call = self._in_flight_by_id.pop(event.call_id, None)
-        if call is None or self._trial_call_id != event.call_id:
+        running = self._running_by_id.pop(event.call_id, None)
+        if running is None:
+            return []
+        is_trial = self._trial_call_id == event.call_id
+        if is_trial:
+            self._trial_call_id = None
+        fingerprint = running.call.fingerprint
+        entry = self._entry_by_fingerprint.get(fingerprint)
+        if event.is_complete:
+            if is_trial or entry is not None and not entry.is_condemned:
+                self._entry_by_fingerprint.pop(fingerprint, None)
+                return [_notification(fingerprint, Suspicion.CLEARED)]
+            return []
+        if not is_trial:
             return []
-        self._trial_call_id = None
-        if not event.is_complete:
-            return [_notification(call.fingerprint, Suspicion.SUSPECTED)]
-        self._entry_by_fingerprint.pop(call.fingerprint, None)
-        return [_notification(call.fingerprint, Suspicion.CLEARED)]
+        crashes = max(running.crashes, _crashes_of(entry))
+        return [_notification(fingerprint, Suspicion.SUSPECTED, crashes)]
 
     @handle.register
     def _on_crashed(
@@ -162,14 +230,11 @@
         now: float,
     ) -> list[QuarantineAction]:
         reports = tuple(
-            SuspectReport(
-                fingerprint=call.fingerprint,
-                suspicion=self._suspicion_after_crash(call),
-            )
-            for call in self._in_flight_by_id.values()
+            self._report_after_crash(running)
+            for call_id, running in self._running_by_id.items()
+            if event.call_ids is None or call_id in event.call_ids
         )
-        self._in_flight_by_id = {}
-        self._trial_call_id = None
+        self._forget_running(event.call_ids)
         if not reports:
             return []
         for report in reports:
@@ -186,37 +251,100 @@
             self._apply_report(report, now)
         return []
 
-    def _suspicion_after_crash(self, call: CallStarting) -> Suspicion:
-        """Return ``CONDEMNED`` for a call on trial or not repeatable."""
-        if call.call_id == self._trial_call_id or not call.is_repeatable:
+    def _needs_trial(self, entry: _Entry) -> bool:
+        is_suspect = entry.crashes >= self._settings.crashes_to_suspect
+        return is_suspect or entry.is_condemned
+
+    def _trial_delay_ms(
+        self, call: CallStarting, entry: _Entry, now: float
+    ) -> int | None:
+        """Return when a suspect may be sent again, ``None`` to run it now."""
+        if self._trial_call_id is not None or now < entry.trial_until:
+            return self._settings.busy_retry_ms
+        if not call.has_spare:
+            return self._settings.spare_retry_ms
+        return None
+
+    def _forget_running(self, call_ids: frozenset[str] | None) -> None:
+        """Forget the calls that ended with a crash, all if ``None``."""
+        if call_ids is None:
+            self._running_by_id = {}
+            self._trial_call_id = None
+            return
+        for call_id in call_ids:
+            self._running_by_id.pop(call_id, None)
+        if self._trial_call_id in call_ids:
+            self._trial_call_id = None
+
+    def _report_after_crash(self, running: _RunningCall) -> SuspectReport:
+        entry = self._entry_by_fingerprint.get(running.call.fingerprint)
+        return SuspectReport(
+            fingerprint=running.call.fingerprint,
+            suspicion=self._suspicion_after_crash(running),
+            crashes=max(_crashes_of(entry), running.crashes + 1),
+        )
+
+    def _suspicion_after_crash(self, running: _RunningCall) -> Suspicion:
+        """Return ``CONDEMNED`` after enough crashes, or if not repeatable."""
+        has_crashed_enough = (
+            running.crashes + 1 >= self._settings.crashes_to_condemn
+        )
+        if has_crashed_enough or not running.call.is_repeatable:
             return Suspicion.CONDEMNED
         return Suspicion.SUSPECTED
 
+    def _valid_entry(self, fingerprint: str, now: float) -> _Entry | None:
+        entry = self._entry_by_fingerprint.get(fingerprint)
+        if entry is not None and entry.expires_at <= now:
+            self._entry_by_fingerprint.pop(fingerprint)
+            return None
+        return entry
+
     def _entry_of(self, call: CallStarting, now: float) -> _Entry | None:
         """Return the entry of a call, updated by the call's own context."""
-        entry = self._entry_by_fingerprint.get(call.fingerprint)
-        if entry is not None and entry.expires_at <= now:
-            self._entry_by_fingerprint.pop(call.fingerprint)
-            entry = None
+        entry = self._valid_entry(call.fingerprint, now)
         if call.suspicion == 0:
             return entry
-        if call.suspicion >= _MAX_CRASHES or not call.is_repeatable:
-            return self._add_entry(call.fingerprint, now, is_condemned=True)
+        has_crashed_enough = call.suspicion >= self._settings.crashes_to_condemn
+        if has_crashed_enough or not call.is_repeatable:
+            return self._add_entry(
+                call.fingerprint, now, call.suspicion, is_condemned=True
+            )
         if entry is None:
-            return self._add_entry(call.fingerprint, now, is_condemned=False)
+            return self._add_entry(
+                call.fingerprint, now, call.suspicion, is_condemned=False
+            )
         return entry
 
+    def _report_of(
+        self, fingerprint: str, entry: _Entry, now: float
+    ) -> SuspectReport:
+        suspicion = Suspicion.SUSPECTED
+        if entry.is_condemned:
+            suspicion = Suspicion.CONDEMNED
+        return SuspectReport(
+            fingerprint=fingerprint,
+            suspicion=suspicion,
+            crashes=entry.crashes,
+            seconds_left=entry.expires_at - now,
+        )
+
     def _apply_report(self, report: SuspectReport, now: float) -> None:
         entry = self._entry_by_fingerprint.get(report.fingerprint)
-        is_condemned = report.suspicion is Suspicion.CONDEMNED
         if entry is not None and entry.is_condemned:
             return
         if report.suspicion is Suspicion.CLEARED:
             self._entry_by_fingerprint.pop(report.fingerprint, None)
             return
         entry = self._add_entry(
-            report.fingerprint, now, is_condemned=is_condemned
+            report.fingerprint,
+            now,
+            max(_crashes_of(entry), report.crashes),
+            is_condemned=report.suspicion is Suspicion.CONDEMNED,
         )
+        if report.seconds_left > 0:
+            latest = now + report.seconds_left
+            entry.expires_at = min(entry.expires_at, latest)
         if report.suspicion is Suspicion.ON_TRIAL:
             entry.trial_until = now + self._settings.trial_seconds
 
@@ -224,6 +352,7 @@
         self,
         fingerprint: str,
         now: float,
+        crashes: int,
         *,
         is_condemned: bool,
     ) -> _Entry:
@@ -236,12 +365,22 @@
         if len(entries) >= settings.max_suspects:
             entries.pop(next(iter(entries)))
         entry = _Entry(
-            is_condemned=is_condemned, expires_at=now + lifetime_seconds
+            crashes=crashes,
+            is_condemned=is_condemned,
+            expires_at=now + lifetime_seconds,
         )
         entries[fingerprint] = entry
         return entry
 
 
-def _notification(fingerprint: str, suspicion: Suspicion) -> NotifyPeers:
-    report = SuspectReport(fingerprint=fingerprint, suspicion=suspicion)
+def _crashes_of(entry: _Entry | None) -> int:
+    return 0 if entry is None else entry.crashes
+
+
+def _notification(
+    fingerprint: str, suspicion: Suspicion, crashes: int = 1
+) -> NotifyPeers:
+    report = SuspectReport(
+        fingerprint=fingerprint, suspicion=suspicion, crashes=crashes
+    )
     return NotifyPeers(reports=(report,))
--- a/src/lovageshunt/retries/_quarantine_messages.py
+++ b/src/lovageshunt/retries/_quarantine_messages.py
@@ -1,6 +1,7 @@
 """Events that the quarantine handles and actions that it requests."""
 
 from enum import StrEnum
+from typing import Any, Self
 
 from lovageshunt._record import Record
 
@@ -21,23 +22,60 @@
 
 
 class SuspectReport(Record):
-    """A fingerprint and its reported state."""
+    """A fingerprint and its reported state.
 
-    __slots__ = ('fingerprint', 'suspicion')
+    ``crashes`` counts the crashes that accuse it, each but the first of a call
+    that began after the one before was known. ``seconds_left`` is how long
+    the entry is still kept; 0 stands for the whole time.
+    """
+
+    __slots__ = ('fingerprint', 'suspicion', 'crashes', 'seconds_left')
 
-    def __init__(self, *, fingerprint: str, suspicion: Suspicion) -> None:
+    def __init__(
+        self,
+        *,
+        fingerprint: str,
+        suspicion: Suspicion,
+        crashes: int = 1,
+        seconds_left: float = 0,
+    ) -> None:
         self.fingerprint = fingerprint
         self.suspicion = suspicion
+        self.crashes = crashes
+        self.seconds_left = seconds_left
+
+    @classmethod
+    def from_fields(cls, fields: dict[str, Any]) -> Self:
+        """Decode a report, also one of a node that counts no crashes.
+
+        Raises ``LookupError``, ``TypeError`` or ``ValueError`` if malformed.
+        """
+        fingerprint = fields['fingerprint']
+        if not isinstance(fingerprint, str):
+            raise TypeError(f'fingerprint is not a string: {fingerprint!r}')
+        return cls(
+            fingerprint=fingerprint,
+            suspicion=Suspicion(fields['suspicion']),
+            crashes=int(fields.get('crashes', 1)),
+            seconds_left=float(fields.get('seconds_left', 0)),
+        )
 
 
 class CallStarting(Record):
     """A call is about to be dispatched to the target.
 
     ``suspicion`` is the number of targets that crashed while running the
-    call, according to its context.
+    call, according to its context. ``has_spare`` is whether another target of
+    the service stands, should the call crash this one.
     """
 
-    __slots__ = ('call_id', 'fingerprint', 'suspicion', 'is_repeatable')
+    __slots__ = (
+        'call_id',
+        'fingerprint',
+        'suspicion',
+        'is_repeatable',
+        'has_spare',
+    )
 
     def __init__(
         self,
@@ -46,11 +84,13 @@
         fingerprint: str,
         is_repeatable: bool,
         suspicion: int = 0,
+        has_spare: bool = True,
     ) -> None:
         self.call_id = call_id
         self.fingerprint = fingerprint
         self.suspicion = suspicion
         self.is_repeatable = is_repeatable
+        self.has_spare = has_spare
 
 
 class CallEnded(Record):
@@ -68,9 +108,16 @@
 
 
 class TargetCrashed(Record):
-    """The target crashed; all its calls in flight ended."""
+    """The target crashed; its calls in flight ended.
+
+    ``call_ids`` are those that had been sent to it, ``None`` for all that
+    started and have not ended.
+    """
+
+    __slots__ = ('call_ids',)
 
-    __slots__ = ()
+    def __init__(self, call_ids: frozenset[str] | None = None) -> None:
+        self.call_ids = call_ids
 
 
 class PeerReported(Record):
@@ -92,9 +139,10 @@
 
 
 class RefuseTemporarily(Record):
-    """Answer *not run*, reason quarantine: a suspect is running already.
+    """Answer *not run*, reason quarantine: the suspect must not run now.
 
-    It may be another one, or the same one on another target.
+    A suspect is running already, another one or the same one on another
+    target, or no other target stands.
     """
 
     __slots__ = ('call_id', 'retry_after_ms')
--- a/src/lovageshunt/routing/_placement.py
+++ b/src/lovageshunt/routing/_placement.py
@@ -35,6 +35,10 @@
 _MAX_FAILURE_GAP: Final = 0.15
 #: When more than this share of the targets is ejected, all are used.
 _MAX_EJECTED_SHARE: Final = 0.5
+#: Reasons with which a node refuses a call, whatever its target does.
+_NOT_OF_THE_TARGET: Final = frozenset(
+    (RefusalReason.OVERLOAD, RefusalReason.QUARANTINE),
+)
 _NO_TARGETS: Final[frozenset[str]] = frozenset()
 
 
@@ -190,7 +194,7 @@
             candidate.record_leaving(now)
         elif outcome is not Outcome.NOT_RUN:
             candidate.record_failure(now, self._rng.random())
-        elif reason is not RefusalReason.OVERLOAD:
+        elif reason not in _NOT_OF_THE_TARGET:
             candidate.record_shed()
 
     def _healthy(
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -42,7 +42,12 @@
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._metrics import SidecarMetrics
 from lovageshunt.sidecar._run import EndedCallback, Run
-from lovageshunt.sidecar._run_answers import answer_of, refusal_of_departed
+from lovageshunt.sidecar._run_answers import (
+    answer_of,
+    refusal_of_departed,
+    refusal_of_suspect,
+)
+from lovageshunt.sidecar._suspects import Suspects
 from lovageshunt.sidecar._wakeup import Wakeup
 
 _log = getLogger(__name__)
@@ -73,7 +78,8 @@
     ``has_left`` tells whether a target must get no more calls; ``on_leaving``
     is called when a target says in an answer that it leaves. ``rate_limit``
     is the number of calls a second that the target takes, ``None`` without a
-    limit.
+    limit. ``suspects`` decides which calls are kept from the target as they
+    may crash it.
     """
 
     def __init__(
@@ -87,7 +93,9 @@
         resend_budget: FleetRetryBudget,
         has_left: Callable[[str], bool],
         on_leaving: Callable[[str], None],
+        suspects: Suspects,
     ) -> None:
+        self._suspects = suspects
         self._resend_budget = resend_budget
         self._has_left = has_left
         self._on_leaving = on_leaving
@@ -216,6 +224,14 @@
     @_perform.register
     def _dispatch(self, action: Admit) -> None:
         run = self._run_by_call_id[action.call_id]
+        retry_ms = self._suspects.start(run)
+        if retry_ms is not None:
+            self._run_by_call_id.pop(run.call_id)
+            self._answer(run, refusal_of_suspect(retry_ms, self._queue.load()))
+            self._handle(
+                Finished(run.call_id, was_complete=False, was_shed=True)
+            )
+            return
         run.sent_at = clock_now()
         self._repeats_running += run.is_repeat
         self._send(run)
@@ -268,6 +284,7 @@
         """Resend or end the calls that lost their connections."""
         if has_crashed:
             self._metrics.count_target_crash()
+            self._suspects.crash(lost)
             log_crash(self._published[0], lost)
         for run in lost:
             is_closed = run.lost_as is ExchangeEnd.CLOSED
@@ -298,6 +315,8 @@
             self.demand.ran(run.order.kind, now - run.sent_at)
         elif classified.outcome is not Outcome.NOT_RUN:
             self.demand.failed(run.order.kind, now - run.sent_at)
+        is_answered = classified.outcome is Outcome.ANSWERED
+        self._suspects.end(run, is_complete=is_answered)
         if classified.is_leaving:
             # Other nodes must hear it before the answer is passed on.
             self._on_leaving(run.order.target_id)
@@ -308,7 +327,7 @@
         self._handle(
             Finished(
                 run.call_id,
-                was_complete=classified.outcome is Outcome.ANSWERED,
+                was_complete=is_answered,
                 was_shed=classified.outcome is Outcome.NOT_RUN,
             ),
         )
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -153,6 +153,24 @@
         is_removed = self._departures.is_removed(target_id)
         return is_removed or self._departures.is_leaving(target_id, 0)
 
+    def has_spare(self) -> bool:
+        """Return whether the own service has another target that stands.
+
+        True as well if it has only one target: nothing can be spared then.
+        """
+        own = self.own_entry
+        if own is None:
+            return True
+        others = [
+            entry
+            for entry in self.entry_by_id.values()
+            if entry.service == own.service and entry is not own
+        ]
+        return not others or any(
+            not entry.is_leaving and not self._is_down(entry.host)
+            for entry in others
+        )
+
     def note_target_leaving(self, notice: LeavingNotice) -> bool:
         """Send no more calls to a target; return whether that is news.
 
--- a/src/lovageshunt/sidecar/_metrics.py
+++ b/src/lovageshunt/sidecar/_metrics.py
@@ -62,6 +62,7 @@
         share: float,
         accepted: float,
         rate_limit: float | None,
+        suspects: int,
         version: int,
         is_platform_unreachable: bool,
     ) -> None:
@@ -74,6 +75,7 @@
             ('lovageshunt_demand_share', share),
             ('lovageshunt_target_accepted_share', accepted),
             ('lovageshunt_target_rate_limit', limit),
+            ('lovageshunt_accused_requests', suspects),
             ('lovageshunt_configuration_version', version),
             ('lovageshunt_platform_away', float(is_platform_unreachable)),
         ):
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -22,6 +22,11 @@
 from lovageshunt.sidecar._leaving import LeavingTargets
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._snapshot import decode_snapshot, encode_snapshot
+from lovageshunt.sidecar._suspects import (
+    Suspects,
+    decode_reports,
+    encode_reports,
+)
 
 _log = getLogger(__name__)
 
@@ -32,7 +37,13 @@
 class FrameHandler:
     """Handles the frames that belong to no call."""
 
-    __slots__ = ('_fleet', '_fleet_state', '_reports', '_leaving')
+    __slots__ = (
+        '_fleet',
+        '_fleet_state',
+        '_reports',
+        '_suspects',
+        '_handler_by_kind',
+    )
 
     def __init__(
         self,
@@ -41,11 +52,23 @@
         fleet_state: FleetState,
         reports: PressureReports,
         leaving: LeavingTargets,
+        suspects: Suspects,
     ) -> None:
+        self._suspects = suspects
         self._fleet = fleet
         self._fleet_state = fleet_state
         self._reports = reports
-        self._leaving = leaving
+        self._handler_by_kind: dict[int, Callable[[bytes], None]] = {
+            FrameKind.LOAD: lambda payload: reports.handle_load(
+                decode_load(payload)
+            ),
+            FrameKind.TARGET_LEAVING: lambda payload: leaving.handle(
+                decode_leaving(payload)
+            ),
+            FrameKind.SUSPECTS: lambda payload: suspects.apply(
+                decode_reports(payload)
+            ),
+        }
 
     def on_incoming(self, link: IncomingLink, frame: Frame) -> None:
         """Handle a frame on a link that the other node opened."""
@@ -53,20 +76,24 @@
             self._request(
                 link.peer.revision, link.peer.version, link.send_frame
             )
+            # The node may have restarted, and news of before is lost on it.
+            suspects = self._suspects.reports()
+            if suspects:
+                link.send_frame(FrameKind.SUSPECTS, encode_reports(suspects))
         else:
             self._on_snapshot(frame, link.send_frame)
 
     def on_dialed(self, host: str, frame: Frame) -> None:
         """Handle a frame on a link that this node opened."""
         reply = self._fleet.dialer(host).send_frame
-        if frame.kind == FrameKind.LOAD:
-            self._reports.handle_load(decode_load(frame.payload))
-        elif frame.kind == FrameKind.DEMAND:
+        handle = self._handler_by_kind.get(frame.kind)
+        if handle is not None:
+            handle(frame.payload)
+            return
+        if frame.kind == FrameKind.DEMAND:
             report = decode_demand(frame.payload)
             self._reports.handle_demand(report)
             self._request(report.revision, report.version, reply)
-        elif frame.kind == FrameKind.TARGET_LEAVING:
-            self._leaving.handle(decode_leaving(frame.payload))
         elif frame.kind == FrameKind.LEAVING:
             self._fleet.note_leaving(host)
         else:
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -29,6 +29,7 @@
 from lovageshunt.sidecar._origin_call import Attempt, OriginCall
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._responder import Responder
+from lovageshunt.sidecar._suspects import Suspects
 
 _MS_PER_SECOND: Final = 1000
 #: ``retry-after`` of a node without a configuration, in ms. It requests one
@@ -64,8 +65,10 @@
         budgets: FleetRetryBudgets,
         reports: PressureReports,
         responder: Responder,
+        suspects: Suspects,
         rng: Random,
     ) -> None:
+        self._suspects = suspects
         self._own_host = own_host
         self._own_service = own_service
         self._header_names = header_names
@@ -104,49 +107,67 @@
         attempt_id = request.header(self._header_names.attempt_id)
         call = OriginCall(request, connection, attempt_id)
         self.open_count += 1
+        route = self._find_route(call)
+        if route is not None and self._accept(call, route):
+            self._begin(call, route)
+        return call
+
+    def abandon(self, call: OriginCall) -> None:
+        """Cancel a request whose client disconnected."""
+        if call.is_over:
+            return
+        self._cancel_attempt(call)
+        self._responder.note_disconnect(call)
+        self._end(call)
+
+    def _find_route(self, call: OriginCall) -> Route | None:
+        """Route a request; respond and return ``None`` if that fails."""
         if self._table is None:
-            self._responder.send_not_run(call, 'settling', _SETTLING_RETRY_MS)
-            self._end(call)
-            return call
-        host = request.header(b'host').decode('latin-1')
-        target = request.target.decode('latin-1')
+            self._refuse(call, RefusalReason.SETTLING, _SETTLING_RETRY_MS)
+            return None
+        host = call.request.header(b'host').decode('latin-1')
+        target = call.request.target.decode('latin-1')
         route = self._table.find(host, target)
         if route is None:
             self._responder.send_not_found(call)
             self._end(call)
-            return call
+            return None
         call.route = route
         call.service = self._cursor.choose(route)
-        call.deadline = call.started_at + self._seconds_left(request, route)
+        seconds = self._seconds_left(call.request, route)
+        call.deadline = call.started_at + seconds
+        return route
+
+    def _accept(self, call: OriginCall, route: Route) -> bool:
+        """Return whether a request may be sent; respond if it may not."""
         if self._outlasts_stop(call):
-            self._responder.send_not_run(
-                call, RefusalReason.LEAVING, _LEAVING_RETRY_MS
-            )
-            self._end(call)
-            return call
+            self._refuse(call, RefusalReason.LEAVING, _LEAVING_RETRY_MS)
+            return False
+        retry_ms = self._suspects.refusal_ms(call.request)
+        if retry_ms is not None:
+            self._refuse(call, RefusalReason.QUARANTINE, retry_ms)
+            return False
         call.is_internal = self._reports.record_arrival(
             route.name, call.started_at
         )
-        if not call.is_internal and not self._admit(call, route):
-            return call
+        return call.is_internal or self._admit(call, route)
+
+    def _begin(self, call: OriginCall, route: Route) -> None:
+        """Send a request to its first target."""
         self._count(call)
         delay = call.deadline - call.started_at + _TIMEOUT_DELAY_SECONDS
         loop = get_running_loop()
         call.overdue = loop.call_later(delay, self._time_out, call)
         entry = self._fleet.choose(call.service, self._wanted(call, route))
         if entry is None:
-            self._responder.send_not_run(call, 'no_target', _NO_TARGET_RETRY_MS)
-            self._end(call)
-            return call
+            self._refuse(call, RefusalReason.NO_TARGET, _NO_TARGET_RETRY_MS)
+            return
         self._start_attempt(call, route, entry)
-        return call
 
-    def abandon(self, call: OriginCall) -> None:
-        """Cancel a request whose client disconnected."""
-        if call.is_over:
-            return
-        self._cancel_attempt(call)
-        self._responder.note_disconnect(call)
+    def _refuse(
+        self, call: OriginCall, reason: RefusalReason, retry_ms: int
+    ) -> None:
+        self._responder.send_not_run(call, reason, retry_ms)
         self._end(call)
 
     def _outlasts_stop(self, call: OriginCall) -> bool:
@@ -282,7 +303,12 @@
         route: Route,
         answer: RunAnswer,
     ) -> bool:
-        """Send a call to another target if allowed; return whether sent."""
+        """Send a call to another target if allowed; return whether sent.
+
+        A call that has crashed targets risks no more of them in one attempt.
+        """
+        if call.has_run and self._suspects.is_suspect(call.request):
+            return False
         other = self._fleet.choose(call.service, self._wanted(call, route))
         if other is None and call.allow_last_refuser():
             other = self._fleet.choose(call.service, self._wanted(call, route))
--- a/src/lovageshunt/sidecar/_origin_call.py
+++ b/src/lovageshunt/sidecar/_origin_call.py
@@ -13,7 +13,11 @@
 _MS_PER_SECOND: Final = 1000
 #: Reasons with which a target's node refuses a call instead of sending it.
 _UNSENT_REASONS: Final = frozenset(
-    (RefusalReason.LEAVING, RefusalReason.QUEUE_FULL),
+    (
+        RefusalReason.LEAVING,
+        RefusalReason.QUEUE_FULL,
+        RefusalReason.QUARANTINE,
+    ),
 )
 
 
--- a/src/lovageshunt/sidecar/_run_answers.py
+++ b/src/lovageshunt/sidecar/_run_answers.py
@@ -44,6 +44,16 @@
     return RunAnswer(outcome=classified.outcome, reason=reason, load=load)
 
 
+def refusal_of_suspect(retry_ms: int, load: LoadReport) -> RunAnswer:
+    """Return the answer to an order that may crash the target: not sent."""
+    return RunAnswer(
+        outcome=Outcome.NOT_RUN,
+        reason=RefusalReason.QUARANTINE,
+        retry_after_ms=retry_ms,
+        load=load,
+    )
+
+
 def refusal_of_departed(load: LoadReport) -> RunAnswer:
     """Return the answer to an order that is not sent: its target has left."""
     return RunAnswer(
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -36,6 +36,7 @@
 from lovageshunt.sidecar._origin import Origin
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._responder import Responder
+from lovageshunt.sidecar._suspects import Suspects
 
 _log = getLogger(__name__)
 #: The interval at which windows are closed and reports sent, in seconds.
@@ -116,6 +117,10 @@
             rng=rng,
             make_dialer=self._links.make_dialer,
         )
+        self._suspects = Suspects(
+            broadcast=self._links.broadcast,
+            has_spare=self._fleet.has_spare,
+        )
         self._executor = Executor(
             host=target.address.host,
             port=target.address.port,
@@ -125,6 +130,7 @@
             resend_budget=self._resend_budget,
             has_left=self._fleet.has_left,
             on_leaving=self._on_target_leaving,
+            suspects=self._suspects,
         )
         self.fleet_state = FleetState(
             greeting,
@@ -150,6 +156,7 @@
             fleet_state=self.fleet_state,
             reports=self._reports,
             leaving=self._leaving,
+            suspects=self._suspects,
         )
         self._origin = Origin(
             own_host=own_host,
@@ -160,6 +167,7 @@
             budgets=self._retry_budgets,
             reports=self._reports,
             responder=Responder(header_names.attempt_id, self._metrics),
+            suspects=self._suspects,
             rng=rng,
         )
 
@@ -238,6 +246,7 @@
             share=self._executor.demand.share,
             accepted=self._executor.refusals.accepted,
             rate_limit=self._executor.rate_limit,
+            suspects=self._suspects.count,
             version=self.fleet_state.greeting.version,
             is_platform_unreachable=self.fleet_state.is_platform_unreachable,
         )
--- a/tests/retries/test_quarantine.py
+++ b/tests/retries/test_quarantine.py
@@ -115,12 +115,152 @@
         assert node.entry_count == 3
 
 
+class TestSeveralCrashes:
+    """A quarantine that needs two crashes for a suspect, three to condemn."""
+
+    @pytest.fixture
+    def nodes(self):
+        """Return two nodes that tell each other all they learn."""
+        return _Peers(
+            QuarantineSettings(crashes_to_suspect=2, crashes_to_condemn=3), 2
+        )
+
+    def test_first_crash_keeps_no_call_waiting(self, nodes):
+        """A call that was in flight once runs beside others of its kind."""
+        nodes.crash_with('x', at=0)
+
+        assert nodes.starts('x', at=0)
+        assert nodes.starts('x', at=1)
+
+    def test_crashes_at_the_same_time_count_once(self, nodes):
+        """A failure of all targets accuses a popular request of one crash."""
+        for at in (0, 1):
+            nodes.starts('x', at=at)
+        for at in (0, 1):
+            nodes.handle(TargetCrashed(), at=at)
+
+        assert not nodes.quarantines[0].is_suspect('x', 1)
+
+    def test_runs_in_turn_count_each(self, nodes):
+        """Two crashes, one after the other, make a suspect everywhere."""
+        nodes.crash_with('x', at=0)
+        nodes.crash_with('x', at=1)
+
+        assert all(node.is_suspect('x', 1) for node in nodes.quarantines)
+
+    def test_suspect_runs_on_one_target_at_a_time(self, nodes):
+        """The other node refuses it until the trial is over."""
+        nodes.crash_with('x', at=0)
+        nodes.crash_with('x', at=1)
+
+        assert nodes.starts('x', at=0)
+        assert nodes.refusal('x', at=1) == RefuseTemporarily(
+            call_id='x', retry_after_ms=100
+        )
+        assert nodes.quarantines[1].refusal_ms('x', 1) == 100
+
+    def test_suspect_waits_while_no_other_target_stands(self, nodes):
+        """The last target is not risked for it."""
+        nodes.crash_with('x', at=0)
+        nodes.crash_with('x', at=1)
+
+        assert nodes.refusal('x', at=0, has_spare=False) == RefuseTemporarily(
+            call_id='x', retry_after_ms=1000
+        )
+
+    def test_third_crash_condemns_at_all_nodes(self, nodes):
+        """It is refused before it is sent, with when to come back."""
+        for at in (0, 1, 0):
+            nodes.crash_with('x', at=at)
+
+        assert nodes.quarantines[1].refusal_ms('x', 1) == 600_000
+        assert isinstance(nodes.refusal('x', at=1), FailCondemned)
+
+    def test_complete_answer_acquits_at_all_nodes(self, nodes):
+        """A sound request starts anew, however often it was in flight."""
+        nodes.crash_with('x', at=0)
+        nodes.crash_with('x', at=1)
+        nodes.starts('x', at=0)
+        nodes.handle(CallEnded(call_id='x', is_complete=True), at=0)
+
+        assert [node.entry_count for node in nodes.quarantines] == [0, 0]
+
+    def test_complete_answer_of_an_earlier_run_acquits(self, nodes):
+        """A run that began before the crash proves as much."""
+        nodes.starts('x', at=1)
+        nodes.crash_with('x', at=0)
+        nodes.handle(CallEnded(call_id='x', is_complete=True), at=1)
+
+        assert [node.entry_count for node in nodes.quarantines] == [0, 0]
+
+    def test_only_calls_that_were_sent_are_accused(self, nodes):
+        """One that still waits for a connection has crashed nothing."""
+        nodes.starts('x', at=0)
+        nodes.starts('y', at=0)
+        nodes.handle(TargetCrashed(frozenset('x')), at=0)
+
+        assert nodes.quarantines[0].entry_count == 1
+
+    def test_restarted_node_learns_what_is_condemned(self, nodes):
+        """It is told with the time that is left."""
+        for at in (0, 1, 0):
+            nodes.crash_with('x', at=at)
+        restarted = Quarantine(QuarantineSettings())
+
+        reports = nodes.quarantines[1].suspects(500)
+        restarted.handle(PeerReported(reports=reports), 500)
+
+        assert restarted.refusal_ms('x', 500) == 101_000
+        assert restarted.refusal_ms('x', 601) is None
+
+    def test_report_of_a_node_that_counts_no_crashes_is_read(self):
+        """It stands for one crash and the whole time."""
+        fields = {'fingerprint': 'x', 'suspicion': 'suspected'}
+
+        report = SuspectReport.from_fields(fields)
+
+        assert (report.crashes, report.seconds_left) == (1, 0)
+
+
+class _Peers:
+    """Quarantines that tell each other all they learn, at once."""
+
+    def __init__(self, limits, count):
+        self.quarantines = [Quarantine(limits) for _ in range(count)]
+
+    def handle(self, event, *, at):
+        actions = self.quarantines[at].handle(event, 1)
+        for action in actions:
+            if isinstance(action, NotifyPeers):
+                self._report_to_peers(at, PeerReported(reports=action.reports))
+        return actions
+
+    def _report_to_peers(self, at, reported):
+        for peer, quarantine in enumerate(self.quarantines):
+            if peer != at:
+                quarantine.handle(reported, 1)
+
+    def refusal(self, name, *, at, **fields):
+        """Start a call and return the last action."""
+        return self.handle(_starting(name, name, **fields), at=at)[-1]
+
+    def starts(self, name, *, at):
+        return isinstance(self.refusal(name, at=at), Proceed)
+
+    def crash_with(self, name, *, at):
+        assert self.starts(name, at=at)
+        self.handle(TargetCrashed(), at=at)
+
+
 class PoisonMachine(RuleBasedStateMachine):
     """Three targets, one request that crashes them, and harmless ones."""
 
+    limits = QuarantineSettings()
+    max_crashes = 2
+
     def __init__(self):
         super().__init__()
-        limits = QuarantineSettings()
+        limits = self.limits
         self.nodes = [Quarantine(limits) for _ in range(_NODES)]
         self.flights = [{} for _ in range(_NODES)]
         self.now = 0
@@ -158,8 +298,8 @@
 
     @invariant()
     def few_targets_are_lost(self):
-        """At most two crashes, and no harmless call is condemned."""
-        assert self.crashes <= 2
+        """Few crashes, and no harmless call is condemned."""
+        assert self.crashes <= self.max_crashes
         assert not self.wrongly_condemned
 
     def _start(self, at, name):
@@ -192,6 +332,20 @@
 )
 
 
+class SeveralCrashesMachine(PoisonMachine):
+    """The same with a quarantine that needs three crashes."""
+
+    limits = QuarantineSettings(crashes_to_suspect=2, crashes_to_condemn=3)
+    max_crashes = 3
+
+
+TestSeveralCrashesMachine = SeveralCrashesMachine.TestCase
+TestSeveralCrashesMachine.settings = settings(
+    max_examples=60,
+    stateful_step_count=40,
+)
+
+
 class _CondemnsAllInFlight(Quarantine):
     def _suspicion_after_crash(self, call):
         return Suspicion.CONDEMNED
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -11,6 +11,7 @@
 from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudget
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._metrics import SidecarMetrics
+from lovageshunt.sidecar._suspects import Suspects
 from tests.loopback import own_host
 from tests.sidecar.world import (
     HEADER_NAMES,
@@ -56,6 +57,7 @@
         resend_budget=FleetRetryBudget(settings),
         has_left=departed.__contains__,
         on_leaving=lambda _: None,
+        suspects=Suspects(broadcast=lambda *_: None, has_spare=lambda: True),
     )
 
 
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -12,7 +12,8 @@
 from lovageshunt.sidecar._origin import Origin
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._responder import Responder
-from lovageshunt.sidecar._run import EndedCallback
+from lovageshunt.sidecar._run import EndedCallback, Run
+from lovageshunt.sidecar._suspects import Suspects
 from tests.sidecar.world import HEADER_NAMES, configuration
 
 OWN_HOST = '127.0.0.1'
@@ -76,13 +77,15 @@
 
 
 class RecordingConnection(ServerConnection):
-    """Records the statuses of the responses."""
+    """Records the statuses and header fields of the responses."""
 
     def __init__(self) -> None:
         self.statuses: list[int] = []
+        self.fields: list[bytes] = []
 
     def respond(self, *, status: int, fields: bytes, body: bytes) -> bool:
         self.statuses.append(status)
+        self.fields.append(fields)
         return True
 
 
@@ -92,6 +95,10 @@
     def __init__(self, repeat_share: float) -> None:
         self.executor = ScriptedExecutor(repeat_share)
         self.connection = RecordingConnection()
+        self.suspects = Suspects(
+            broadcast=lambda *_: None,
+            has_spare=lambda: True,
+        )
         self.origin = Origin(
             own_host=OWN_HOST,
             own_service='own',
@@ -107,6 +114,7 @@
             ),
             reports=InnerReports(),
             responder=Responder(HEADER_NAMES.attempt_id, SidecarMetrics('n')),
+            suspects=self.suspects,
             rng=Random(1),
         )
         self.origin.apply_configuration(configuration('s'))
@@ -164,3 +172,48 @@
             first_hop.ask()
         first_hop.fail_last()
         assert len(first_hop.executor.orders) == RESERVE + 1
+
+
+class TestCrashingRequests:
+    """Requests that were in flight when targets crashed."""
+
+    def crash_targets(self, first_hop: FirstHop, count: int) -> None:
+        """Let the last order run at targets that crash one after another."""
+        for number in range(count):
+            run = Run(str(number), first_hop.executor.orders[-1], print)
+            first_hop.suspects.start(run)
+            first_hop.suspects.crash([run])
+
+    async def test_condemned_request_is_refused_at_its_first_hop(self) -> None:
+        """It is not sent, and told to come back when the entry expires."""
+        first_hop = FirstHop(repeat_share=0)
+        first_hop.ask()
+        self.crash_targets(first_hop, 3)
+        first_hop.ask()
+        assert len(first_hop.executor.orders) == 1
+        assert first_hop.connection.statuses == [503]
+        assert b'retry-after: 600.' in first_hop.connection.fields[0]
+
+    async def test_other_requests_are_sent(self) -> None:
+        """Another path of the same route is another request."""
+        first_hop = FirstHop(repeat_share=0)
+        first_hop.ask()
+        self.crash_targets(first_hop, 3)
+        first_hop.ask('/read/b')
+        assert len(first_hop.executor.orders) == 2
+
+    async def test_attempt_risks_no_third_target(self) -> None:
+        """After two crashes in a row the attempt fails at once."""
+        first_hop = FirstHop(repeat_share=0)
+        first_hop.ask()
+        self.crash_targets(first_hop, 2)
+        first_hop.fail_last()
+        assert first_hop.connection.statuses == [502]
+
+    async def test_first_crash_leaves_it_its_retry(self) -> None:
+        """A sound request is more often in flight at a crash."""
+        first_hop = FirstHop(repeat_share=0)
+        first_hop.ask()
+        self.crash_targets(first_hop, 1)
+        first_hop.fail_last()
+        assert len(first_hop.executor.orders) == 2
