Keep calls off a target that has crashed until it takes connections again

Callers got 503 and 502 while targets of the service stood: a crashed target stays listed for seconds, its node answers at once that it cannot connect, and each origin learned that by itself, from calls that it lost.

Cause: nobody took a dead target out. A call that was not sent counted as one that a busy target refuses, which ejects nothing. Ruled out: the quarantine, as the same was seen before it.

The node beside the target knows it first, from a refused connection. It tells all nodes, tries again four times a second, and tells them when the target is back; the news lapses after a second without repeats. Down targets are used only if there is no other, like those whose node is down, and they are nothing to spare, so that a suspect does not get the last target that stands.

The meters of the executor move to a module of their own, unchanged.

--- a/src/lovageshunt/http1/_messages.py
+++ b/src/lovageshunt/http1/_messages.py
@@ -86,7 +86,8 @@
     """How an exchange ended.
 
     ``COMPLETE``: the complete response was received. ``UNSENT``: no byte of
-    the request was written. ``CLOSED``: the peer closed a reused connection
+    the request was written. ``REFUSED``: neither, as nothing listens at the
+    address. ``CLOSED``: the peer closed a reused connection
     before the first byte of a response. ``INCOMPLETE``: the response was
     lost, truncated, malformed or that of another request. ``CANCELLED``: this
     side cancelled the exchange.
@@ -94,6 +95,7 @@
 
     COMPLETE = 'whole'
     UNSENT = 'unsent'
+    REFUSED = 'refused'
     CLOSED = 'closed'
     INCOMPLETE = 'cut'
     CANCELLED = 'cancelled'
--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -190,7 +190,10 @@
                 error or type(error).__name__,
             )
             self._open_count -= 1
-            pending.end(ExchangeEnd.UNSENT, None)
+            is_refused = isinstance(error, ConnectionRefusedError)
+            pending.end(
+                ExchangeEnd.REFUSED if is_refused else ExchangeEnd.UNSENT, None
+            )
             return
         if pending.is_over:
             self._on_free(connection)
--- a/src/lovageshunt/links/__init__.py
+++ b/src/lovageshunt/links/__init__.py
@@ -3,6 +3,7 @@
 from lovageshunt.links._codec import (
     decode_demand,
     decode_leaving,
+    decode_outage,
     encode_message,
 )
 from lovageshunt.links._dialer import Dialer, LinkListener
@@ -23,6 +24,7 @@
     DemandReport,
     Greeting,
     LeavingNotice,
+    OutageNotice,
     RunAnswer,
     RunOrder,
     TargetLoadReport,
@@ -37,6 +39,7 @@
     'IncomingLink',
     'LeavingNotice',
     'LinkListener',
+    'OutageNotice',
     'TargetLoadReport',
     'DemandReport',
     'RecentOrders',
@@ -47,6 +50,7 @@
     'decode_load',
     'decode_demand',
     'decode_leaving',
+    'decode_outage',
     'decode_order',
     'encode_answer',
     'encode_frame',
--- a/src/lovageshunt/links/_codec.py
+++ b/src/lovageshunt/links/_codec.py
@@ -10,6 +10,7 @@
     DemandReport,
     Greeting,
     LeavingNotice,
+    OutageNotice,
 )
 
 
@@ -45,6 +46,20 @@
         raise MalformedFrameError(str(error)) from error
 
 
+def decode_outage(payload: bytes) -> OutageNotice:
+    """Decode a notice; raise ``MalformedFrameError`` if malformed."""
+    fields = _json_object(payload)
+    try:
+        return OutageNotice(
+            target_id=str(fields['target_id']),
+            seconds=float(fields['seconds']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedFrameError(
+            f'malformed notice of an outage: {error!r}',
+        ) from error
+
+
 def _json_object(payload: bytes) -> dict[str, Any]:
     try:
         fields = orjson.loads(payload)
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -51,6 +51,7 @@
     SNAPSHOT = 11
     TARGET_LEAVING = 12
     SUSPECTS = 13
+    TARGET_DOWN = 14
 
 
 class Frame(Record):
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -172,6 +172,19 @@
         self.started_ms = started_ms
 
 
+class OutageNotice(Record):
+    """A target takes no connections for now; sent by the node beside it.
+
+    The notice holds for ``seconds``; 0 means that the target is back.
+    """
+
+    __slots__ = ('target_id', 'seconds')
+
+    def __init__(self, *, target_id: str, seconds: float) -> None:
+        self.target_id = target_id
+        self.seconds = seconds
+
+
 class DemandReport(Record):
     """The demand at one node, reported to every node periodically.
 
--- a/src/lovageshunt/routing/_placement.py
+++ b/src/lovageshunt/routing/_placement.py
@@ -91,9 +91,9 @@
         self._newcomers: list[str] = []
 
     @property
-    def candidates(self) -> list[Candidate]:
-        """Return the statistics of every listed target."""
-        return list(self._by_id.values())
+    def target_ids(self) -> list[str]:
+        """Return the ids of the listed targets."""
+        return list(self._by_id)
 
     def set_members(
         self,
--- a/src/lovageshunt/sidecar/_classification.py
+++ b/src/lovageshunt/sidecar/_classification.py
@@ -12,6 +12,8 @@
 from lovageshunt.http1 import ExchangeEnd, Response
 from lovageshunt.sidecar._header_names import HeaderNames
 
+#: How an exchange ends if nothing of the request was sent.
+_UNSENT_ENDS: Final = frozenset((ExchangeEnd.UNSENT, ExchangeEnd.REFUSED))
 _MISDIRECTED: Final = 421
 _FIRST_SUCCESS: Final = 200
 _FIRST_REDIRECT: Final = 300
@@ -58,7 +60,7 @@
     header_names: HeaderNames,
 ) -> ClassifiedResponse:
     """Return what is certain about a request once its exchange ended."""
-    if end is ExchangeEnd.UNSENT:
+    if end in _UNSENT_ENDS:
         return ClassifiedResponse(
             outcome=Outcome.NOT_RUN,
             reason=RefusalReason.TARGET_FAILED,
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -21,7 +21,7 @@
     Refuse,
     TargetQueue,
 )
-from lovageshunt.calls import Outcome, RefusalReason, level_of
+from lovageshunt.calls import Outcome, level_of
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import (
     ConnectionPool,
@@ -30,14 +30,10 @@
     Response,
 )
 from lovageshunt.links import RunAnswer, RunOrder
-from lovageshunt.pressure import (
-    CallSampler,
-    DemandSettings,
-    RefusalMeter,
-    TargetDemandMeter,
-)
 from lovageshunt.retries import FleetRetryBudget
-from lovageshunt.sidecar._classification import classify_response
+from lovageshunt.sidecar._classification import (
+    classify_response,
+)
 from lovageshunt.sidecar._crash_check import CrashCheck, log_crash
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._metrics import SidecarMetrics
@@ -48,6 +44,7 @@
     refusal_of_suspect,
 )
 from lovageshunt.sidecar._suspects import Suspects
+from lovageshunt.sidecar._target_meters import TargetMeters
 from lovageshunt.sidecar._wakeup import Wakeup
 
 _log = getLogger(__name__)
@@ -60,8 +57,6 @@
 #: The largest part of its remaining time that a client's request waits for a
 #: slot: a request that is refused then still has time for a retry.
 _MAX_WAIT_PART: Final = 0.3
-#: Responses with this status or above count as failed runs.
-_FIRST_ERROR: Final = 500
 #: How an exchange ends if the connection to the target is lost.
 _LOST_ENDS: Final = frozenset((ExchangeEnd.CLOSED, ExchangeEnd.INCOMPLETE))
 #: Limit of connections to the target until the configuration sets it.
@@ -71,12 +66,12 @@
 class Executor:
     """Queues orders, sends them to one target and classifies its responses.
 
-    ``pool`` holds the connections to the target. ``demand`` measures what is
-    asked of it, ``watch`` what runs in it, and ``refusals`` the calls that it
-    refuses although a slot was free. ``resend_budget`` limits how often a
+    ``pool`` holds the connections to the target, ``meters`` measure what runs
+    in it. ``resend_budget`` limits how often a
     request is sent again because the target closed its connection.
     ``has_left`` tells whether a target must get no more calls; ``on_leaving``
-    is called when a target says in an answer that it leaves. ``rate_limit``
+    is called when a target says in an answer that it leaves, ``on_refused``
+    when it refuses a connection. ``rate_limit``
     is the number of calls a second that the target takes, ``None`` without a
     limit. ``suspects`` decides which calls are kept from the target as they
     may crash it.
@@ -93,20 +88,20 @@
         resend_budget: FleetRetryBudget,
         has_left: Callable[[str], bool],
         on_leaving: Callable[[str], None],
+        on_refused: Callable[[], None],
         suspects: Suspects,
     ) -> None:
         self._suspects = suspects
         self._resend_budget = resend_budget
         self._has_left = has_left
         self._on_leaving = on_leaving
+        self._on_refused = on_refused
         self._header_names = header_names
         self._metrics = metrics
         self.pool = ConnectionPool(host, port, _INITIAL_MAX_CONNECTIONS)
         self._crash_check = CrashCheck(self.pool, self._on_checked)
         self._queue = TargetQueue(slots=slots)
-        self.demand = TargetDemandMeter(DemandSettings(), clock_now())
-        self.watch = CallSampler(clock_now())
-        self.refusals = RefusalMeter(clock_now())
+        self.meters = TargetMeters()
         self._run_by_call_id: dict[str, Run] = {}
         self._published = ('', 0)
         self._next_number = 0
@@ -151,7 +146,7 @@
             self._answer(run, refusal_of_departed(self._queue.load()))
             return run
         self._run_by_call_id[run.call_id] = run
-        self.demand.asked(order.kind)
+        self.meters.demand.asked(order.kind)
         now = clock_now()
         self._resend_budget.requested(now)
         queue_deadline = order.deadline
@@ -199,8 +194,8 @@
 
     def advance(self, now: float) -> bool:
         """Close elapsed windows; return whether one of demand was closed."""
-        self.refusals.advance(now)
-        return self.demand.advance(
+        self.meters.refusals.advance(now)
+        return self.meters.demand.advance(
             now,
             slots=min(self._queue.limit, self._queue.capacity),
             backlog_slot_seconds=self._queue.backlog_slot_seconds,
@@ -285,6 +280,7 @@
         if has_crashed:
             self._metrics.count_target_crash()
             self._suspects.crash(lost)
+            self._on_refused()
             log_crash(self._published[0], lost)
         for run in lost:
             is_closed = run.lost_as is ExchangeEnd.CLOSED
@@ -301,20 +297,14 @@
         end: ExchangeEnd,
         response: Response | None,
     ) -> None:
+        if end is ExchangeEnd.REFUSED:
+            self._on_refused()
         if run.overdue is not None:
             run.overdue.cancel()
         self._repeats_running -= run.is_repeat
         self._run_by_call_id.pop(run.call_id, None)
         classified = classify_response(end, response, self._header_names)
-        now = clock_now()
-        is_good = response is not None and response.status < _FIRST_ERROR
-        is_good = is_good and classified.outcome is Outcome.ANSWERED
-        self.watch.ended(run.order.kind, run.sent_at, now, is_good=is_good)
-        self.refusals.ended(was_refused=classified.reason is RefusalReason.SHED)
-        if is_good:
-            self.demand.ran(run.order.kind, now - run.sent_at)
-        elif classified.outcome is not Outcome.NOT_RUN:
-            self.demand.failed(run.order.kind, now - run.sent_at)
+        self.meters.record(run, classified, response)
         is_answered = classified.outcome is Outcome.ANSWERED
         self._suspects.end(run, is_complete=is_answered)
         if classified.is_leaving:
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -10,6 +10,7 @@
 from lovageshunt.links import (
     Dialer,
     LeavingNotice,
+    OutageNotice,
     RunAnswer,
     TargetLoadReport,
 )
@@ -98,6 +99,7 @@
         self._dialer_by_host: dict[str, Dialer] = {}
         self._leaving_hosts: set[str] = set()
         self._departures = Departures()
+        self._down_until_by_id: dict[str, float] = {}
         self.entry_by_id: dict[str, TargetEntry] = {}
         self.node_count = 0
 
@@ -128,6 +130,10 @@
         }
         for service, members in members_by_service.items():
             self._placement(service).set_members(members, cold_until_by_id)
+        for target_id in (
+            self._down_until_by_id.keys() - self.entry_by_id.keys()
+        ):
+            self._down_until_by_id.pop(target_id)
         hosts = {entry.host for entry in entries}
         self.node_count = len(hosts)
         for host in hosts - {self._own_host}:
@@ -167,10 +173,14 @@
             if entry.service == own.service and entry is not own
         ]
         return not others or any(
-            not entry.is_leaving and not self._is_down(entry.host)
+            not entry.is_leaving and not self._is_unreachable(entry)
             for entry in others
         )
 
+    def note_outage(self, notice: OutageNotice) -> None:
+        """Record that a target takes no connections, or takes them again."""
+        self._down_until_by_id[notice.target_id] = clock_now() + notice.seconds
+
     def note_target_leaving(self, notice: LeavingNotice) -> bool:
         """Send no more calls to a target; return whether that is news.
 
@@ -215,9 +225,9 @@
         if placement is None:
             return None
         unreachable = frozenset(
-            candidate.member.node
-            for candidate in placement.candidates
-            if self._is_down(candidate.member.address)
+            target_id
+            for target_id in placement.target_ids
+            if self._is_unreachable(self.entry_by_id[target_id])
         )
         member = placement.choose(placement_request, clock_now(), unreachable)
         if member is None:
@@ -287,7 +297,12 @@
         for target_id in known.keys() - listed:
             _log_target('target removed', known[target_id])
 
-    def _is_down(self, host: str) -> bool:
+    def _is_unreachable(self, entry: TargetEntry) -> bool:
+        """Return whether a target or its node is down, or the node stops."""
+        down_until = self._down_until_by_id.get(entry.target_id)
+        if down_until is not None and clock_now() < down_until:
+            return True
+        host = entry.host
         if host == self._own_host:
             return False
         return host in self._leaving_hosts or self.dialer(host).is_down
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -16,6 +16,7 @@
     decode_demand,
     decode_leaving,
     decode_load,
+    decode_outage,
 )
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import FleetState
@@ -65,6 +66,9 @@
             FrameKind.TARGET_LEAVING: lambda payload: leaving.handle(
                 decode_leaving(payload)
             ),
+            FrameKind.TARGET_DOWN: lambda payload: fleet.note_outage(
+                decode_outage(payload)
+            ),
             FrameKind.SUSPECTS: lambda payload: suspects.apply(
                 decode_reports(payload)
             ),
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -154,14 +154,14 @@
         self._arrived_by_kind[kind] = self._arrived_by_kind.get(kind, 0) + 1
         is_internal = self.internal_calls.is_internal(kind)
         if is_internal:
-            self._executor.watch.called(kind, now)
+            self._executor.meters.watch.called(kind, now)
         return is_internal
 
     def advance(self) -> None:
         """Close elapsed windows and broadcast the reports that are due."""
         now = clock_now()
         self._executor.advance(now)
-        for counts in self._executor.watch.take_windows(now):
+        for counts in self._executor.meters.watch.take_windows(now):
             self._graph.learn(counts)
         self._report_load(now)
         if now - self._demand_reported_at >= _DEMAND_INTERVAL_SECONDS:
@@ -172,8 +172,8 @@
         if entry is None:
             return
         load = self._executor.queue.load()
-        share = self._executor.demand.share
-        refusals = self._executor.refusals
+        share = self._executor.meters.demand.share
+        refusals = self._executor.meters.refusals
         accepted = refusals.accepted
         use = (load.running + load.waiting) / max(1, load.limit)
         has_changed = (
@@ -203,7 +203,7 @@
             _log.info(
                 'demand above capacity',
                 extra={
-                    'use': round(self._executor.demand.use, 2),
+                    'use': round(self._executor.meters.demand.use, 2),
                     'share': round(share, 2),
                     'accepted': round(accepted, 2),
                     'running': load.running,
@@ -222,7 +222,7 @@
         calls_by_kind_by_kind: dict[str, dict[str, float]] = {}
         is_early = self._reports_sent <= _RUN_COSTS_PERIOD
         if is_early or self._reports_sent % _RUN_COSTS_PERIOD == 0:
-            seconds_by_kind = dict(self._executor.demand.seconds_by_kind)
+            seconds_by_kind = dict(self._executor.meters.demand.seconds_by_kind)
             calls_by_kind_by_kind = self._graph.calls_by_kind()
         own = self._fleet_state.greeting
         report = DemandReport(
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -34,6 +34,7 @@
 from lovageshunt.sidecar._metrics import MetricsHandler, SidecarMetrics
 from lovageshunt.sidecar._node_links import FrameHandler, NodeLinks
 from lovageshunt.sidecar._origin import Origin
+from lovageshunt.sidecar._outage import Outage
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._responder import Responder
 from lovageshunt.sidecar._suspects import Suspects
@@ -130,8 +131,14 @@
             resend_budget=self._resend_budget,
             has_left=self._fleet.has_left,
             on_leaving=self._on_target_leaving,
+            on_refused=self._on_target_refused,
             suspects=self._suspects,
         )
+        self._outage = Outage(
+            pool=self._executor.pool,
+            fleet=self._fleet,
+            broadcast=self._links.broadcast,
+        )
         self.fleet_state = FleetState(
             greeting,
             self._fleet,
@@ -237,14 +244,15 @@
     def _tick(self) -> None:
         self._reports.advance()
         self._leaving.advance()
+        self._outage.advance()
         now = monotonic()
         if now - self._swept_at < _SWEEP_SECONDS:
             return
         self._swept_at = now
         self._metrics.set_gauges(
             load=self._executor.queue.load(),
-            share=self._executor.demand.share,
-            accepted=self._executor.refusals.accepted,
+            share=self._executor.meters.demand.share,
+            accepted=self._executor.meters.refusals.accepted,
             rate_limit=self._executor.rate_limit,
             suspects=self._suspects.count,
             version=self.fleet_state.greeting.version,
@@ -319,6 +327,9 @@
     def _on_target_leaving(self, target_id: str) -> None:
         self._leaving.note_own(target_id)
 
+    def _on_target_refused(self) -> None:
+        self._outage.note_refused()
+
     def _accept_client(self) -> ServerConnection:
         return ServerConnection(self._origin, self._limits, self._clients)
 
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -57,6 +57,7 @@
         resend_budget=FleetRetryBudget(settings),
         has_left=departed.__contains__,
         on_leaving=lambda _: None,
+        on_refused=lambda: None,
         suspects=Suspects(broadcast=lambda *_: None, has_spare=lambda: True),
     )
 
