--- a/tests/sidecar/test_crashing_requests.py
+++ b/tests/sidecar/test_crashing_requests.py
@@ -192,3 +192,18 @@
             await play.ask(host, _ORDINARY)
             statuses = [sent.status for sent in play.sent_by_path[_ORDINARY]]
             assert statuses == [502, 200]
+
+
+class TestRestartedNode:
+    """A node that restarts has forgotten what crashes targets."""
+
+    async def test_learns_from_its_peers_what_is_condemned(self) -> None:
+        """It refuses the request at its first hop, as they do."""
+        async with play_of(4) as play:
+            await play.press(_CRASHING, 3, _SEND_INTERVAL_SECONDS)
+            await play.finish()
+            arrivals = len(play.arrivals)
+            await play.world.restart_node(0)
+            await play.ask(play.world.hosts[0], _CRASHING)
+            assert play.sent_by_path[_CRASHING][-1].status == 503
+            assert len(play.arrivals) == arrivals
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -202,6 +202,18 @@
             for at, host in enumerate(self.hosts)
         ]
 
+    async def restart_node(self, at: int) -> None:
+        """Replace a node by a new process that knows nothing."""
+        self.nodes[at].close()
+        await asyncio.sleep(0.05)
+        node = Sidecar(settings(self.hosts[at]), HEADER_NAMES, int)
+        self.nodes[at] = node
+        self.tasks.append(asyncio.ensure_future(node.run()))
+        await asyncio.sleep(0.05)
+        node.fleet_state.apply_configuration(configuration('s'))
+        node.fleet_state.apply_targets(self.entries(), 1)
+        await asyncio.sleep(0.3)
+
     async def close(self) -> None:
         for task in self.tasks:
             task.cancel()
