Let the demo tell which requests a planned stop may have interrupted

The check counts every failed call and said only how many there were, so that the entry in KNOWN-RED.txt could not be traced after the fact. It now names the kind, the outcome and the seconds of the first eight. The check itself is as strict as before.

--- a/demo/_checks.py
+++ b/demo/_checks.py
@@ -11,6 +11,9 @@
 )
 from standins.fleet import Fleet
 
+#: The failed requests that a broken guarantee tells more of.
+_MAX_DESCRIBED = 8
+
 
 class Findings:
     """Results of the checks.
@@ -66,7 +69,11 @@
     interrupted = outcome_log.ids_with_outcome(
         'CallFailedError'
     ) + outcome_log.ids_with_outcome('CallUnknownError')
-    findings.check('the planned stop interrupted no request', len(interrupted))
+    findings.check(
+        'the planned stop interrupted no request',
+        len(interrupted),
+        outcome_log.described(interrupted[:_MAX_DESCRIBED]),
+    )
     return findings
 
 
--- a/demo/_load.py
+++ b/demo/_load.py
@@ -19,7 +19,8 @@
 
     ``outcome_by_id`` and ``kind_by_id`` are keyed by request id;
     ``wrong_answers`` lists requests that got the answer of another one;
-    ``latencies_ms`` are durations of all requests in ms.
+    ``latencies_ms`` are durations of all requests in ms. ``span_by_id`` is
+    when each was sent and ended, in seconds after the first.
     """
 
     def __init__(self) -> None:
@@ -27,6 +28,23 @@
         self.kind_by_id: dict[str, str] = {}
         self.wrong_answers: list[str] = []
         self.latencies_ms: list[float] = []
+        self.span_by_id: dict[str, tuple[float, float]] = {}
+        self._first_sent_at: float | None = None
+
+    def note_time(self, request_id: str, sent_at: float) -> None:
+        """Record a request that ends now; ``sent_at`` is monotonic time."""
+        if self._first_sent_at is None:
+            self._first_sent_at = sent_at
+        ended_at = time.monotonic()
+        self.latencies_ms.append((ended_at - sent_at) * 1000)
+        self.span_by_id[request_id] = (
+            sent_at - self._first_sent_at,
+            ended_at - self._first_sent_at,
+        )
+
+    def described(self, request_ids: list[str]) -> str:
+        """Return what became of requests, and when they were in progress."""
+        return '; '.join(map(self._describe, request_ids))
 
     def record(
         self,
@@ -52,6 +70,12 @@
             if self.kind_by_id[request_id] == kind
         )
 
+    def _describe(self, request_id: str) -> str:
+        kind = self.kind_by_id[request_id]
+        outcome = self.outcome_by_id[request_id]
+        sent_at, ended_at = self.span_by_id[request_id]
+        return f'{kind} {outcome}, {sent_at:.2f} to {ended_at:.2f} s'
+
     def ids_with_outcome(self, prefix: str) -> list[str]:
         """Return the ids of requests whose outcome has this prefix."""
         return [
@@ -96,5 +120,5 @@
     scope = client.request()
     started = time.monotonic()
     result = await scope.call(endpoint[0], method, endpoint[1], body=b'{}')
-    outcome_log.latencies_ms.append((time.monotonic() - started) * 1000)
+    outcome_log.note_time(scope.request_id, started)
     outcome_log.record(kind, scope.request_id, result)
