Soak the platform's path under overlapping faults, seeded

Five nodes with targets on loopback, requests and one that crashes targets, for 8 s a seed: targets crash by chance, nodes are replaced or stopped as planned, links are cut, the list and the configuration change, twice a second. Checked: what was told as not run reached no target, purchases run once, no attempt reaches more targets than its route allows, and requests that crash targets stop.

--- /dev/null
+++ b/tests/sidecar/soak.py
@@ -0,0 +1,197 @@
+"""Random faults on a small fleet while requests are sent, one crashing targets.
+
+Run many seeds by hand with ``python -m tests.sidecar.soak FIRST LAST``.
+"""
+
+import asyncio
+import logging
+import sys
+from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import suppress
+from random import Random
+from typing import Any
+
+from lovageshunt.clock import now as clock_now
+from tests.sidecar.world import (
+    FakeTarget,
+    Received,
+    World,
+    answer,
+    client_of,
+    configuration,
+    world_of,
+)
+
+_NODES = 5
+_SECONDS = 8.0
+_CRASHING = '/read/crashing'
+_PATHS = ('/read/popular', '/read/{number}', '/buy/{number}')
+_ROUTE_ATTEMPTS = 2
+_CONTACT_SECONDS = 3
+_MAX_LATE_ARRIVALS = 3
+
+Fault = Callable[[], Awaitable[None]]
+
+
+class Soak:
+    """One seeded play: requests, faults, and what the targets saw of them.
+
+    ``violations`` lists what must not happen, in words.
+    """
+
+    def __init__(self, world: World, seed: int) -> None:
+        self.world = world
+        self.violations: list[str] = []
+        self.statuses: dict[int, int] = {}
+        self._rng = Random(seed)
+        self._targets_by_attempt: dict[str, set[str]] = {}
+        self._not_run: set[str] = set()
+        self._arrivals: list[float] = []
+        self._ends: list[float] = []
+        self._number = 0
+        self._revision = 1
+        self._version = 1
+        self._tasks: set[asyncio.Task[None]] = set()
+        for target in world.targets:
+            target.serve = self._serve_with(target)
+
+    async def run(self) -> None:
+        """Play requests and overlapping faults, then check."""
+        await asyncio.gather(
+            self._repeat(self._send_crashing, 0.12),
+            self._repeat(self._send, 0.015),
+            self._repeat(self._cause_fault, 0.5),
+        )
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        self._check()
+
+    async def _repeat(self, act: Callable[[], None], mean: float) -> None:
+        ends_at = clock_now() + _SECONDS
+        while clock_now() < ends_at:
+            act()
+            await asyncio.sleep(self._rng.expovariate(1 / mean))
+
+    def _start(self, running: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(running)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _send(self) -> None:
+        self._number += 1
+        path = self._rng.choice(_PATHS).format(number=self._number)
+        self._start(self._ask(path, f'a{self._number}'))
+
+    def _send_crashing(self) -> None:
+        self._number += 1
+        self._start(self._ask(_CRASHING, f'a{self._number}'))
+
+    def _cause_fault(self) -> None:
+        faults: list[Fault] = [
+            self._crash_target,
+            self._restart_node,
+            self._stop_node,
+            self._cut_links,
+            self._change_list,
+        ]
+        self._start(self._rng.choice(faults)())  # type: ignore[arg-type]
+
+    async def _ask(self, path: str, attempt: str) -> None:
+        body = b'x' if path.startswith('/buy/') else b''
+        try:
+            client = await client_of(self._rng.choice(self.world.hosts))
+        except OSError:
+            return
+        with suppress(asyncio.IncompleteReadError, OSError):
+            got = await client.ask(path, attempt=attempt, body=body)
+            status = int(got.line.split()[1])
+            self.statuses[status] = self.statuses.get(status, 0) + 1
+            if status == 503:
+                self._not_run.add(attempt)
+        client.writer.close()
+
+    def _serve_with(
+        self, target: FakeTarget
+    ) -> Callable[[Received], Awaitable[bytes]]:
+        async def serve(received: Received) -> bytes:
+            seen = self._targets_by_attempt.setdefault(received.attempt, set())
+            if '/buy/' in received.line and seen:
+                self.violations.append(f'{received.attempt} ran twice')
+            seen.add(target.host)
+            is_crashing = _CRASHING in received.line
+            if is_crashing:
+                self._arrivals.append(clock_now())
+            await asyncio.sleep(0.03)
+            if is_crashing:
+                self._ends.append(clock_now())
+                self._start(target.crash(1))
+                raise ConnectionError
+            return answer(received)
+
+        return serve
+
+    async def _crash_target(self) -> None:
+        target = self._rng.choice(self.world.targets)
+        if target.is_up:
+            await target.crash(self._rng.uniform(0.2, 1.5))
+
+    async def _restart_node(self) -> None:
+        await self.world.restart_node(self._rng.randrange(_NODES))
+
+    async def _stop_node(self) -> None:
+        at = self._rng.randrange(_NODES)
+        self.world.nodes[at].stop()
+        await asyncio.sleep(self._rng.uniform(0.1, 3))
+        await self.world.restart_node(at)
+
+    async def _cut_links(self) -> None:
+        self._rng.choice(self.world.nodes).close_incoming_links()
+
+    async def _change_list(self) -> None:
+        self._revision += 1
+        self._version += 1
+        for node in self.world.nodes:
+            node.fleet_state.apply_targets(
+                self.world.entries(slots=self._rng.randrange(2, 8)),
+                self._revision,
+            )
+            node.fleet_state.apply_configuration(
+                configuration('s', version=self._version)
+            )
+
+    def _check(self) -> None:
+        for attempt in self._not_run & self._targets_by_attempt.keys():
+            self.violations.append(f'{attempt} was told as not run, and ran')
+        for attempt, hosts in self._targets_by_attempt.items():
+            if len(hosts) > _ROUTE_ATTEMPTS:
+                self.violations.append(f'{attempt} ran at {len(hosts)} targets')
+        if len(self._ends) < 3:
+            return
+        acts_by = self._ends[2] + _CONTACT_SECONDS
+        late = sum(at > acts_by for at in self._arrivals)
+        if late > _MAX_LATE_ARRIVALS:
+            self.violations.append(f'{late} arrivals of what crashes targets')
+
+
+async def soak(seed: int) -> Soak:
+    """Play one seed and return what was found."""
+    async with world_of(_NODES) as world:
+        play = Soak(world, seed)
+        await play.run()
+        return play
+
+
+def main() -> int:
+    """Play the seeds of the command line; return 1 if one is violated."""
+    logging.disable(logging.CRITICAL)
+    is_good = True
+    for seed in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
+        play = asyncio.run(soak(seed))
+        is_good = is_good and not play.violations
+        sys.stdout.write(f'{seed} {play.statuses} {play.violations}\n')
+        sys.stdout.flush()
+    return 0 if is_good else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
