--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -31,9 +31,7 @@
 )
 from lovageshunt.links import RunAnswer, RunOrder
 from lovageshunt.retries import FleetRetryBudget
-from lovageshunt.sidecar._classification import (
-    classify_response,
-)
+from lovageshunt.sidecar._classification import classify_response
 from lovageshunt.sidecar._crash_check import CrashCheck, log_crash
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._metrics import SidecarMetrics
@@ -67,14 +65,13 @@
     """Queues orders, sends them to one target and classifies its responses.
 
     ``pool`` holds the connections to the target, ``meters`` measure what runs
-    in it. ``resend_budget`` limits how often a
-    request is sent again because the target closed its connection.
-    ``has_left`` tells whether a target must get no more calls; ``on_leaving``
-    is called when a target says in an answer that it leaves, ``on_refused``
-    when it refuses a connection. ``rate_limit``
-    is the number of calls a second that the target takes, ``None`` without a
-    limit. ``suspects`` decides which calls are kept from the target as they
-    may crash it.
+    in it. ``resend_budget`` limits how often a request is sent again because
+    the target closed its connection. ``has_left`` tells whether a target must
+    get no more calls; ``on_leaving`` is called when a target says in an answer
+    that it leaves, ``on_refused`` when it refuses a connection. ``suspects``
+    decides which calls are kept from the target as they may crash it.
+    ``rate_limit`` is the number of calls a second that the target takes,
+    ``None`` without a limit.
     """
 
     def __init__(
