Let a target's refusal acquit no call that crashed targets

On the product's own path a suspect whose trial the target refused for its own load counted as finished well: the refusal is a complete answer, and that cleared the entry at every node, so that the call went on to crash two targets more. The platform's path tells refusals apart already.

A refused call did not run. The test fails before (the fourth call is sent, no reply: KeyError '4') and passes now.

--- a/src/lovageshunt/node/gate/_events.py
+++ b/src/lovageshunt/node/gate/_events.py
@@ -86,7 +86,10 @@
 ) -> None:
     pending = state.pending_by_ticket[event.ticket]
     _record_thresholds(pending, event, state, now)
-    ended = AttemptEnded(call_id=event.ticket, is_complete=event.is_complete)
+    ended = AttemptEnded(
+        call_id=event.ticket,
+        is_complete=event.is_complete and not event.was_shed,
+    )
     out.extend(state.quarantine.handle(ended, now))
     finished = Finished(
         event.ticket,
--- a/src/lovageshunt/retries/_quarantine_messages.py
+++ b/src/lovageshunt/retries/_quarantine_messages.py
@@ -96,8 +96,8 @@
 class CallEnded(Record):
     """A call ended while its target stayed up.
 
-    ``is_complete`` is true when the target answered, with any status. A call
-    that was cut off does not clear its fingerprint.
+    ``is_complete`` is true when the target ran the call and answered, with any
+    status. A call that was cut off or refused does not clear its fingerprint.
     """
 
     __slots__ = ('call_id', 'is_complete')
--- a/tests/node/gate/test_gate.py
+++ b/tests/node/gate/test_gate.py
@@ -263,6 +263,30 @@
 
         assert machine.replies[second].ending.outcome is Outcome.ANSWERED
 
+    def test_refusal_by_the_target_does_not_acquit_a_suspect(self):
+        """The call did not run, so that it proved nothing."""
+        machine = GateMachine()
+        machine.arrive('', 5, 0, 1)
+        machine.crash()
+        again = machine.arrive('', 5, 0, 1)
+        machine.running.discard(again)
+        machine.handle(
+            CallEnded(
+                ticket=again,
+                ending=Ending(
+                    outcome=Outcome.NOT_RUN, reason=RefusalReason.OVERLOAD
+                ),
+                is_complete=True,
+                was_shed=True,
+            ),
+        )
+
+        machine.arrive('', 5, 0, 1)
+        machine.crash()
+        last = machine.arrive('', 5, 0, 1)
+
+        assert machine.replies[last].ending.reason is RefusalReason.QUARANTINE
+
     def test_kind_that_needs_an_overloaded_service_is_refused(self):
         """A downstream threshold of 0 in an answer sheds calls of its kind."""
         machine = GateMachine()
