--- a/standins/store.py
+++ b/standins/store.py
@@ -44,7 +44,8 @@
         #: Whether requests are accepted and never answered.
         self.is_silent = False
         #: Sent with each answer; ``None`` leaves the field out.
-        self.era: int | None = 1
+        #: Sent as it is, also if it is text that is no number.
+        self.era: int | str | None = 1
         #: Watches from before this revision get status 410.
         self.compacted_revision = 0
         self._items: dict[str, dict[str, object]] = {}
@@ -95,7 +96,7 @@
 
     def restore(self, copy: 'StoreCopy') -> None:
         """Return from a copy: a new era, in which revisions are reused."""
-        self.era = (self.era or 0) + 1
+        self.era = int(self.era or 0) + 1
         self.revision = copy.revision
         self._items = dict(copy.items)
         self._events = [
@@ -105,7 +106,9 @@
         ]
 
     def _fields(self) -> bytes:
-        return b'' if self.era is None else b'store-era: %d\r\n' % self.era
+        if self.era is None:
+            return b''
+        return f'store-era: {self.era}\r\n'.encode()
 
     def handle(self, request: Request, connection: ServerConnection) -> None:
         """Answer one request; implements the server interface of ``http1``."""
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -267,6 +267,20 @@
             store.remove('servers/i-1')
             await until(lambda: fleet_state.ids == {'i-2'}, 1)
 
+    @pytest.mark.parametrize('era', ['x', '-1', '9' * 5000])
+    async def test_malformed_era_is_logged_once_and_counts_as_the_known_one(
+        self, era: str, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Changes apply as before."""
+        async with following() as (store, fleet_state):
+            store.era = era
+            store.remove('servers/i-1')
+            await until(lambda: fleet_state.ids == {'i-2'}, 1)
+            store.remove('servers/i-2')
+            await until(lambda: not fleet_state.ids, 1)
+        logged = [text for text in caplog.messages if 'era' in text]
+        assert len(logged) == 1
+
     async def test_positions_of_a_new_era_are_greater(self) -> None:
         """Nodes that compare one number prefer the state of the new era."""
         async with following() as (store, fleet_state):
