Print what a soak waits for if it does not end, and list two that hung

Two soaks by hand stopped at seeds 17 and 53 at the same time, waiting without processor time. Not traced; listed.

--- a/tests/sidecar/soak.py
+++ b/tests/sidecar/soak.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import logging
+import os
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
@@ -24,6 +25,8 @@
 
 _NODES = 5
 _SECONDS = 8.0
+#: A play that takes longer hangs.
+_MAX_SECONDS = 90.0
 _CRASHING = '/read/crashing'
 _PATHS = ('/read/popular', '/read/{number}', '/buy/{number}')
 _ROUTE_ATTEMPTS = 2
@@ -181,12 +184,26 @@
         return play
 
 
+async def _soak_or_exit(seed: int) -> Soak:
+    """Play one seed; print what runs and exit if it does not end."""
+    playing = asyncio.ensure_future(soak(seed))
+    await asyncio.wait((playing,), timeout=_MAX_SECONDS)
+    if playing.done():
+        return playing.result()
+    sys.stdout.write(f'{seed} did not end in {_MAX_SECONDS} s\n')
+    for task in asyncio.all_tasks():
+        task.print_stack(limit=6, file=sys.stdout)
+    sys.stdout.flush()
+    # Tasks that do not end would keep the event loop from closing.
+    os._exit(1)
+
+
 def main() -> int:
     """Play the seeds of the command line; return 1 if one is violated."""
     logging.disable(logging.CRITICAL)
     is_good = True
     for seed in range(int(sys.argv[1]), int(sys.argv[2]) + 1):
-        play = asyncio.run(soak(seed))
+        play = asyncio.run(_soak_or_exit(seed))
         is_good = is_good and not play.violations
         sys.stdout.write(f'{seed} {play.statuses} {play.violations}\n')
         sys.stdout.flush()
