Log the content of a refused request that crashes targets

The line of a refusal named the refused attempt, the line of a crash the attempts that were in flight: an operator could not get from one to the other. Both have the hash of the content now. The new test failed (None).

--- a/src/lovageshunt/sidecar/_responder.py
+++ b/src/lovageshunt/sidecar/_responder.py
@@ -2,9 +2,10 @@
 
 from typing import Any, Final
 
-from lovageshunt.calls import Outcome
+from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.links import RunAnswer
 from lovageshunt.pressure import RootDecision
+from lovageshunt.sidecar._fingerprint import fingerprint_of_request
 from lovageshunt.sidecar._journal import DecisionLog
 from lovageshunt.sidecar._metrics import SidecarMetrics
 from lovageshunt.sidecar._origin_call import OriginCall
@@ -115,6 +116,8 @@
         **inputs: Any,
     ) -> None:
         """Respond in place of a target; ``inputs`` explain it in the log."""
+        if reason == RefusalReason.QUARANTINE:
+            inputs['fingerprint'] = fingerprint_of_request(call.request)
         self._metrics.count_response(status, call.age_seconds, reason)
         self._decision_log.write(
             'refused' if status == _UNAVAILABLE else 'failed',
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -1,7 +1,10 @@
 """The origin, with a fake executor and fake targets."""
 
+from logging import INFO
 from random import Random
 
+import pytest
+
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.http1 import Request, ServerConnection
 from lovageshunt.links import RunAnswer, RunOrder
@@ -194,6 +197,22 @@
         assert first_hop.connection.statuses == [503]
         assert b'retry-after: 600.' in first_hop.connection.fields[0]
 
+    async def test_refusal_is_logged_with_what_the_crashes_name(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Operators find the crashes of a refused request by its content."""
+        caplog.set_level(INFO)
+        first_hop = FirstHop(repeat_share=0)
+        first_hop.ask()
+        self.crash_targets(first_hop, 3)
+        first_hop.ask()
+        fingerprints = {
+            record.message: getattr(record, 'fingerprint', None)
+            for record in caplog.records
+        }
+        condemned = 'request is refused from now on: it crashes targets'
+        assert fingerprints['refused'] == fingerprints[condemned]
+
     async def test_other_requests_are_sent(self) -> None:
         """Another path of the same route is another request."""
         first_hop = FirstHop(repeat_share=0)
