--- a/src/lovageshunt/retries/__init__.py
+++ b/src/lovageshunt/retries/__init__.py
@@ -15,7 +15,7 @@
 )
 from lovageshunt.retries._outcome_tracker import OutcomeTracker, merge_outcomes
 from lovageshunt.retries._pool import AllowancePool
-from lovageshunt.retries._quarantine import Quarantine, QuarantineSettings
+from lovageshunt.retries._quarantine import Quarantine
 from lovageshunt.retries._quarantine_messages import (
     CallEnded,
     CallStarting,
@@ -30,6 +30,7 @@
     Suspicion,
     TargetCrashed,
 )
+from lovageshunt.retries._quarantine_settings import QuarantineSettings
 
 __all__ = [
     'AllowancePool',
