Ask for a time to come back in each refusal of a crashing request

The test recorded the field and never looked at it. It now asks that there are refusals and that each says when to come back; both hold on the code as it is.

--- a/tests/sidecar/test_crashing_requests.py
+++ b/tests/sidecar/test_crashing_requests.py
@@ -139,6 +139,13 @@
             acts_by = play.ends[2] + _CONTACT_SECONDS
             late = [at for at in play.arrivals if at > acts_by]
             assert len(late) <= _MAX_LATE_ARRIVALS
+            refused = [
+                sent
+                for sent in play.sent_by_path[_CRASHING]
+                if sent.status == 503
+            ]
+            assert refused
+            assert all(float(sent.retry_after) > 0 for sent in refused)
 
     async def test_ordinary_requests_keep_the_targets_that_stand(self) -> None:
         """Once nodes act on the crashes, all of them are served."""
