--- a/src/lovageshunt/http1/_messages.py
+++ b/src/lovageshunt/http1/_messages.py
@@ -86,11 +86,11 @@
     """How an exchange ended.
 
     ``COMPLETE``: the complete response was received. ``UNSENT``: no byte of
-    the request was written. ``REFUSED``: neither, as nothing listens at the
-    address. ``CLOSED``: the peer closed a reused connection
-    before the first byte of a response. ``INCOMPLETE``: the response was
-    lost, truncated, malformed or that of another request. ``CANCELLED``: this
-    side cancelled the exchange.
+    the request was written. ``REFUSED``: the same, because nothing listens at
+    the address. ``CLOSED``: the peer closed a reused connection before the
+    first byte of a response. ``INCOMPLETE``: the response was lost, truncated,
+    malformed or that of another request. ``CANCELLED``: this side cancelled
+    the exchange.
     """
 
     COMPLETE = 'whole'
--- a/src/lovageshunt/sidecar/_fingerprint.py
+++ b/src/lovageshunt/sidecar/_fingerprint.py
@@ -5,12 +5,14 @@
 service is left out, as it changes with the node that the request is sent to.
 """
 
+from typing import Final
+
 from xxhash import xxh3_64_hexdigest
 
 from lovageshunt.http1 import Request
 from lovageshunt.links import RunOrder
 
-_HOST_FIELD = b'\r\nhost: '
+_HOST_FIELD: Final = b'\r\nhost: '
 
 
 def fingerprint_of_request(request: Request) -> str:
--- a/src/lovageshunt/sidecar/_target_meters.py
+++ b/src/lovageshunt/sidecar/_target_meters.py
@@ -1,5 +1,7 @@
 """What the runs at the target beside a node cost, and how they end."""
 
+from typing import Final
+
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Response
@@ -13,7 +15,7 @@
 from lovageshunt.sidecar._run import Run
 
 #: Responses with this status or above count as failed runs.
-_FIRST_ERROR = 500
+_FIRST_ERROR: Final = 500
 
 
 class TargetMeters:
--- a/standins/store.py
+++ b/standins/store.py
@@ -43,8 +43,8 @@
         self.status: int | None = None
         #: Whether requests are accepted and never answered.
         self.is_silent = False
-        #: Sent with each answer; ``None`` leaves the field out.
-        #: Sent as it is, also if it is text that is no number.
+        #: Sent with each answer, also text that is no number; ``None`` leaves
+        #: the field out.
         self.era: int | str | None = 1
         #: Watches from before this revision get status 410.
         self.compacted_revision = 0
