Log a condemned request once, not for each peer that repeats it

A node that restarts, or whose links are cut, is told of the suspects by every peer, and wrote a warning for each. The new test failed (3 lines for 1).

--- a/src/lovageshunt/retries/_quarantine.py
+++ b/src/lovageshunt/retries/_quarantine.py
@@ -82,6 +82,11 @@
         """Return the number of accused and condemned fingerprints."""
         return len(self._entry_by_fingerprint)
 
+    def is_condemned(self, fingerprint: str, now: float) -> bool:
+        """Return whether a call may not run at all."""
+        entry = self._valid_entry(fingerprint, now)
+        return entry is not None and entry.is_condemned
+
     def is_suspect(self, fingerprint: str, now: float) -> bool:
         """Return whether a call runs on trial only, or not at all."""
         entry = self._valid_entry(fingerprint, now)
--- a/src/lovageshunt/sidecar/_suspects.py
+++ b/src/lovageshunt/sidecar/_suspects.py
@@ -109,9 +109,15 @@
         self._handle(TargetCrashed(frozenset(run.call_id for run in lost)))
 
     def apply(self, reports: tuple[SuspectReport, ...]) -> None:
-        """Apply what another node reports."""
-        self._handle(PeerReported(reports=reports))
-        _log_condemned(reports)
+        """Apply what another node reports, which may be known."""
+        now = clock_now()
+        news = tuple(
+            report
+            for report in reports
+            if not self._quarantine.is_condemned(report.fingerprint, now)
+        )
+        self._handle(PeerReported(reports=news))
+        _log_condemned(news)
 
     def reports(self) -> tuple[SuspectReport, ...]:
         """Return what a node that has restarted must know."""
--- a/tests/sidecar/test_suspects.py
+++ b/tests/sidecar/test_suspects.py
@@ -10,7 +10,11 @@
     fingerprint_of_order,
     fingerprint_of_request,
 )
-from lovageshunt.sidecar._suspects import decode_reports, encode_reports
+from lovageshunt.sidecar._suspects import (
+    Suspects,
+    decode_reports,
+    encode_reports,
+)
 
 
 def request_of(
@@ -83,3 +87,21 @@
         """They are told apart from a fault of this node."""
         with pytest.raises(MalformedFrameError):
             decode_reports(payload)
+
+
+class TestLog:
+    """What operators read of a condemned request."""
+
+    def test_condemned_request_is_logged_once(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Each peer repeats it to a node that opens a link."""
+        suspects = Suspects(broadcast=lambda *_: None, has_spare=lambda: True)
+        reports = (
+            SuspectReport(
+                fingerprint='x', suspicion=Suspicion.CONDEMNED, crashes=3
+            ),
+        )
+        for _ in range(3):
+            suspects.apply(reports)
+        assert len(caplog.records) == 1
