Dispatch events without building a wrapper for each

Cause: functools.singledispatchmethod builds a new wrapper at each access, with name, docstring and annotations copied.

Change: DispatchedMethod, on functools.singledispatch, in place of it everywhere.

--- a/src/lovageshunt/account/_replication.py
+++ b/src/lovageshunt/account/_replication.py
@@ -2,9 +2,9 @@
 
 from collections import deque
 from collections.abc import Iterator, Sequence
-from functools import singledispatchmethod
 from typing import Final
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt._record import Record
 from lovageshunt.account._account import Account
 from lovageshunt.account._merge import IncarnationKey
@@ -130,7 +130,7 @@
         self._queue: deque[SendSnapshot] = deque()
         self._forwarded_at: dict[_Forward, float] = {}
 
-    @singledispatchmethod
+    @DispatchedMethod
     def handle(self, event: ReplicationEvent) -> list[SendSnapshot]:
         """Return the snapshots to send in response to an event."""
         raise NotImplementedError(f'no handler for {type(event).__name__}')
--- a/src/lovageshunt/admission/_admission.py
+++ b/src/lovageshunt/admission/_admission.py
@@ -1,9 +1,9 @@
 """Admission of calls to one target: dispatch, queueing and refusal."""
 
-from functools import singledispatchmethod
 from heapq import heapify, heappop, heappush
 from typing import Final
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt.admission._control import TargetControl
 from lovageshunt.admission._events import (
     Action,
@@ -104,7 +104,7 @@
         self._dispatch_waiting(actions)
         return actions
 
-    @singledispatchmethod
+    @DispatchedMethod
     def _handle_event(self, event: Event, actions: list[Action]) -> None:
         """Ignore an event that has no handler of its own.
 
--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -8,10 +8,10 @@
 the same order decides which calls it gets.
 """
 
-from functools import singledispatchmethod
 from heapq import heappop, heappush
 from typing import Final
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt.admission._events import (
     Action,
     Admit,
@@ -134,7 +134,7 @@
         self._dispatch_waiting(actions, now)
         return actions
 
-    @singledispatchmethod
+    @DispatchedMethod
     def _handle_event(
         self, event: Event, actions: list[Action], now: float
     ) -> None:
--- a/src/lovageshunt/membership/_election.py
+++ b/src/lovageshunt/membership/_election.py
@@ -1,13 +1,13 @@
 """Election of the nodes that read the platform, without coordination."""
 
 from collections.abc import Iterable
-from functools import singledispatchmethod
 from itertools import islice
 from random import Random
 from typing import Final
 
 from xxhash import xxh3_64_intdigest
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt._record import Record
 from lovageshunt.membership._actions import ReadVmList
 from lovageshunt.membership._events import (
@@ -152,7 +152,7 @@
         self._is_reading = True
         return [ReadVmList(is_watch=self._has_read and self.is_elected)]
 
-    @singledispatchmethod
+    @DispatchedMethod
     def _apply(self, event: Record, now: float) -> None:
         """Ignore events that do not affect the election."""
 
--- a/src/lovageshunt/membership/_view.py
+++ b/src/lovageshunt/membership/_view.py
@@ -1,10 +1,10 @@
 """One node's view of the members of the services that it calls."""
 
 from collections.abc import Iterable, Sequence
-from functools import singledispatchmethod
 from random import Random
 from typing import Final
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt._record import Record
 from lovageshunt.membership._actions import (
     MembersChanged,
@@ -112,7 +112,7 @@
         )
         return actions
 
-    @singledispatchmethod
+    @DispatchedMethod
     def _handle(self, event: Record, now: float) -> Sequence[Record]:
         raise TypeError(
             f'expected an event of a membership view, got {event!r}',
--- a/src/lovageshunt/node/control/_fleet_view.py
+++ b/src/lovageshunt/node/control/_fleet_view.py
@@ -1,10 +1,10 @@
 """Tracks members and peers, and takes part in the reader election."""
 
 from collections.abc import Callable, Iterable
-from functools import singledispatchmethod
 from logging import getLogger
 from random import Random
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt._record import Record
 from lovageshunt.clock import now
 from lovageshunt.membership import (
@@ -138,7 +138,7 @@
         for action in actions:
             self._act(action)
 
-    @singledispatchmethod
+    @DispatchedMethod
     def _act(self, action: Record) -> None:
         _log.error('no handler for the action %r; it is dropped', action)
 
--- a/src/lovageshunt/node/serving/_calls.py
+++ b/src/lovageshunt/node/serving/_calls.py
@@ -2,11 +2,11 @@
 
 from asyncio import CancelledError, Task, create_task
 from collections.abc import Coroutine
-from functools import singledispatchmethod
 from itertools import count
 from logging import getLogger
 from typing import Any
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt._record import Record
 from lovageshunt.calls import ContextKey, RefusalReason
 from lovageshunt.client import InboundRequest
@@ -110,7 +110,7 @@
         for task in tuple(self._tasks):
             task.cancel()
 
-    @singledispatchmethod
+    @DispatchedMethod
     def _execute(self, action: Record) -> None:
         _log.error('ignoring action of unknown type: %r', action)
 
--- a/src/lovageshunt/retries/_quarantine.py
+++ b/src/lovageshunt/retries/_quarantine.py
@@ -8,9 +8,9 @@
 crashes one more target, which condemns it.
 """
 
-from functools import singledispatchmethod
 from typing import Final
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt._record import Record
 from lovageshunt.errors import UnknownEventError
 from lovageshunt.retries._quarantine_messages import (
@@ -115,7 +115,7 @@
             if self._needs_trial(entry) and entry.expires_at > now
         )[-_MAX_TOLD:]
 
-    @singledispatchmethod
+    @DispatchedMethod
     def handle(
         self,
         event: QuarantineEvent,
--- a/src/lovageshunt/rules/_gossip.py
+++ b/src/lovageshunt/rules/_gossip.py
@@ -6,10 +6,10 @@
 (anti-entropy). A node then requests the parts that it needs, by service.
 """
 
-from functools import singledispatchmethod
 from random import Random
 from typing import Any
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt.rules._events import (
     DocumentRead,
     MessageReceived,
@@ -92,7 +92,7 @@
             actions.append(RulesChanged(version=version))
         return actions
 
-    @singledispatchmethod
+    @DispatchedMethod
     def _handle(self, event: Any, now: float) -> None:
         raise TypeError(f'{type(event).__name__} is not a rules gossip event')
 
--- a/src/lovageshunt/rules/_peer_exchange.py
+++ b/src/lovageshunt/rules/_peer_exchange.py
@@ -1,9 +1,9 @@
 """Sends messages about rules to peers and handles those of peers."""
 
-from functools import singledispatchmethod
 from random import Random
 from typing import Any
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt.rules._events import DocumentRead, RulesGossipTicked
 from lovageshunt.rules._gossip_settings import RulesGossipSettings
 from lovageshunt.rules._in_force import RulesInForce, Verdict
@@ -92,7 +92,7 @@
             request = PartsAsked(version=latest.version, services=services)
             self._send_queue.put(peer, request)
 
-    @singledispatchmethod
+    @DispatchedMethod
     def handle(self, message: Any, peer: str, now: float) -> None:
         """Handle a message of a peer; raise ``TypeError`` on other types."""
         raise TypeError(f'{type(message).__name__} is not a rules message')
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -2,10 +2,11 @@
 
 from asyncio import get_running_loop
 from collections.abc import Callable
-from functools import partial, singledispatchmethod
+from functools import partial
 from logging import getLogger
 from typing import Final
 
+from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt.admission import (
     Abort,
     Action,
@@ -209,7 +210,7 @@
         if due is not None:
             self._wakeup.call_by(due)
 
-    @singledispatchmethod
+    @DispatchedMethod
     def _perform(self, action: Action) -> None:
         raise TypeError(type(action).__name__)
 
