Wake a node for waiting calls only

Cause: TargetQueue kept the deadline of each call that it had dispatched at once, and asked to be woken when it passed. So nearly every call of an idle target armed a timer and woke its node once more, for nothing.

Evidence: the two new tests of next_wake failed before (1 instead of 2, a time instead of none).

Ruled out: that the deadlines of dispatched calls serve anything else. The rate limit reads only those of waiting calls, which stay.

Change: deadlines of calls that left the queue are dropped when they reach the top, all of them when nothing waits; answers that report the known slots change nothing.

--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -68,12 +68,17 @@
         self._queue = WaitingQueue()
         self._running = RunningCalls()
         self._rate_limit = RateLimit()
-        #: A heap; entries of calls that have left the queue are skipped when
-        #: they become due.
+        #: A heap; entries of calls that have left the queue are dropped when
+        #: they reach its top.
         self._queue_deadlines: list[tuple[float, str]] = []
         self._service_seconds = _INITIAL_SERVICE_SECONDS
         self._is_draining = False
 
+    @property
+    def slots(self) -> int:
+        """Return the concurrency of the target, as last reported."""
+        return self._slots
+
     @property
     def limit(self) -> int:
         """Return how many calls may run in the target at once."""
@@ -113,10 +118,15 @@
 
     def next_wake(self, now: float) -> float | None:
         """Return the time by which ``AdmissionTicked`` is due, if any."""
-        times = [due for due, _ in self._queue_deadlines[:1]]
-        if self._queue and len(self._running) < self.limit:
-            times.append(now + self._rate_limit.wait_seconds(1, now))
-        return min(times, default=None)
+        if not self._queue:
+            self._queue_deadlines.clear()
+            return None
+        while self._queue_deadlines[0][1] not in self._queue:
+            heappop(self._queue_deadlines)
+        due = self._queue_deadlines[0][0]
+        if len(self._running) < self.limit:
+            return min(due, now + self._rate_limit.wait_seconds(1, now))
+        return due
 
     def take_another(self, now: float) -> bool:
         """Count a call that is sent once more; return whether it may be."""
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -204,9 +204,10 @@
         self._handle(DrainStarted())
 
     def _handle(self, event: Event) -> None:
-        for action in self._queue.handle(event, clock_now()):
+        now = clock_now()
+        for action in self._queue.handle(event, now):
             self._perform(action)
-        due = self._queue.next_wake(clock_now())
+        due = self._queue.next_wake(now)
         if due is not None:
             self._wakeup.call_by(due)
 
@@ -308,8 +309,7 @@
         if classified.is_leaving:
             # Other nodes must hear it before the answer is passed on.
             self._on_leaving(run.order.target_id)
-        if classified.reported is not None:
-            self._handle(classified.reported)
+        self._apply_reported_load(classified.reported)
         if classified.rate_limit is not None:
             self._apply_rate_limit(run.order.target_id, classified.rate_limit)
         self._handle(
@@ -323,6 +323,11 @@
             run, answer_of(run, classified, response, self._queue.load())
         )
 
+    def _apply_reported_load(self, reported: LoadReported | None) -> None:
+        """Apply the slots that an answer reports, if they have changed."""
+        if reported is not None and reported.slots != self._queue.slots:
+            self._handle(reported)
+
     def _apply_rate_limit(
         self, target_id: str, reported: RateLimitReported
     ) -> None:
--- a/tests/admission/test_target_queue.py
+++ b/tests/admission/test_target_queue.py
@@ -44,6 +44,20 @@
         """A call that arrives while a slot is free is not queued."""
         assert TargetQueue(slots=2).handle(arrived('a'), 0) == [Admit('a')]
 
+    def test_wakes_for_waiting_calls_only(self) -> None:
+        """A call that was dispatched at once needs no later wake-up."""
+        queue = TargetQueue(slots=2)
+        queue.handle(arrived('a'), 0)
+        assert queue.next_wake(0) is None
+
+    def test_wakes_when_the_next_waiting_call_expires(self) -> None:
+        """The deadline of a call that no longer waits is skipped."""
+        queue = full_queue()
+        queue.handle(arrived('early', deadline=1), 0)
+        queue.handle(arrived('late', deadline=2), 0)
+        queue.handle(Cancelled('early'), 0)
+        assert queue.next_wake(0) == 2
+
     def test_leaves_some_slots_free(self) -> None:
         """Some slots of a target stay free, here 3 of 50."""
         queue = TargetQueue(slots=50)
