Make no log record of a refusal that the rate limit drops

Cause: the rate limit is a filter of the handler, so each refused request made a complete record, with the caller's file and line, before it was dropped.

Ruled out: a lower rate or a sample. The lines that are written stay the same, what is left out is counted and said as before (new tests).

Change: DecisionLog asks the limit first. The size of a request head is added up in place, without a call for each header.

--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -126,12 +126,16 @@
     def on_url(self, url: bytes) -> None:
         """Append to the request target, which may arrive in parts."""
         self._target += url
-        self._check_head(len(url))
+        self._head_size += len(url)
+        if self._head_size > self._limits.head_bytes:
+            self._refuse(_HEADERS_TOO_LARGE)
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; refuse a head that is too large."""
         self._headers.append((name.lower(), text))
-        self._check_head(len(name) + len(text))
+        self._head_size += len(name) + len(text)
+        if self._head_size > self._limits.head_bytes:
+            self._refuse(_HEADERS_TOO_LARGE)
 
     def on_headers_complete(self) -> None:
         """Send ``100 Continue`` to a client that waits for it."""
@@ -225,11 +229,6 @@
         self._head_size = 0
         self._body_size = 0
 
-    def _check_head(self, size: int) -> None:
-        self._head_size += size
-        if self._head_size > self._limits.head_bytes:
-            self._refuse(_HEADERS_TOO_LARGE)
-
     def _start(self, request: Request) -> None:
         self._current = request
         token = self._handler.handle(request, self)
--- a/src/lovageshunt/observability/__init__.py
+++ b/src/lovageshunt/observability/__init__.py
@@ -4,6 +4,7 @@
     LogRateLimit,
     configure_logs,
     log_scope,
+    may_log,
 )
 from lovageshunt.observability._metrics import (
     HistogramBuckets,
@@ -32,5 +33,6 @@
     'configure_logs',
     'decode_span',
     'log_scope',
+    'may_log',
     'format_trace_tree',
 ]
--- a/src/lovageshunt/observability/_logs.py
+++ b/src/lovageshunt/observability/_logs.py
@@ -52,6 +52,20 @@
             self._suppressed = 0
         return True
 
+    def admits(self, level: int) -> bool:
+        """Return whether a record of a level passes now; count it if not.
+
+        It lets a caller leave out the work for a record that would be dropped.
+        """
+        self._start_second(int(self._clock()))
+        is_error = level >= logging.ERROR
+        passed = self._passed_errors if is_error else self._passed
+        if passed < self._records_per_second:
+            return True
+        self._suppressed += 1
+        self.suppressed_total += 1
+        return False
+
     def _start_second(self, second: int) -> None:
         if second == self._second:
             return
@@ -88,6 +102,16 @@
         _SCOPE.reset(token)
 
 
+def may_log(level: int) -> bool:
+    """Return whether the rate limit lets a record pass now; count it if not."""
+    return all(
+        limit.admits(level)
+        for handler in logging.getLogger().handlers
+        for limit in handler.filters
+        if isinstance(limit, LogRateLimit)
+    )
+
+
 def configure_logs(
     level: str,
     records_per_second: int,
--- a/src/lovageshunt/sidecar/_journal.py
+++ b/src/lovageshunt/sidecar/_journal.py
@@ -1,9 +1,10 @@
 """Log lines about decisions on single requests."""
 
-from logging import getLogger
+from logging import INFO, getLogger
 from typing import Any, Final
 
 from lovageshunt.clock import now as clock_now
+from lovageshunt.observability import may_log
 
 _log = getLogger(__name__)
 #: Successful responses that are logged per second. They are a sample, so that
@@ -22,7 +23,13 @@
         self._left_out = 0
 
     def write(self, message: str, request_id: bytes, **inputs: Any) -> None:
-        """Log a decision on a request with the inputs that led to it."""
+        """Log a decision on a request with the inputs that led to it.
+
+        Under overload most refusals exceed the rate limit of the logs, and a
+        record costs more than the rest of a refusal.
+        """
+        if not may_log(INFO):
+            return
         fields = {'request_id': request_id.decode('latin-1'), **inputs}
         _log.info(message, extra=fields)
 
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -7,7 +7,12 @@
 import orjson
 import pytest
 
-from lovageshunt.observability import LogRateLimit, configure_logs, log_scope
+from lovageshunt.observability import (
+    LogRateLimit,
+    configure_logs,
+    log_scope,
+    may_log,
+)
 
 
 @pytest.fixture
@@ -83,3 +88,30 @@
 
         assert limit.filter(record_of(logging.ERROR))
         assert not limit.filter(record_of(logging.ERROR))
+
+
+class TestMayLog:
+    """Whether a record would be written, asked before it is made."""
+
+    def test_refusals_beyond_the_rate_are_counted(self, stream):
+        """What is left out counts as dropped, and the next line says so."""
+        limit = configure_logs('INFO', 1, stream)
+        clock = [0.0]
+        limit._clock = lambda: clock[0]
+        logger = logging.getLogger('x')
+        assert may_log(logging.INFO)
+        logger.info('first')
+        assert not may_log(logging.INFO)
+        assert limit.suppressed_total == 1
+        clock[0] = 1.0
+        logger.info('second')
+        last = orjson.loads(stream.getvalue().splitlines()[-1])
+        assert last['suppressed'] == 1
+
+    def test_errors_have_their_own_limit(self, stream):
+        """Refusals beyond the rate leave room for an error."""
+        limit = configure_logs('INFO', 1, stream)
+        limit._clock = lambda: 0.0
+        logging.getLogger('x').info('first')
+        assert not may_log(logging.INFO)
+        assert may_log(logging.ERROR)
