Let three nodes read the platform, and all others learn from them

Ruled out: longer watches (a silent connection would be noticed too late for a departure), one reader a failure domain (at five domains as many reads as the goal allows, before any change), a stale first read (a target that left would be in use again after a restart).

Change: CoordinatorElection ranks the listed nodes by hash, alternating between failure domains; the first three that are up read. Every node is subscribed to all three. A reader sends a pulse after each answer, and what changed to the subscribers that chose it as their own. A node that sees a newer position at any reader asks it after 0.2 s. A reader that is down, silent for 1.6 s or that says it cannot read is passed over; a node that heard of no answer for 3.5 to 5.5 s reads by itself. The links of a node are parted from its targets (Peers), as both needed them.

--- a/src/lovageshunt/links/__init__.py
+++ b/src/lovageshunt/links/__init__.py
@@ -4,6 +4,8 @@
     decode_demand,
     decode_leaving,
     decode_outage,
+    decode_pulse,
+    decode_subscription,
     encode_message,
 )
 from lovageshunt.links._dialer import Dialer, LinkListener
@@ -25,8 +27,10 @@
     Greeting,
     LeavingNotice,
     OutageNotice,
+    PlatformPulse,
     RunAnswer,
     RunOrder,
+    Subscription,
     TargetLoadReport,
 )
 
@@ -40,6 +44,8 @@
     'LeavingNotice',
     'LinkListener',
     'OutageNotice',
+    'PlatformPulse',
+    'Subscription',
     'TargetLoadReport',
     'DemandReport',
     'RecentOrders',
@@ -52,6 +58,8 @@
     'decode_leaving',
     'decode_outage',
     'decode_order',
+    'decode_pulse',
+    'decode_subscription',
     'encode_answer',
     'encode_frame',
     'encode_load',
--- a/src/lovageshunt/links/_codec.py
+++ b/src/lovageshunt/links/_codec.py
@@ -11,6 +11,8 @@
     Greeting,
     LeavingNotice,
     OutageNotice,
+    PlatformPulse,
+    Subscription,
 )
 
 
@@ -60,6 +62,35 @@
         ) from error
 
 
+def decode_subscription(payload: bytes) -> Subscription:
+    """Decode a subscription; raise ``MalformedFrameError`` if malformed."""
+    fields = _json_object(payload)
+    try:
+        return Subscription(
+            position=int(fields['position']),
+            version=int(fields['version']),
+            wants_changes=bool(fields['wants_changes']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedFrameError(
+            f'malformed subscription: {error!r}',
+        ) from error
+
+
+def decode_pulse(payload: bytes) -> PlatformPulse:
+    """Decode a pulse; raise ``MalformedFrameError`` if malformed."""
+    fields = _json_object(payload)
+    try:
+        return PlatformPulse(
+            position=int(fields['position']),
+            version=int(fields['version']),
+            age_seconds=max(float(0), float(fields['age_seconds'])),
+            is_reader=bool(fields['is_reader']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedFrameError(f'malformed pulse: {error!r}') from error
+
+
 def _json_object(payload: bytes) -> dict[str, Any]:
     try:
         fields = orjson.loads(payload)
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -52,6 +52,9 @@
     TARGET_LEAVING = 12
     SUSPECTS = 13
     TARGET_DOWN = 14
+    SUBSCRIBE = 15
+    PLATFORM_PULSE = 16
+    FLEET_CHANGES = 17
 
 
 class Frame(Record):
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -231,3 +231,43 @@
         self.seconds_by_kind = seconds_by_kind
         self.calls_by_kind_by_kind = calls_by_kind_by_kind
         self.retries_by_service = retries_by_service
+
+
+class Subscription(Record):
+    """Asks a coordinator for pulses; sent on the link to it.
+
+    With ``wants_changes`` the sender also asks for what changes after its own
+    ``position`` and ``version``, which are as in a greeting.
+    """
+
+    __slots__ = ('position', 'version', 'wants_changes')
+
+    def __init__(
+        self, *, position: int, version: int, wants_changes: bool
+    ) -> None:
+        self.position = position
+        self.version = version
+        self.wants_changes = wants_changes
+
+
+class PlatformPulse(Record):
+    """What a coordinator knows of the platform, sent to its subscribers.
+
+    ``is_reader`` tells whether its last read succeeded, ``age_seconds`` how
+    old the last answer is. ``position`` and ``version`` are as in a greeting.
+    """
+
+    __slots__ = ('position', 'version', 'age_seconds', 'is_reader')
+
+    def __init__(
+        self,
+        *,
+        position: int,
+        version: int,
+        age_seconds: float,
+        is_reader: bool,
+    ) -> None:
+        self.position = position
+        self.version = version
+        self.age_seconds = age_seconds
+        self.is_reader = is_reader
--- a/src/lovageshunt/membership/__init__.py
+++ b/src/lovageshunt/membership/__init__.py
@@ -9,6 +9,7 @@
     SendBulletin,
     SendDigest,
 )
+from lovageshunt.membership._coordinators import CoordinatorElection
 from lovageshunt.membership._election import (
     ElectionSettings,
     ReaderElection,
@@ -43,6 +44,7 @@
 from lovageshunt.membership._vms import ListedVm, VmList, VmState
 
 __all__ = [
+    'CoordinatorElection',
     'SendBulletin',
     'Announcement',
     'Bulletin',
--- a/src/lovageshunt/membership/_election.py
+++ b/src/lovageshunt/membership/_election.py
@@ -5,8 +5,6 @@
 from random import Random
 from typing import Final
 
-from xxhash import xxh3_64_intdigest
-
 from lovageshunt._dispatch import DispatchedMethod
 from lovageshunt._record import Record
 from lovageshunt.membership._actions import ReadVmList
@@ -24,6 +22,7 @@
     AGE_UNKNOWN,
     LastPlatformAnswer,
 )
+from lovageshunt.membership._ranking import ranked
 from lovageshunt.membership._vms import VmState
 
 _MS_PER_SECOND: Final = 1000
@@ -241,10 +240,4 @@
         max_candidates = (
             self._settings.readers_per_failure_domain + _MAX_SPARE_CANDIDATES
         )
-        unique = {*names, self._own_name}
-        ranked = sorted(unique, key=_name_hash, reverse=True)
-        return ranked[:max_candidates]
-
-
-def _name_hash(name: str) -> int:
-    return xxh3_64_intdigest(name.encode())
+        return ranked([*names, self._own_name])[:max_candidates]
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -309,7 +309,9 @@
         if classified.is_leaving:
             # Other nodes must hear it before the answer is passed on.
             self._on_leaving(run.order.target_id)
-        self._apply_reported_load(classified.reported)
+        reported = classified.reported
+        if reported is not None and reported.slots != self._queue.slots:
+            self._handle(reported)
         if classified.rate_limit is not None:
             self._apply_rate_limit(run.order.target_id, classified.rate_limit)
         self._handle(
@@ -323,11 +325,6 @@
             run, answer_of(run, classified, response, self._queue.load())
         )
 
-    def _apply_reported_load(self, reported: LoadReported | None) -> None:
-        """Apply the slots that an answer reports, if they have changed."""
-        if reported is not None and reported.slots != self._queue.slots:
-            self._handle(reported)
-
     def _apply_rate_limit(
         self, target_id: str, reported: RateLimitReported
     ) -> None:
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -1,6 +1,5 @@
 """The targets of the fleet and the links to their nodes."""
 
-from collections.abc import Callable
 from logging import getLogger
 from random import Random
 from typing import Final
@@ -8,7 +7,6 @@
 from lovageshunt._record import Record
 from lovageshunt.clock import now as clock_now
 from lovageshunt.links import (
-    Dialer,
     LeavingNotice,
     OutageNotice,
     RunAnswer,
@@ -20,6 +18,7 @@
     PlacementRequest,
     RouteMember,
 )
+from lovageshunt.sidecar._peers import Peers
 
 _log = getLogger(__name__)
 #: Responses with this status or above count as errors of the target, except
@@ -75,10 +74,10 @@
 
 
 class Fleet:
-    """Selects targets for calls and keeps a link to each of their nodes.
+    """Selects targets for calls and opens the links to their nodes.
 
-    ``entry_by_id`` holds the listed targets, ``node_count`` the number of
-    hosts that they are on.
+    ``peers`` are these links. ``entry_by_id`` holds the listed targets,
+    ``node_count`` the number of hosts that they are on.
     """
 
     def __init__(
@@ -88,16 +87,14 @@
         own_port: int,
         own_failure_domain: str,
         rng: Random,
-        make_dialer: Callable[[str], Dialer],
+        peers: Peers,
     ) -> None:
         self._own_host = own_host
         self._own_port = own_port
         self._own_failure_domain = own_failure_domain
         self._rng = rng
-        self._make_dialer = make_dialer
+        self._peers = peers
         self._placement_by_service: dict[str, Placement] = {}
-        self._dialer_by_host: dict[str, Dialer] = {}
-        self._leaving_hosts: set[str] = set()
         self._departures = Departures()
         self._down_until_by_id: dict[str, float] = {}
         self.entry_by_id: dict[str, TargetEntry] = {}
@@ -113,6 +110,11 @@
         ]
         return max(found, key=lambda entry: entry.started_ms, default=None)
 
+    @property
+    def hosts(self) -> set[str]:
+        """The hosts of the listed targets."""
+        return {entry.host for entry in self.entry_by_id.values()}
+
     def replace_targets(self, entries: list[TargetEntry]) -> None:
         """Replace the listed targets and open links to new nodes."""
         now = clock_now()
@@ -134,18 +136,17 @@
             self._down_until_by_id.keys() - self.entry_by_id.keys()
         ):
             self._down_until_by_id.pop(target_id)
-        hosts = {entry.host for entry in entries}
+        hosts = self.hosts
         self.node_count = len(hosts)
-        for host in hosts - {self._own_host}:
-            self.dialer(host).open()
+        self._peers.open(hosts)
 
-    def dialer(self, host: str) -> Dialer:
-        """Return the link to the node on ``host``, created if missing."""
-        dialer = self._dialer_by_host.get(host)
-        if dialer is None:
-            dialer = self._make_dialer(host)
-            self._dialer_by_host[host] = dialer
-        return dialer
+    def is_near(self, host: str) -> bool:
+        """Return whether a target on ``host`` is in the own failure domain."""
+        return any(
+            entry.host == host
+            and entry.failure_domain == self._own_failure_domain
+            for entry in self.entry_by_id.values()
+        )
 
     def has_left(self, target_id: str) -> bool:
         """Return whether no call may be sent to a target any more.
@@ -199,14 +200,6 @@
         _log_target('target says that it leaves', entry)
         return True
 
-    def note_leaving(self, host: str) -> None:
-        """Record a node's shutdown; its target becomes the last choice."""
-        self._leaving_hosts.add(host)
-
-    def note_connected(self, host: str) -> None:
-        """Record that a node serves, so that its target is used normally."""
-        self._leaving_hosts.discard(host)
-
     def record_load(self, report: TargetLoadReport) -> TargetEntry | None:
         """Record a target's load; return its entry, if it is listed."""
         entry = self.entry_by_id.get(report.target_id)
@@ -261,18 +254,6 @@
         """Record a cancelled call; it does not count against its target."""
         self._placement(entry.service).abandoned(entry.target_id)
 
-    def close_unused(self) -> None:
-        """Close the idle links to nodes that are no longer listed."""
-        hosts = {entry.host for entry in self.entry_by_id.values()}
-        for host in self._dialer_by_host.keys() - hosts:
-            if self._dialer_by_host[host].is_idle:
-                self._dialer_by_host.pop(host).close()
-
-    def close(self) -> None:
-        """Close every link."""
-        for dialer in self._dialer_by_host.values():
-            dialer.close()
-
     def _note_departures(self, entries: list[TargetEntry]) -> None:
         """Record who leaves; a leaving target cannot be listed as ready."""
         listed = {entry.target_id for entry in entries}
@@ -302,10 +283,7 @@
         down_until = self._down_until_by_id.get(entry.target_id)
         if down_until is not None and clock_now() < down_until:
             return True
-        host = entry.host
-        if host == self._own_host:
-            return False
-        return host in self._leaving_hosts or self.dialer(host).is_down
+        return self._peers.is_down(entry.host)
 
     def _placement(self, service: str) -> Placement:
         placement = self._placement_by_service.get(service)
--- a/src/lovageshunt/sidecar/_knowledge.py
+++ b/src/lovageshunt/sidecar/_knowledge.py
@@ -8,7 +8,7 @@
 from lovageshunt.links import Greeting
 from lovageshunt.routes import Configuration
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
-from lovageshunt.sidecar._snapshot import FleetSnapshot
+from lovageshunt.sidecar._snapshot import FleetChanges, FleetSnapshot
 
 _log = getLogger(__name__)
 #: The shortest time between two requests for a newer snapshot, in seconds.
@@ -57,6 +57,11 @@
         """Whether there are a configuration and targets to serve with."""
         return self.configuration is not None and self.greeting.revision > 0
 
+    @property
+    def entries(self) -> list[TargetEntry]:
+        """The targets in force."""
+        return list(self._fleet.entry_by_id.values())
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a configuration into force; ignore an older or equal version."""
         if configuration.version <= self.greeting.version:
@@ -97,7 +102,7 @@
         return FleetSnapshot(
             revision=self.greeting.revision,
             configuration=self.configuration,
-            entries=list(self._fleet.entry_by_id.values()),
+            entries=self.entries,
         )
 
     def apply_snapshot(self, snapshot: FleetSnapshot) -> None:
@@ -116,16 +121,43 @@
         )
         self.apply_targets(snapshot.entries, snapshot.revision)
 
+    def apply_changes(self, changes: FleetChanges) -> bool:
+        """Apply what a reader of the platform sent, unless it is known.
+
+        Return whether this state is now as new as the changes: it is not if
+        it lacks what came before them.
+        """
+        if changes.configuration is not None:
+            self.apply_configuration(changes.configuration)
+        known = self.greeting.revision
+        if changes.position < known:
+            return True
+        if changes.after_position > known:
+            return False
+        if changes.position > known or changes.after_position == known:
+            entry_by_id = dict(self._fleet.entry_by_id)
+            for target_id in changes.removed_ids:
+                entry_by_id.pop(target_id, None)
+            entry_by_id.update(
+                (entry.target_id, entry) for entry in changes.entries
+            )
+            self.apply_targets(list(entry_by_id.values()), changes.position)
+        return True
+
+    def is_behind(self, position: int, version: int) -> bool:
+        """Return whether another node has a newer state."""
+        own = self.greeting
+        return position > own.revision or version > own.version
+
     def should_request(self, revision: int, version: int) -> bool:
         """Return whether to request a snapshot from a node, rate limited.
 
         No node is asked while the platform responds. Returning true starts
         the interval during which no other request is made.
         """
-        own = self.greeting
         if not self.is_platform_unreachable:
             return False
-        if revision <= own.revision and version <= own.version:
+        if not self.is_behind(revision, version):
             return False
         now = clock_now()
         if now - self._requested_at < _MIN_REQUEST_INTERVAL_SECONDS:
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -17,10 +17,14 @@
     decode_leaving,
     decode_load,
     decode_outage,
+    decode_pulse,
+    decode_subscription,
 )
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import FleetState
 from lovageshunt.sidecar._leaving import LeavingTargets
+from lovageshunt.sidecar._peers import Peers
+from lovageshunt.sidecar._platform_news import PlatformNews
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._snapshot import decode_snapshot, encode_snapshot
 from lovageshunt.sidecar._suspects import (
@@ -39,10 +43,11 @@
     """Handles the frames that belong to no call."""
 
     __slots__ = (
-        '_fleet',
+        '_peers',
         '_fleet_state',
         '_reports',
         '_suspects',
+        '_news',
         '_handler_by_kind',
     )
 
@@ -50,13 +55,16 @@
         self,
         *,
         fleet: Fleet,
+        peers: Peers,
         fleet_state: FleetState,
         reports: PressureReports,
         leaving: LeavingTargets,
         suspects: Suspects,
+        news: PlatformNews,
     ) -> None:
         self._suspects = suspects
-        self._fleet = fleet
+        self._news = news
+        self._peers = peers
         self._fleet_state = fleet_state
         self._reports = reports
         self._handler_by_kind: dict[int, Callable[[bytes], None]] = {
@@ -72,6 +80,7 @@
             FrameKind.SUSPECTS: lambda payload: suspects.apply(
                 decode_reports(payload)
             ),
+            FrameKind.FLEET_CHANGES: news.on_changes,
         }
 
     def on_incoming(self, link: IncomingLink, frame: Frame) -> None:
@@ -84,12 +93,14 @@
             suspects = self._suspects.reports()
             if suspects:
                 link.send_frame(FrameKind.SUSPECTS, encode_reports(suspects))
+        elif frame.kind == FrameKind.SUBSCRIBE:
+            self._news.on_subscribe(link, decode_subscription(frame.payload))
         else:
             self._on_snapshot(frame, link.send_frame)
 
     def on_dialed(self, host: str, frame: Frame) -> None:
         """Handle a frame on a link that this node opened."""
-        reply = self._fleet.dialer(host).send_frame
+        reply = self._peers.dialer(host).send_frame
         handle = self._handler_by_kind.get(frame.kind)
         if handle is not None:
             handle(frame.payload)
@@ -98,16 +109,19 @@
             report = decode_demand(frame.payload)
             self._reports.handle_demand(report)
             self._request(report.revision, report.version, reply)
+        elif frame.kind == FrameKind.PLATFORM_PULSE:
+            self._news.on_pulse(host, decode_pulse(frame.payload))
         elif frame.kind == FrameKind.LEAVING:
-            self._fleet.note_leaving(host)
+            self._peers.note_leaving(host)
         else:
             self._on_snapshot(frame, reply)
 
     def on_greeted(self, host: str, greeting: Greeting) -> None:
         """Note an established link; request newer state from its node."""
         _log.info('link established', extra={'peer': greeting.node})
-        self._fleet.note_connected(host)
-        reply = self._fleet.dialer(host).send_frame
+        self._peers.note_connected(host)
+        self._news.on_connected(host)
+        reply = self._peers.dialer(host).send_frame
         self._request(greeting.revision, greeting.version, reply)
 
     def _request(self, revision: int, version: int, reply: Reply) -> None:
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -27,6 +27,7 @@
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._origin_call import Attempt, OriginCall
+from lovageshunt.sidecar._peers import Peers
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._responder import Responder
 from lovageshunt.sidecar._suspects import Suspects
@@ -62,6 +63,7 @@
         header_names: HeaderNames,
         executor: Executor,
         fleet: Fleet,
+        peers: Peers,
         budgets: FleetRetryBudgets,
         reports: PressureReports,
         responder: Responder,
@@ -75,6 +77,7 @@
         self._dropped = header_names.overwritten
         self._executor = executor
         self._fleet = fleet
+        self._peers = peers
         self._budgets = budgets
         self._reports = reports
         self._responder = responder
@@ -262,7 +265,7 @@
             run = self._executor.submit(order, ended)
             attempt.cancel = partial(self._executor.abandon, run)
             return
-        dialer = self._fleet.dialer(host)
+        dialer = self._peers.dialer(host)
         stream = dialer.send(order, ended)
         attempt.cancel = partial(dialer.cancel, stream)
 
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -35,6 +35,8 @@
 from lovageshunt.sidecar._node_links import FrameHandler, NodeLinks
 from lovageshunt.sidecar._origin import Origin
 from lovageshunt.sidecar._outage import Outage
+from lovageshunt.sidecar._peers import Peers
+from lovageshunt.sidecar._platform_news import PlatformNews
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._responder import Responder
 from lovageshunt.sidecar._suspects import Suspects
@@ -73,7 +75,8 @@
     """Proxies the requests of one VM and the calls to its target.
 
     ``suppressed`` returns how many log records were rate limited.
-    ``fleet_state`` receives the configuration and the targets. Nothing is
+    ``fleet_state`` receives the configuration and the targets, ``news`` says
+    whether this node reads them from the platform. Nothing is
     opened before ``run``.
     """
 
@@ -111,12 +114,13 @@
             port=settings.listen.nodes.port,
             greeting=greeting,
         )
+        self._peers = Peers(own_host, self._links.make_dialer)
         self._fleet = Fleet(
             own_host=own_host,
             own_port=target.address.port,
             own_failure_domain=settings.node.failure_domain,
             rng=rng,
-            make_dialer=self._links.make_dialer,
+            peers=self._peers,
         )
         self._suspects = Suspects(
             broadcast=self._links.broadcast,
@@ -145,6 +149,13 @@
             self._on_configuration,
             self._on_targets,
         )
+        self.news = PlatformNews(
+            own_host=own_host,
+            fleet=self._fleet,
+            peers=self._peers,
+            fleet_state=self.fleet_state,
+            rng=rng,
+        )
         self._leaving = LeavingTargets(
             fleet=self._fleet,
             executor=self._executor,
@@ -160,10 +171,12 @@
         )
         self._links.frame_handler = FrameHandler(
             fleet=self._fleet,
+            peers=self._peers,
             fleet_state=self.fleet_state,
             reports=self._reports,
             leaving=self._leaving,
             suspects=self._suspects,
+            news=self.news,
         )
         self._origin = Origin(
             own_host=own_host,
@@ -171,6 +184,7 @@
             header_names=header_names,
             executor=self._executor,
             fleet=self._fleet,
+            peers=self._peers,
             budgets=self._retry_budgets,
             reports=self._reports,
             responder=Responder(header_names.attempt_id, self._metrics),
@@ -214,7 +228,7 @@
         """Stop listening and close every link immediately."""
         for server in self._servers:
             server.close()
-        self._fleet.close()
+        self._peers.close()
         self._links.close_incoming()
 
     def close_incoming_links(self) -> None:
@@ -242,6 +256,7 @@
             return
 
     def _tick(self) -> None:
+        self.news.advance()
         self._reports.advance()
         self._leaving.advance()
         self._outage.advance()
@@ -262,7 +277,7 @@
         for connection in list(self._clients):
             connection.close_if_due(now)
         self._executor.pool.close_stale()
-        self._fleet.close_unused()
+        self._peers.close_unused(self._fleet.hosts)
 
     async def _shut_down(self) -> None:
         """Finish accepted requests; refuse only what cannot be finished."""
@@ -320,6 +335,7 @@
         self._resend_budget.node_count = self._fleet.node_count
         self._retry_budgets.node_count = self._fleet.node_count
         self._leaving.apply_list()
+        self.news.apply_list()
         own = self._fleet.own_entry
         if own is not None:
             self._executor.apply_published_slots(own.target_id, own.slots)
--- a/src/lovageshunt/sidecar/_snapshot.py
+++ b/src/lovageshunt/sidecar/_snapshot.py
@@ -1,6 +1,7 @@
-"""Snapshots of the fleet, for nodes that cannot reach the platform."""
+"""The state of the fleet and its changes, as nodes exchange them."""
 
-from typing import Any
+import zlib
+from typing import Any, Final
 
 import orjson
 
@@ -14,6 +15,11 @@
 )
 from lovageshunt.sidecar._fleet import TargetEntry
 
+#: Compression that takes about a hundredth of the time to decode the result.
+_COMPRESSION_LEVEL: Final = 1
+#: The largest size of decompressed changes; a configuration has 1 MB at most.
+_MAX_CHANGES_BYTES: Final = 16 * 1024 * 1024
+
 
 class FleetSnapshot(Record):
     """A configuration and the targets, as of a revision of the platform.
@@ -35,6 +41,87 @@
         self.entries = entries
 
 
+class FleetChanges(Record):
+    """What changed between two positions of the platform.
+
+    ``configuration`` is ``None`` if it did not change. ``entries`` were added
+    or changed, ``removed_ids`` are the targets that are gone.
+    """
+
+    __slots__ = (
+        'after_position',
+        'position',
+        'configuration',
+        'entries',
+        'removed_ids',
+    )
+
+    def __init__(
+        self,
+        *,
+        after_position: int,
+        position: int,
+        configuration: Configuration | None,
+        entries: list[TargetEntry],
+        removed_ids: list[str],
+    ) -> None:
+        self.after_position = after_position
+        self.position = position
+        self.configuration = configuration
+        self.entries = entries
+        self.removed_ids = removed_ids
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether neither the configuration nor a target has changed."""
+        has_targets = bool(self.entries or self.removed_ids)
+        return self.configuration is None and not has_targets
+
+    @classmethod
+    def between(
+        cls, before: FleetSnapshot, after: FleetSnapshot
+    ) -> 'FleetChanges':
+        """Return what changed from one state to a later one."""
+        entry_by_id = {entry.target_id: entry for entry in before.entries}
+        listed = {entry.target_id for entry in after.entries}
+        is_same = before.configuration is after.configuration
+        return cls(
+            after_position=before.revision,
+            position=after.revision,
+            configuration=None if is_same else after.configuration,
+            entries=[
+                entry
+                for entry in after.entries
+                if entry_by_id.get(entry.target_id) != entry
+            ],
+            removed_ids=sorted(entry_by_id.keys() - listed),
+        )
+
+
+def encode_changes(changes: FleetChanges) -> bytes:
+    """Encode changes as compressed JSON."""
+    encoded = orjson.dumps(changes, default=_fields_of)
+    return zlib.compress(encoded, _COMPRESSION_LEVEL)
+
+
+def decode_changes(payload: bytes) -> FleetChanges:
+    """Decode changes; raise ``MalformedFrameError`` if malformed."""
+    try:
+        fields = orjson.loads(_decompressed(payload))
+        configuration = fields['configuration']
+        return FleetChanges(
+            after_position=int(fields['after_position']),
+            position=int(fields['position']),
+            configuration=configuration and _configuration(configuration),
+            entries=[TargetEntry(**entry) for entry in fields['entries']],
+            removed_ids=[str(each) for each in fields['removed_ids']],
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise MalformedFrameError(
+            f'malformed changes of the fleet: {error}',
+        ) from error
+
+
 def encode_snapshot(snapshot: FleetSnapshot) -> bytes:
     """Encode a snapshot as JSON."""
     return orjson.dumps(snapshot, default=_fields_of)
@@ -62,6 +149,14 @@
     raise TypeError(type(record).__name__)
 
 
+def _decompressed(payload: bytes) -> bytes:
+    """Decompress a payload; raise ``ValueError`` if that fails."""
+    try:
+        return zlib.decompressobj().decompress(payload, _MAX_CHANGES_BYTES)
+    except zlib.error as error:
+        raise ValueError(str(error)) from error
+
+
 def _configuration(fields: dict[str, Any]) -> Configuration:
     routes = tuple(_route(route) for route in fields.pop('routes'))
     limits = {
--- a/src/lovageshunt/sidecar/_target_list.py
+++ b/src/lovageshunt/sidecar/_target_list.py
@@ -41,6 +41,11 @@
         """Return the targets that calls may be sent to."""
         return list(self._entry_by_id.values())
 
+    def resume(self, entries: list[TargetEntry]) -> None:
+        """Begin with the targets that another node has read meanwhile."""
+        self._entry_by_id = {entry.target_id: entry for entry in entries}
+        self._kept_ids.clear()
+
     def note_platform_unreachable(self, now: float) -> None:
         """Record that a request to the platform failed."""
         if self._failing_since is None:
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -25,6 +25,7 @@
         self.leaving_ids: set[str] = set()
         self.revision = 0
         self.is_platform_unreachable = True
+        self.entries: list[TargetEntry] = []
 
     def apply_configuration(self, configuration: Configuration) -> None:
         self.versions.append(configuration.version)
@@ -39,6 +40,25 @@
             entry.target_id for entry in entries if entry.is_leaving
         }
         self.revision = revision
+        self.entries = entries
+
+
+class FakeNews:
+    """The news of a node that reads as long as ``is_reader`` is true."""
+
+    def __init__(self) -> None:
+        self.is_reader = True
+        self.answers = 0
+        self.failures = 0
+
+    def should_read(self) -> bool:
+        return self.is_reader
+
+    def note_answer(self) -> None:
+        self.answers += 1
+
+    def note_failure(self) -> None:
+        self.failures += 1
 
 
 def entry(**changes: object) -> bytes:
@@ -61,7 +81,8 @@
     store.put('servers/i-2', entry())
     fleet_state = FakeFleetState()
     client = StoreClient(store.host, store.port)
-    follower = Follower(client, fleet_state)  # type: ignore[arg-type]
+    news = FakeNews()
+    follower = Follower(client, fleet_state, news)  # type: ignore[arg-type]
     tasks = [
         asyncio.ensure_future(follower.run()),
         asyncio.ensure_future(follower.expire()),
--- /dev/null
+++ b/tests/platform/test_readers.py
@@ -0,0 +1,199 @@
+"""A few nodes read the platform, and all learn of its changes."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager
+
+import orjson
+from adapter.follow import Follower
+from adapter.store import PageResult, StoreClient
+from expression import Error
+
+from lovageshunt.clock import now as clock_now
+from lovageshunt.errors import PlatformUnavailableError
+from standins.store import StoreStandIn
+from tests.platform.test_configuration import published
+from tests.platform.test_entries import ENTRY
+from tests.sidecar.world import TARGET_PORT, World
+
+_NODES = 7
+#: How long a client waits for an answer beyond the watch, in seconds.
+_RESPONSE_SECONDS = 0.6
+#: More than a watch takes, in seconds.
+_WATCH_SECONDS = 1.3
+#: The bound of the smallest deployment for a change to apply, in seconds.
+_MAX_NEWS_SECONDS = 2.0
+
+
+class CutClient(StoreClient):
+    """A client that no answer reaches while ``is_cut`` is true."""
+
+    is_cut = False
+
+    async def _get(
+        self, path: str, query: Mapping[str, str], wait_seconds: float
+    ) -> PageResult:
+        began_at = clock_now()
+        answer = await super()._get(path, query, wait_seconds)
+        if not self.is_cut:
+            return answer
+        left = began_at + wait_seconds + _RESPONSE_SECONDS - clock_now()
+        await asyncio.sleep(max(0, left))
+        return Error(PlatformUnavailableError(path, 'store', 'cut off'))
+
+
+class ReadingWorld:
+    """Nodes that follow one store, and the followers by host."""
+
+    def __init__(self, world: World, store: StoreStandIn) -> None:
+        self.world = world
+        self.store = store
+        self.client_by_host: dict[str, CutClient] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def follow(self) -> None:
+        for node, host in zip(self.world.nodes, self.world.hosts, strict=True):
+            client = CutClient(self.store.host, self.store.port)
+            self.client_by_host[host] = client
+            follower = Follower(client, node.fleet_state, node.news)
+            self.tasks += (
+                asyncio.ensure_future(follower.run()),
+                asyncio.ensure_future(follower.expire()),
+            )
+
+    def put(self, at: int, **changes: object) -> None:
+        fields = {
+            'address': f'{self.world.hosts[at]}:{TARGET_PORT}',
+            'zone': f'zone-{at % 3}',
+        }
+        encoded = orjson.dumps(ENTRY | fields | changes)
+        self.store.put(f'servers/i-{at}', encoded)
+
+    async def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await self.world.close()
+        self.store.close()
+
+    @property
+    def readers(self) -> list[str]:
+        return [
+            host
+            for node, host in zip(
+                self.world.nodes, self.world.hosts, strict=True
+            )
+            if node.news.is_coordinator
+        ]
+
+    def node_of(self, host: str):  # type: ignore[no-untyped-def]
+        return self.world.nodes[self.world.hosts.index(host)]
+
+    def versions(self) -> list[int]:
+        return [node.fleet_state.greeting.version for node in self.world.nodes]
+
+
+@asynccontextmanager
+async def reading_world() -> AsyncIterator[ReadingWorld]:
+    """Run nodes whose entries and first configuration are in a store."""
+    store = StoreStandIn()
+    await store.open()
+    world = World(_NODES)
+    await world.open()
+    reading = ReadingWorld(world, store)
+    publish(store, 1)
+    for at in range(_NODES):
+        reading.put(at)
+    reading.follow()
+    try:
+        await until(lambda: len(reading.readers) == 3)
+        await asyncio.sleep(0.5)
+        yield reading
+    finally:
+        await reading.close()
+
+
+def publish(store: StoreStandIn, version: int) -> None:
+    text = published() | {'version': f'{version:08x}'}
+    store.put('op/config', orjson.dumps(text))
+
+
+async def until(
+    is_met: Callable[[], bool], seconds: float = _MAX_NEWS_SECONDS
+) -> None:
+    async with asyncio.timeout(seconds):
+        while not is_met():
+            await asyncio.sleep(0.02)
+
+
+class TestReaders:
+    """Who reads, and what the others learn."""
+
+    async def test_three_nodes_read(self) -> None:
+        """The others make no call once they know the fleet."""
+        async with reading_world() as reading:
+            before = reading.store.request_count
+            await asyncio.sleep(2 * _WATCH_SECONDS)
+            assert reading.store.request_count - before <= 3 * 3
+
+    async def test_change_reaches_all(self) -> None:
+        """A configuration and a departure are known to all nodes at once."""
+        async with reading_world() as reading:
+            publish(reading.store, 2)
+            reading.put(0, state='draining')
+            await until(lambda: set(reading.versions()) == {2}, 0.5)
+            await until(
+                lambda: all(
+                    node.fleet_state.entries[0].is_leaving
+                    for node in reading.world.nodes
+                ),
+                0.5,
+            )
+
+    async def test_killed_readers_are_replaced(self) -> None:
+        """A change is known in time when all three readers have just died."""
+        async with reading_world() as reading:
+            dead = reading.readers
+            for host in dead:
+                at = reading.world.hosts.index(host)
+                reading.node_of(host).close()
+                reading.tasks[2 * at].cancel()
+                reading.world.tasks[at].cancel()
+            publish(reading.store, 2)
+            await until(lambda: reading.versions().count(2) >= _NODES - 3)
+
+    async def test_readers_that_lose_the_platform_are_replaced(self) -> None:
+        """A change is known in time when no reader reaches the platform."""
+        async with reading_world() as reading:
+            for host in reading.readers:
+                reading.client_by_host[host].is_cut = True
+            await asyncio.sleep(0.2)
+            publish(reading.store, 2)
+            await until(lambda: reading.versions().count(2) >= _NODES)
+
+    async def test_outage_makes_few_nodes_read(self) -> None:
+        """While nobody reaches the platform, at most six nodes try it."""
+        async with reading_world() as reading:
+            for client in reading.client_by_host.values():
+                client.is_cut = True
+            await asyncio.sleep(2 * _WATCH_SECONDS)
+            before = sum_of_calls(reading)
+            await asyncio.sleep(1.0)
+            assert sum_of_calls(reading) - before <= 6 * 2
+
+    async def test_member_that_missed_a_change_catches_up(self) -> None:
+        """A node whose coordinator does not send takes it from another."""
+        async with reading_world() as reading:
+            member = next(
+                node
+                for node in reading.world.nodes
+                if not node.news.is_coordinator
+            )
+            muted = reading.node_of(member.news.primary)
+            for link in muted.news._subscribers._wants_by_link:
+                muted.news._subscribers._wants_by_link[link] = False
+            publish(reading.store, 2)
+            await until(lambda: member.fleet_state.greeting.version == 2, 1.0)
+
+
+def sum_of_calls(reading: ReadingWorld) -> int:
+    return sum(client.call_count for client in reading.client_by_host.values())
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -7,12 +7,13 @@
 
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.http1 import Request, ServerConnection
-from lovageshunt.links import RunAnswer, RunOrder
+from lovageshunt.links import Dialer, RunAnswer, RunOrder
 from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudgets
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
 from lovageshunt.sidecar._metrics import SidecarMetrics
 from lovageshunt.sidecar._origin import Origin
+from lovageshunt.sidecar._peers import Peers
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._responder import Responder
 from lovageshunt.sidecar._run import EndedCallback, Run
@@ -92,6 +93,10 @@
         return True
 
 
+def no_dialer(host: str) -> Dialer:
+    raise AssertionError(f'a link to {host} was opened')
+
+
 class FirstHop:
     """An origin whose requests all are calls by its target."""
 
@@ -108,6 +113,7 @@
             header_names=HEADER_NAMES,
             executor=self.executor,
             fleet=OwnTargets(),
+            peers=Peers(OWN_HOST, no_dialer),
             budgets=FleetRetryBudgets(
                 FleetBudgetSettings(
                     ratio=0.2,
