Use a bounded subset of each service's targets

Ruled out: subsets drawn by hash alone without the own failure domain (most calls would leave it); a subset that excludes the others for good (a purchase whose subset is down must still find a target).

Change: a node uses the targets of its own failure domain, up to sixteen, and others drawn by hash up to twelve in all, four at least. Links are opened to the hosts of the subset when a service is first called, and to coordinators. If no target of the subset may be used, all are considered. Twelve targets or fewer are used whole, as on the first sites.

--- a/src/lovageshunt/routing/_placement.py
+++ b/src/lovageshunt/routing/_placement.py
@@ -6,6 +6,7 @@
 targets are full everywhere, the less utilised target is chosen.
 """
 
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Final
 
@@ -13,6 +14,7 @@
 from lovageshunt.calls import LoadReport, Outcome, RefusalReason
 from lovageshunt.routing._candidate import Candidate
 from lovageshunt.routing._member import RouteMember
+from lovageshunt.routing._subset import subset_of
 
 #: The utilisation up to which a near target keeps its calls.
 _MAX_NEAR_UTILISATION: Final = 0.9
@@ -75,25 +77,41 @@
         return self.allowed is None or target_id in self.allowed
 
 
+def _is_never_unreachable(target_id: str) -> bool:
+    return False
+
+
 class Placement:
     """Chooses among the targets of one service.
 
     Each ``started`` must be followed by one ``ended`` or ``abandoned``.
     """
 
-    __slots__ = ('_own_failure_domain', '_rng', '_by_id', '_newcomers')
+    __slots__ = (
+        '_own_failure_domain',
+        '_rng',
+        '_origin',
+        '_by_id',
+        '_subset_by_id',
+        '_newcomers',
+    )
 
-    def __init__(self, own_failure_domain: str, rng: Random) -> None:
+    def __init__(
+        self, own_failure_domain: str, rng: Random, origin: str = ''
+    ) -> None:
+        """Place the calls of the node ``origin``."""
         self._own_failure_domain = own_failure_domain
         self._rng = rng
+        self._origin = origin
         self._by_id: dict[str, Candidate] = {}
+        self._subset_by_id: dict[str, Candidate] = {}
         #: Targets that joined and to which this node has sent no call yet.
         self._newcomers: list[str] = []
 
     @property
-    def target_ids(self) -> list[str]:
-        """Return the ids of the listed targets."""
-        return list(self._by_id)
+    def subset_ids(self) -> list[str]:
+        """Return the ids of the targets that calls normally go to."""
+        return list(self._subset_by_id)
 
     def set_members(
         self,
@@ -112,6 +130,13 @@
             candidate.member = member
             candidate.cold_until = cold_until_by_id.get(member.node, 0)
             self._by_id[member.node] = candidate
+        staying = [member for member in members if not member.is_leaving]
+        subset = subset_of(staying, self._own_failure_domain, self._origin)
+        self._subset_by_id = {
+            target_id: candidate
+            for target_id, candidate in self._by_id.items()
+            if target_id in subset
+        }
 
     def note_leaving(self, target_id: str) -> None:
         """Choose a listed target no more."""
@@ -131,23 +156,19 @@
         self,
         request: PlacementRequest,
         now: float,
-        unreachable: frozenset[str] = _NO_TARGETS,
+        is_unreachable: Callable[[str], bool] = _is_never_unreachable,
     ) -> RouteMember | None:
         """Return the target for a call, or ``None`` if none may be used.
 
-        Targets in ``unreachable`` are used only if there is no other.
+        Targets outside the subset are used only if none in it can be, and
+        targets that ``is_unreachable`` names only if there is no other.
         """
-        staying = [
-            candidate
-            for target_id, candidate in self._by_id.items()
-            if request.may_go_to(target_id) and not candidate.member.is_leaving
-        ]
-        usable = [
-            candidate
-            for candidate in staying
-            if candidate.member.node not in unreachable
-        ]
-        usable = self._healthy(usable or staying, now)
+        usable = self._staying(self._subset_by_id, request, is_unreachable)
+        if not usable:
+            usable = self._staying(self._by_id, request, is_unreachable)
+        if not usable:
+            usable = self._staying(self._by_id, request)
+        usable = self._healthy(usable, now)
         if not usable:
             return None
         newcomer = self._newcomer(request, usable)
@@ -197,6 +218,21 @@
         elif reason not in _NOT_OF_THE_TARGET:
             candidate.record_shed()
 
+    def _staying(
+        self,
+        candidate_by_id: Mapping[str, Candidate],
+        request: PlacementRequest,
+        is_unreachable: Callable[[str], bool] = _is_never_unreachable,
+    ) -> list[Candidate]:
+        """Return the candidates that a call may go to."""
+        return [
+            candidate
+            for target_id, candidate in candidate_by_id.items()
+            if not candidate.member.is_leaving
+            and request.may_go_to(target_id)
+            and not is_unreachable(target_id)
+        ]
+
     def _healthy(
         self,
         candidates: list[Candidate],
@@ -230,17 +266,15 @@
         request: PlacementRequest,
         now: float,
     ) -> Candidate:
-        near = [
-            candidate
-            for candidate in usable
-            if candidate.member.failure_domain == self._own_failure_domain
-        ]
-        if not near:
+        near: list[Candidate] = []
+        far: list[Candidate] = []
+        for candidate in usable:
+            domain = candidate.member.failure_domain
+            is_near = domain == self._own_failure_domain
+            (near if is_near else far).append(candidate)
+        if not near or not far:
             return self._better_of_two(usable, request, now)
-        if len(near) == len(usable):
-            return self._better_of_two(near, request, now)
         best_near = self._better_of_two(near, request, now)
-        far = [each for each in usable if each not in near]
         best_far = self._better_of_two(far, request, now)
         if self._goes_far(best_near, best_far, request, now):
             return best_far
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -98,6 +98,7 @@
         self._departures = Departures()
         self._down_until_by_id: dict[str, float] = {}
         self.entry_by_id: dict[str, TargetEntry] = {}
+        self._called_services: set[str] = set()
         self.node_count = 0
 
     @property
@@ -136,9 +137,9 @@
             self._down_until_by_id.keys() - self.entry_by_id.keys()
         ):
             self._down_until_by_id.pop(target_id)
-        hosts = self.hosts
-        self.node_count = len(hosts)
-        self._peers.open(hosts)
+        self.node_count = len(self.hosts)
+        for service in self._called_services:
+            self._peers.open(self._subset_hosts(service))
 
     def is_near(self, host: str) -> bool:
         """Return whether a target on ``host`` is in the own failure domain."""
@@ -174,7 +175,7 @@
             if entry.service == own.service and entry is not own
         ]
         return not others or any(
-            not entry.is_leaving and not self._is_unreachable(entry)
+            not entry.is_leaving and not self._is_unreachable(entry.target_id)
             for entry in others
         )
 
@@ -217,12 +218,12 @@
         placement = self._placement_by_service.get(service)
         if placement is None:
             return None
-        unreachable = frozenset(
-            target_id
-            for target_id in placement.target_ids
-            if self._is_unreachable(self.entry_by_id[target_id])
+        if service not in self._called_services:
+            self._called_services.add(service)
+            self._peers.open(self._subset_hosts(service))
+        member = placement.choose(
+            placement_request, clock_now(), self._is_unreachable
         )
-        member = placement.choose(placement_request, clock_now(), unreachable)
         if member is None:
             return None
         return self.entry_by_id.get(member.node)
@@ -278,17 +279,26 @@
         for target_id in known.keys() - listed:
             _log_target('target removed', known[target_id])
 
-    def _is_unreachable(self, entry: TargetEntry) -> bool:
+    def _is_unreachable(self, target_id: str) -> bool:
         """Return whether a target or its node is down, or the node stops."""
-        down_until = self._down_until_by_id.get(entry.target_id)
+        down_until = self._down_until_by_id.get(target_id)
         if down_until is not None and clock_now() < down_until:
             return True
-        return self._peers.is_down(entry.host)
+        return self._peers.is_down(self.entry_by_id[target_id].host)
+
+    def _subset_hosts(self, service: str) -> set[str]:
+        """Return the hosts of the targets that calls of a service go to."""
+        return {
+            self.entry_by_id[target_id].host
+            for target_id in self._placement(service).subset_ids
+        }
 
     def _placement(self, service: str) -> Placement:
         placement = self._placement_by_service.get(service)
         if placement is None:
-            placement = Placement(self._own_failure_domain, self._rng)
+            placement = Placement(
+                self._own_failure_domain, self._rng, self._own_host
+            )
             self._placement_by_service[service] = placement
         return placement
 
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -181,10 +181,10 @@
     def test_uses_an_unreachable_target_last(self) -> None:
         """A target without a link is used only if there is no other."""
         placement = placement_of(*BOTH)
-        found = placement.choose(request_for(), 0, frozenset(('n',)))
+        found = placement.choose(request_for(), 0, {'n'}.__contains__)
         assert found is not None
         assert found.node == 'f'
-        found = placement.choose(request_for(), 0, frozenset(('n', 'f')))
+        found = placement.choose(request_for(), 0, {'n', 'f'}.__contains__)
         assert found is not None
 
     def test_tries_a_newcomer_once(self) -> None:
