Receive into one buffer for all connections

Cause: for a protocol without a buffer, asyncio's event loop allocates 256 KiB for each read and shrinks it to what came. A call takes four to six reads on its two nodes.

Ruled out: the transport's max_size, which is no public attribute; handing out the shared buffer itself, which a parser could keep.

Change: the four protocols of http1 and links receive into one buffer of the process and get a copy of what came.

--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -1,6 +1,6 @@
 """The client side: connections that send requests to a server."""
 
-from asyncio import BaseTransport, Protocol, Transport
+from asyncio import BaseTransport, Transport
 from collections.abc import Callable
 from logging import getLogger
 from time import monotonic
@@ -8,6 +8,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt.http1._limits import ResponseBuffers
 from lovageshunt.http1._messages import (
     BODILESS_STATUSES,
@@ -49,7 +50,7 @@
         self.ended = ended
 
 
-class ClientConnection(Protocol):
+class ClientConnection(ReceivingProtocol):
     """One connection to a server, for one exchange at a time.
 
     ``on_free`` is called whenever the connection may be used again,
--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -1,6 +1,6 @@
 """The server side: connections that receive requests from clients."""
 
-from asyncio import BaseTransport, Protocol, Transport
+from asyncio import BaseTransport, Transport
 from collections import deque
 from logging import getLogger
 from time import monotonic
@@ -9,6 +9,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt.http1._limits import ServerLimits
 from lovageshunt.http1._messages import Header, Request, encode_response
 
@@ -35,7 +36,7 @@
         """Give up a request whose client has disconnected."""
 
 
-class ServerConnection(Protocol):
+class ServerConnection(ReceivingProtocol):
     """One client connection; requests are handled one at a time.
 
     ``open_connections`` is the set that the connection is in while it is
--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -2,7 +2,6 @@
 
 from asyncio import (
     BaseTransport,
-    Protocol,
     Task,
     TimerHandle,
     Transport,
@@ -14,6 +13,7 @@
 from logging import getLogger
 from typing import Final, cast
 
+from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt._record import Record
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
@@ -299,7 +299,7 @@
         sent.ended(RunAnswer(outcome=outcome, reason=reason))
 
 
-class _DialedConnection(Protocol):
+class _DialedConnection(ReceivingProtocol):
     """One connection of a dialer's link.
 
     ``greeting`` is done once the peer's greeting was received, and fails
--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -1,6 +1,6 @@
 """The side of a link that accepts orders."""
 
-from asyncio import BaseTransport, Protocol, Transport, get_running_loop
+from asyncio import BaseTransport, Transport, get_running_loop
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -8,6 +8,7 @@
 from typing import Any, Final, cast
 from typing import Protocol as Interface
 
+from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt.clock import now as clock_now
 from lovageshunt.errors import MalformedFrameError
 from lovageshunt.links._codec import decode_greeting, encode_message
@@ -81,7 +82,7 @@
             self.by_key.pop(self._answered.popleft()[1], None)
 
 
-class IncomingLink(Protocol):
+class IncomingLink(ReceivingProtocol):
     """One link that another node opened; ``peer`` is its greeting.
 
     ``open_links`` is the set that the link is in while it is open.
