Check all links with one timer, and cache what a list determines

Cause: each link had a timer of its own each 0.25 s, so that a node with many idle links was woken hundreds of times a second; the own entry, and whether a coordinator is near, were looked up among all targets several times a tick. The log line of a failed run was made and then dropped by the rate limit, as those of refusals were.

Ruled out: fewer pings. A link must be found silent within the same 1.25 s.

Change: the tick of the sidecar checks all links; what depends on the target list alone is computed when it changes. The test of the silent link calls the check as the sidecar does; its bound is the same.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -3,7 +3,6 @@
 from asyncio import (
     BaseTransport,
     Task,
-    TimerHandle,
     Transport,
     get_running_loop,
     sleep,
@@ -38,6 +37,8 @@
 _MAX_PAUSE_SECONDS: Final = 1.0
 #: A link on which nothing was received for this long is pinged.
 _PING_AFTER_SECONDS: Final = 0.5
+#: The interval of the pings on a quiet link.
+_PING_INTERVAL_SECONDS: Final = 0.25
 #: A link on which nothing was received for this long is closed.
 _SILENCE_TIMEOUT_SECONDS: Final = 1.25
 #: How long a lost link may take to reconnect before its repeatable calls are
@@ -45,7 +46,6 @@
 _RESUME_SECONDS: Final = 0.3
 #: The same for calls that must not be repeated.
 _RESUME_ONCE_SECONDS: Final = 2.5
-_CHECK_INTERVAL_SECONDS: Final = 0.25
 
 EndedCallback = Callable[[RunAnswer], None]
 
@@ -174,6 +174,14 @@
             self._write(stream, sent)
         return stream
 
+    def check_silence(self, now: float) -> None:
+        """Ping a quiet node; end the link when its timeout is over.
+
+        To be called a few times a second, with the time on the clock.
+        """
+        if self._connection is not None:
+            self._connection.check_silence(now)
+
     def cancel(self, stream: int) -> None:
         """Cancel an order, sent or not; its ``ended`` is not called."""
         sent = self._sent_by_stream.pop(stream, None)
@@ -311,14 +319,13 @@
         self._transport: Transport | None = None
         self._reader = FrameReader()
         self._received_at = clock_now()
-        self._check_timer: TimerHandle | None = None
+        self._pinged_at = float('-inf')
         self.greeting = get_running_loop().create_future()
 
     def connection_made(self, transport: BaseTransport) -> None:
-        """Start to check for silence."""
+        """Store the transport."""
         self._transport = cast(Transport, transport)
         self._received_at = clock_now()
-        self._check_silence()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the loss to the dialer."""
@@ -342,8 +349,6 @@
         """Close the connection without reporting it to the dialer."""
         transport = self._transport
         self._transport = None
-        if self._check_timer is not None:
-            self._check_timer.cancel()
         if transport is not None:
             transport.abort()
         if not self.greeting.done():
@@ -357,18 +362,14 @@
         elif frame.kind != FrameKind.PONG:
             self._dialer.on_received(frame)
 
-    def _check_silence(self) -> None:
+    def check_silence(self, now: float) -> None:
         """Ping a quiet peer; end the connection when the timeout is over."""
-        quiet = clock_now() - self._received_at
+        quiet = now - self._received_at
         if quiet > _SILENCE_TIMEOUT_SECONDS:
             self._end(f'silent for {quiet:.2f} s')
-            return
-        if quiet > _PING_AFTER_SECONDS:
+        elif quiet > _PING_AFTER_SECONDS and now >= self._pinged_at:
+            self._pinged_at = now + _PING_INTERVAL_SECONDS
             self.write(encode_frame(FrameKind.PING, 0))
-        loop = get_running_loop()
-        self._check_timer = loop.call_later(
-            _CHECK_INTERVAL_SECONDS, self._check_silence
-        )
 
     def _end(self, reason: str) -> None:
         if self._transport is None:
--- a/src/lovageshunt/sidecar/_coordinator_view.py
+++ b/src/lovageshunt/sidecar/_coordinator_view.py
@@ -22,6 +22,9 @@
 
     ``readers`` read the platform. ``coordinators`` sum up reports; they are
     the first of the same ranking that are up, whether they can read or not.
+    ``own_reader`` sends changes here, and this node reports to
+    ``own_coordinator``. Each is one of the own failure domain if there is one,
+    else one drawn by hash, and empty without any.
     """
 
     __slots__ = (
@@ -33,6 +36,8 @@
         '_heard_at_by_host',
         'readers',
         'coordinators',
+        'own_reader',
+        'own_coordinator',
     )
 
     def __init__(self, own_host: str, fleet: Fleet, peers: Peers) -> None:
@@ -44,6 +49,8 @@
         self._heard_at_by_host: dict[str, float] = {}
         self.readers: tuple[str, ...] = ()
         self.coordinators: tuple[str, ...] = ()
+        self.own_reader = ''
+        self.own_coordinator = ''
 
     @property
     def is_reader(self) -> bool:
@@ -55,19 +62,6 @@
         """Whether this node sums up reports."""
         return self._own_host in self.coordinators
 
-    @property
-    def own_reader(self) -> str:
-        """The reader that sends changes here, empty without any.
-
-        One of the own failure domain if there is one, else one by hash.
-        """
-        return max(self.readers, key=self._preference, default='')
-
-    @property
-    def own_coordinator(self) -> str:
-        """The coordinator that this node reports to, chosen in that way."""
-        return max(self.coordinators, key=self._preference, default='')
-
     @property
     def others(self) -> set[str]:
         """All readers and coordinators but this node."""
@@ -85,6 +79,7 @@
             self._elected_at_by_host.pop(host)
             self._heard_at_by_host.pop(host, None)
         self._elect(now)
+        self._choose_own()
 
     def advance(self, now: float) -> None:
         """Pass over the nodes that are down or silent by now."""
@@ -123,18 +118,28 @@
             self._election.note_unfit(host, now)
 
     def _elect(self, now: float) -> None:
-        self.coordinators = self._election.standing()
+        coordinators = self._election.standing()
         readers = self._election.elected(now)
+        if coordinators != self.coordinators:
+            self.coordinators = coordinators
+            self._choose_own()
         if readers == self.readers:
             return
         for host in set(readers) - set(self.readers) - {self._own_host}:
             self._elected_at_by_host[host] = now
         self.readers = readers
+        self._choose_own()
         _log.info(
             'readers of the platform elected',
             extra={'hosts': list(readers), 'is_own': self.is_reader},
         )
 
+    def _choose_own(self) -> None:
+        self.own_reader = max(self.readers, key=self._preference, default='')
+        self.own_coordinator = max(
+            self.coordinators, key=self._preference, default=''
+        )
+
     def _preference(self, host: str) -> tuple[bool, int]:
         is_near = self._fleet.is_near(host)
         return is_near, xxh3_64_intdigest(f'{self._own_host} {host}'.encode())
--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -77,7 +77,8 @@
     """Selects targets for calls and opens the links to their nodes.
 
     ``peers`` are these links. ``entry_by_id`` holds the listed targets,
-    ``node_count`` the number of hosts that they are on.
+    ``node_count`` the number of hosts that they are on, ``own_entry`` the most
+    recently started target beside this node.
     """
 
     def __init__(
@@ -100,16 +101,7 @@
         self.entry_by_id: dict[str, TargetEntry] = {}
         self._called_services: set[str] = set()
         self.node_count = 0
-
-    @property
-    def own_entry(self) -> TargetEntry | None:
-        """Return the most recently started target beside this node."""
-        found = [
-            entry
-            for entry in self.entry_by_id.values()
-            if entry.host == self._own_host and entry.port == self._own_port
-        ]
-        return max(found, key=lambda entry: entry.started_ms, default=None)
+        self.own_entry: TargetEntry | None = None
 
     @property
     def hosts(self) -> set[str]:
@@ -138,6 +130,7 @@
         ):
             self._down_until_by_id.pop(target_id)
         self.node_count = len(self.hosts)
+        self.own_entry = self._find_own_entry()
         for service in self._called_services:
             self._peers.open(self._subset_hosts(service))
 
@@ -286,6 +279,15 @@
             return True
         return self._peers.is_down(self.entry_by_id[target_id].host)
 
+    def _find_own_entry(self) -> TargetEntry | None:
+        """Return the most recently started target beside this node."""
+        found = [
+            entry
+            for entry in self.entry_by_id.values()
+            if entry.host == self._own_host and entry.port == self._own_port
+        ]
+        return max(found, key=lambda entry: entry.started_ms, default=None)
+
     def _subset_hosts(self, service: str) -> set[str]:
         """Return the hosts of the targets that calls of a service go to."""
         return {
--- a/src/lovageshunt/sidecar/_peers.py
+++ b/src/lovageshunt/sidecar/_peers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from lovageshunt.clock import now as clock_now
 from lovageshunt.links import Dialer
 
 
@@ -56,6 +57,12 @@
         """Record that a node serves, so that its target is used normally."""
         self._leaving_hosts.discard(host)
 
+    def check_silence(self) -> None:
+        """Ping the nodes on quiet links; give up links that are silent."""
+        now = clock_now()
+        for dialer in list(self._dialer_by_host.values()):
+            dialer.check_silence(now)
+
     def close_unused(self, listed_hosts: set[str]) -> None:
         """Close the idle links to nodes that are not listed any more."""
         for host in self._dialer_by_host.keys() - listed_hosts:
--- a/src/lovageshunt/sidecar/_run_answers.py
+++ b/src/lovageshunt/sidecar/_run_answers.py
@@ -1,10 +1,11 @@
 """The answers that a node gives to orders."""
 
-from logging import getLogger
+from logging import INFO, getLogger
 
 from lovageshunt.calls import LoadReport, Outcome, RefusalReason
 from lovageshunt.http1 import Response, forwarded_fields
 from lovageshunt.links import RunAnswer
+from lovageshunt.observability import may_log
 from lovageshunt.sidecar._classification import ClassifiedResponse
 from lovageshunt.sidecar._run import Run
 
@@ -30,17 +31,18 @@
     if classified.reason is RefusalReason.CANCELLED and run.ended is not None:
         # The order was not abandoned, so the deadline cancelled it.
         reason = RefusalReason.DEADLINE
-    _log.info(
-        'run failed',
-        extra={
-            'request_id': run.order.attempt_id.decode('latin-1'),
-            'outcome': classified.outcome,
-            'reason': reason,
-            'route': run.order.kind,
-            'target': run.order.target_id,
-            'detail': classified.detail,
-        },
-    )
+    if may_log(INFO):
+        _log.info(
+            'run failed',
+            extra={
+                'request_id': run.order.attempt_id.decode('latin-1'),
+                'outcome': classified.outcome,
+                'reason': reason,
+                'route': run.order.kind,
+                'target': run.order.target_id,
+                'detail': classified.detail,
+            },
+        )
     return RunAnswer(outcome=classified.outcome, reason=reason, load=load)
 
 
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -265,6 +265,7 @@
             return
 
     def _tick(self) -> None:
+        self._peers.check_silence()
         self.news.advance()
         self._reports.advance()
         self._leaving.advance()
@@ -314,6 +315,7 @@
         await self._pause_stopping()
 
     async def _pause_stopping(self) -> None:
+        self._peers.check_silence()
         self._reports.advance()
         await sleep(_STOP_TICK_SECONDS)
 
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -126,7 +126,12 @@
         async with connected_dialer() as (peer, dialer):
             dialer.open()
             await until(lambda: dialer.is_up)
-            await until(lambda: peer.connection_count == 2, 2)
+
+            def is_reconnected() -> bool:
+                dialer.check_silence(clock_now())
+                return peer.connection_count == 2
+
+            await until(is_reconnected, 2)
 
     async def test_resends_to_the_same_incarnation(self) -> None:
         """An order on a lost link is answered on the next connection."""
