Tell the own coordinator of a load within 0.2 s

Cause: the load of a target went to its coordinator as rarely as to all its callers, which the bound of 60 reports a second stretches to 0.8 s on a large fleet, so that the first hop learned late that a service is short.

Ruled out: a shorter interval for all. It is the number of callers that costs.

Measured: not yet.

--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -4,7 +4,6 @@
 from random import Random
 from typing import Final
 
-from lovageshunt._record import Record
 from lovageshunt.calls import LoadReport
 from lovageshunt.clock import now as clock_now
 from lovageshunt.links import (
@@ -31,60 +30,21 @@
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import FleetState
+from lovageshunt.sidecar._load_schedule import (
+    LoadSchedule,
+    ReportedLoad,
+    interval_for,
+)
 from lovageshunt.sidecar._node_channels import NodeChannels
 
 _log = getLogger(__name__)
-#: The interval at which an unchanged load is reported, in seconds.
-_LOAD_INTERVAL_SECONDS: Final = 1.0
-#: Larger changes than these are reported at once: of slot use, of the share
-#: of the demand that fits, and of the share of calls that the target accepts.
-_USE_STEP: Final = 0.06
-_SHARE_STEP: Final = 0.03
-_ACCEPTED_STEP: Final = 0.1
 #: The interval of the demand reports, in seconds.
 _DEMAND_INTERVAL_SECONDS: Final = 0.8
 #: The run costs are in the first this many demand reports, and in every one
 #: of this many after that.
 _RUN_COSTS_PERIOD: Final = 4
-#: The number of reports a second that a node sends to its links together, and
-#: the shortest and longest interval that follow from it, in seconds.
-_REPORTS_PER_SECOND: Final = 60
-_MIN_INTERVAL_SECONDS: Final = 0.1
-_MAX_INTERVAL_SECONDS: Final = 0.8
-
-
-class _Reported(Record):
-    """What was last reported of a target: the shares are from 0 to 1.
-
-    ``use`` is that of its slots, ``share`` that of the demand that fits,
-    ``accepted`` that of the calls that it accepts.
-    """
-
-    __slots__ = ('use', 'share', 'accepted')
-
-    def __init__(self, *, use: float, share: float, accepted: float) -> None:
-        self.use = use
-        self.share = share
-        self.accepted = accepted
-
-    @property
-    def is_short(self) -> bool:
-        """Whether the target has less capacity than is asked of it."""
-        return self.share < 1 or self.accepted < 1 - _ACCEPTED_STEP
-
-    def differs_from(self, other: '_Reported') -> bool:
-        """Return whether the difference is worth a report of its own."""
-        return (
-            abs(self.use - other.use) > _USE_STEP
-            or abs(self.share - other.share) > _SHARE_STEP
-            or abs(self.accepted - other.accepted) > _ACCEPTED_STEP
-        )
-
-
-def interval_for(links: int) -> float:
-    """Return the seconds between two reports to a number of links."""
-    seconds = links / _REPORTS_PER_SECOND
-    return min(max(seconds, _MIN_INTERVAL_SECONDS), _MAX_INTERVAL_SECONDS)
+#: The shortest interval of the reports to the own coordinator, in seconds.
+_COORDINATOR_INTERVAL_SECONDS: Final = 0.2
 
 
 class PressureReports:
@@ -115,8 +75,8 @@
         '_coordinators',
         '_graph',
         '_demand_model',
-        '_reported',
-        '_load_reported_at',
+        '_to_callers',
+        '_to_coordinator',
         '_demand_reported_at',
         '_part_sent_at',
     )
@@ -154,8 +114,8 @@
         self._arrived_by_kind: dict[str, int] = {}
         self._reports_sent = 0
         self._parts_sent = 0
-        self._reported = _Reported(use=0, share=1, accepted=1)
-        self._load_reported_at = float('-inf')
+        self._to_callers = LoadSchedule()
+        self._to_coordinator = LoadSchedule()
         self._demand_reported_at = float('-inf')
         self._part_sent_at = float('-inf')
 
@@ -301,41 +261,41 @@
             return
         load = self._executor.queue.load()
         refusals = self._executor.meters.refusals
-        reported = _Reported(
+        reported = ReportedLoad(
             use=(load.running + load.waiting) / max(1, load.limit),
             share=self._executor.meters.demand.share,
             accepted=refusals.accepted,
         )
-        interval = _LOAD_INTERVAL_SECONDS
-        if reported.differs_from(self._reported):
-            interval = interval_for(self._channels.link_count)
-        if now - self._load_reported_at < interval:
+        is_due_to_callers = self._to_callers.take(
+            reported, now, interval_for(self._channels.link_count)
+        )
+        is_due_to_coordinator = self._to_coordinator.take(
+            reported, now, _COORDINATOR_INTERVAL_SECONDS
+        )
+        if not is_due_to_callers and not is_due_to_coordinator:
             return
-        self._reported = reported
-        self._load_reported_at = now
-        self._send_load(
-            TargetLoadReport(
-                target_id=entry.target_id,
-                load=load,
-                share=reported.share,
-                sent_per_second=refusals.sent_per_second,
-                refused_per_second=refusals.refused_per_second,
-            )
+        report = TargetLoadReport(
+            target_id=entry.target_id,
+            load=load,
+            share=reported.share,
+            sent_per_second=refusals.sent_per_second,
+            refused_per_second=refusals.refused_per_second,
         )
-        if reported.is_short:
-            self._log_shortage(load, reported)
-
-    def _send_load(self, report: TargetLoadReport) -> None:
-        """Send a load to the callers and to the own coordinator."""
-        self._fleet.record_load(report)
-        encoded = encode_load(report)
-        self._channels.send_to_callers(FrameKind.LOAD, encoded)
+        if is_due_to_callers:
+            self._fleet.record_load(report)
+            self._channels.send_to_callers(FrameKind.LOAD, encode_load(report))
+        if is_due_to_coordinator:
+            self._send_to_coordinator(report)
+            if reported.is_short:
+                self._log_shortage(load, reported)
+
+    def _send_to_coordinator(self, report: TargetLoadReport) -> None:
         if self._channels.is_primary:
             self.add_load(report)
         else:
-            self._channels.send_to_primary(FrameKind.LOAD, encoded)
+            self._channels.send_to_primary(FrameKind.LOAD, encode_load(report))
 
-    def _log_shortage(self, load: LoadReport, reported: '_Reported') -> None:
+    def _log_shortage(self, load: LoadReport, reported: ReportedLoad) -> None:
         _log.info(
             'demand above capacity',
             extra={
