Show operators who reads the platform and how old news is

Cause: after reads were left to three nodes, no metric told whether anybody reads, how old a node's news is, or how many links it holds.

Ruled out: a label with the readers' addresses, which would grow with the fleet; the log line names them.

--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -240,4 +240,23 @@
         meaning='1 while the platform does not answer this node',
         alert='1 for 10 s',
     ),
+    MetricSpec(
+        name='lovageshunt_platform_reader',
+        kind=GAUGE,
+        meaning='1 while this node reads the platform for the others',
+        alert='sum over the fleet 0 for 10 s, or above 6 for 30 s',
+    ),
+    MetricSpec(
+        name='lovageshunt_platform_news_age_seconds',
+        kind=GAUGE,
+        meaning='age of the newest answer of the platform known, in seconds',
+        alert='above 4 for 10 s while the platform answers',
+    ),
+    MetricSpec(
+        name='lovageshunt_links',
+        kind=GAUGE,
+        labels=('direction',),
+        meaning='links between nodes, opened here and accepted here',
+        alert='accepted 0 for 1 min at a node whose target gets calls',
+    ),
 )
--- a/src/lovageshunt/sidecar/_metrics.py
+++ b/src/lovageshunt/sidecar/_metrics.py
@@ -55,7 +55,7 @@
         """Count a crash of the target with calls in flight."""
         self._registry.series('lovageshunt_target_crashes_total').value += 1
 
-    def set_gauges(
+    def set_target(
         self,
         *,
         load: LoadReport,
@@ -63,23 +63,43 @@
         accepted: float,
         rate_limit: float | None,
         suspects: int,
-        version: int,
-        is_platform_unreachable: bool,
     ) -> None:
-        """Set the gauges to the present values; no limit is set to -1."""
+        """Set the gauges of the target; no limit is set to -1."""
         limit = -1 if rate_limit is None else rate_limit
         calls = 'lovageshunt_target_calls'
         self._registry.series(calls, 'running').value = load.running
         self._registry.series(calls, 'waiting').value = load.waiting
-        for name, number in (
-            ('lovageshunt_demand_share', share),
-            ('lovageshunt_target_accepted_share', accepted),
-            ('lovageshunt_target_rate_limit', limit),
-            ('lovageshunt_accused_requests', suspects),
-            ('lovageshunt_configuration_version', version),
-            ('lovageshunt_platform_away', float(is_platform_unreachable)),
-        ):
-            self._registry.series(name).value = number
+        self._set(
+            {
+                'lovageshunt_demand_share': share,
+                'lovageshunt_target_accepted_share': accepted,
+                'lovageshunt_target_rate_limit': limit,
+                'lovageshunt_accused_requests': suspects,
+            }
+        )
+
+    def set_news(
+        self,
+        *,
+        version: int,
+        is_platform_unreachable: bool,
+        is_reader: bool,
+        age_seconds: float,
+    ) -> None:
+        """Set the gauges of what this node knows of the platform."""
+        self._set(
+            {
+                'lovageshunt_configuration_version': version,
+                'lovageshunt_platform_away': float(is_platform_unreachable),
+                'lovageshunt_platform_reader': float(is_reader),
+                'lovageshunt_platform_news_age_seconds': age_seconds,
+            }
+        )
+
+    def set_links(self, *, opened: int, accepted: int) -> None:
+        """Set the number of links to other nodes, by who opened them."""
+        self._registry.series('lovageshunt_links', 'opened').value = opened
+        self._registry.series('lovageshunt_links', 'accepted').value = accepted
 
     def set_suppressed(self, count: int) -> None:
         """Set the number of log records that the rate limit suppressed."""
@@ -89,6 +109,10 @@
         """Return the exposition text and its header fields."""
         return self._registry.render()
 
+    def _set(self, number_by_name: dict[str, float]) -> None:
+        for name, number in number_by_name.items():
+            self._registry.series(name).value = number
+
 
 class MetricsHandler:
     """Responds to every request with the metrics."""
--- a/src/lovageshunt/sidecar/_peers.py
+++ b/src/lovageshunt/sidecar/_peers.py
@@ -27,6 +27,11 @@
         self._dialer_by_host: dict[str, Dialer] = {}
         self._leaving_hosts: set[str] = set()
 
+    @property
+    def open_count(self) -> int:
+        """The number of links that are established."""
+        return sum(dialer.is_up for dialer in self._dialer_by_host.values())
+
     def dialer(self, host: str) -> Dialer:
         """Return the link to the node on ``host``, created if missing."""
         dialer = self._dialer_by_host.get(host)
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -17,7 +17,7 @@
 from typing import Final
 
 from lovageshunt.clock import now as clock_now
-from lovageshunt.http1 import Request, ServerConnection, ServerLimits
+from lovageshunt.http1 import ServerConnection, ServerLimits
 from lovageshunt.links import FrameKind, Greeting, IncomingLink
 from lovageshunt.retries import (
     FleetBudgetSettings,
@@ -41,6 +41,7 @@
 from lovageshunt.sidecar._peers import Peers
 from lovageshunt.sidecar._platform_news import PlatformNews
 from lovageshunt.sidecar._pressure_reports import PressureReports
+from lovageshunt.sidecar._readiness import ReadinessHandler
 from lovageshunt.sidecar._responder import Responder
 from lovageshunt.sidecar._suspects import Suspects
 
@@ -70,8 +71,6 @@
 #: The part of the fleet's retry budget for requests that are sent again
 #: because the target closed their connection; origins use seven tenths.
 _RESEND_PART: Final = 0.1
-_READY: Final = 200
-_NOT_READY: Final = 503
 
 
 class Sidecar:
@@ -126,7 +125,7 @@
             peers=self._peers,
         )
         self._suspects = Suspects(
-            broadcast=self._send_to_all,
+            broadcast=lambda *frame: self._channels.send_to_all(*frame),
             has_spare=self._fleet.has_spare,
         )
         self._executor = Executor(
@@ -274,20 +273,32 @@
         if now - self._swept_at < _SWEEP_SECONDS:
             return
         self._swept_at = now
-        self._metrics.set_gauges(
-            load=self._executor.queue.load(),
-            share=self._executor.meters.demand.share,
-            accepted=self._executor.meters.refusals.accepted,
-            rate_limit=self._executor.rate_limit,
+        self._set_gauges()
+        for connection in list(self._clients):
+            connection.close_if_due(now)
+        self._executor.pool.close_stale()
+        self._peers.close_unused(self._fleet.hosts)
+
+    def _set_gauges(self) -> None:
+        executor = self._executor
+        self._metrics.set_target(
+            load=executor.queue.load(),
+            share=executor.meters.demand.share,
+            accepted=executor.meters.refusals.accepted,
+            rate_limit=executor.rate_limit,
             suspects=self._suspects.count,
+        )
+        self._metrics.set_news(
             version=self.fleet_state.greeting.version,
             is_platform_unreachable=self.fleet_state.is_platform_unreachable,
+            is_reader=self.news.view.is_reader,
+            age_seconds=self.news.age_seconds,
+        )
+        self._metrics.set_links(
+            opened=self._peers.open_count,
+            accepted=self._links.incoming_count,
         )
         self._metrics.set_suppressed(self._suppressed())
-        for connection in list(self._clients):
-            connection.close_if_due(now)
-        self._executor.pool.close_stale()
-        self._peers.close_unused(self._fleet.hosts)
 
     async def _shut_down(self) -> None:
         """Finish accepted requests; refuse only what cannot be finished."""
@@ -351,9 +362,6 @@
         if own is not None:
             self._executor.apply_published_slots(own.target_id, own.slots)
 
-    def _send_to_all(self, kind: FrameKind, payload: bytes) -> None:
-        self._channels.send_to_all(kind, payload)
-
     def _on_target_leaving(self, target_id: str) -> None:
         self._leaving.note_own(target_id)
 
@@ -364,9 +372,8 @@
         return ServerConnection(self._origin, self._limits, self._clients)
 
     def _accept_probe(self) -> ServerConnection:
-        return ServerConnection(
-            _ReadinessHandler(self), self._limits, self._probes
-        )
+        handler = ReadinessHandler(lambda: self.is_ready)
+        return ServerConnection(handler, self._limits, self._probes)
 
     def _accept_scrape(self) -> ServerConnection:
         handler = MetricsHandler(self._metrics)
@@ -382,20 +389,3 @@
         reserve=budget.reserve * part,
         window_seconds=budget.window_seconds,
     )
-
-
-class _ReadinessHandler:
-    """Responds to readiness probes: 200 if the sidecar is ready, else 503."""
-
-    __slots__ = ('_sidecar',)
-
-    def __init__(self, sidecar: Sidecar) -> None:
-        self._sidecar = sidecar
-
-    def handle(self, request: Request, connection: ServerConnection) -> None:
-        """Respond at once."""
-        status = _READY if self._sidecar.is_ready else _NOT_READY
-        connection.respond(status=status, fields=b'', body=b'')
-
-    def abandon(self, token: None) -> None:
-        """Do nothing: every request is complete when ``handle`` returns."""
