--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -14,7 +14,7 @@
 from standins.store import StoreStandIn
 from tests.platform.test_configuration import published
 from tests.platform.test_entries import ENTRY
-from tests.sidecar.world import TARGET_PORT, World
+from tests.sidecar.world import TARGET_PORT, World, new_node
 
 _NODES = 7
 #: How long a client waits for an answer beyond the watch, in seconds.
@@ -51,15 +51,26 @@
         self.client_by_host: dict[str, CutClient] = {}
         self.tasks: list[asyncio.Task[None]] = []
 
-    def follow(self) -> None:
-        for node, host in zip(self.world.nodes, self.world.hosts, strict=True):
-            client = CutClient(self.store.host, self.store.port)
-            self.client_by_host[host] = client
-            follower = Follower(client, node.fleet_state, node.news)
-            self.tasks += (
-                asyncio.ensure_future(follower.run()),
-                asyncio.ensure_future(follower.expire()),
-            )
+    def follow(self, at: int) -> None:
+        node = self.world.nodes[at]
+        client = CutClient(self.store.host, self.store.port)
+        self.client_by_host[self.world.hosts[at]] = client
+        follower = Follower(client, node.fleet_state, node.news)
+        self.tasks += (
+            asyncio.ensure_future(follower.run()),
+            asyncio.ensure_future(follower.expire()),
+        )
+
+    async def restart(self, at: int) -> None:
+        """Replace a node by a new process that knows nothing."""
+        self.tasks[2 * at].cancel()
+        self.tasks[2 * at + 1].cancel()
+        self.world.nodes[at].close()
+        await asyncio.sleep(0.05)
+        self.world.nodes[at] = new_node(self.world.hosts[at])
+        running = asyncio.ensure_future(self.world.nodes[at].run())
+        self.world.tasks.append(running)
+        self.follow(at)
 
     def put(self, at: int, **changes: object) -> None:
         fields = {
@@ -103,7 +114,8 @@
     publish(store, 1)
     for at in range(_NODES):
         reading.put(at)
-    reading.follow()
+    for at in range(_NODES):
+        reading.follow(at)
     try:
         await until(lambda: len(reading.readers) == 3)
         await asyncio.sleep(0.5)
@@ -170,6 +182,51 @@
             publish(reading.store, 2)
             await until(lambda: reading.versions().count(2) >= _NODES)
 
+    async def test_silent_readers_are_replaced(self) -> None:
+        """A change is known in time when all readers hang, links open."""
+        async with reading_world() as reading:
+            for host in reading.readers:
+                reading.client_by_host[host].is_cut = True
+                subscribers = reading.node_of(host).news._subscribers
+                subscribers._wants_by_link.clear()
+            publish(reading.store, 2)
+            await until(lambda: reading.versions().count(2) >= _NODES - 3)
+
+    async def test_older_copy_is_followed_by_all(self) -> None:
+        """A departure in a new era is known to all nodes at once."""
+        async with reading_world() as reading:
+            copy = reading.store.copy()
+            for _ in range(5):
+                reading.put(3, seq=9)
+            await asyncio.sleep(0.3)
+            reading.store.restore(copy)
+            await asyncio.sleep(_WATCH_SECONDS)
+            reading.put(0, state='draining')
+            await until(
+                lambda: all(
+                    node.fleet_state.entries[0].is_leaving
+                    for node in reading.world.nodes
+                ),
+                0.5,
+            )
+
+    async def test_restarted_node_does_not_use_what_has_left(self) -> None:
+        """A node that starts anew reads once before it serves."""
+        async with reading_world() as reading:
+            reading.put(0, state='draining')
+            await asyncio.sleep(0.3)
+            at = reading.world.hosts.index(
+                next(
+                    host
+                    for host in reading.world.hosts
+                    if host not in reading.readers
+                )
+            )
+            await reading.restart(at)
+            node = reading.world.nodes[at]
+            await until(lambda: node.is_ready)
+            assert node.fleet_state.entries[0].is_leaving
+
     async def test_outage_makes_few_nodes_read(self) -> None:
         """While nobody reaches the platform, at most six nodes try it."""
         async with reading_world() as reading:
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -166,9 +166,7 @@
     def __init__(self, count: int) -> None:
         self.hosts = [own_host(at + 1) for at in range(count)]
         self.targets = [FakeTarget(host) for host in self.hosts]
-        self.nodes = [
-            Sidecar(settings(host), HEADER_NAMES, int) for host in self.hosts
-        ]
+        self.nodes = [new_node(host) for host in self.hosts]
         self.tasks: list[asyncio.Task[None]] = []
 
     async def open(self) -> None:
@@ -206,7 +204,7 @@
         """Replace a node by a new process that knows nothing."""
         self.nodes[at].close()
         await asyncio.sleep(0.05)
-        node = Sidecar(settings(self.hosts[at]), HEADER_NAMES, int)
+        node = new_node(self.hosts[at])
         self.nodes[at] = node
         self.tasks.append(asyncio.ensure_future(node.run()))
         await asyncio.sleep(0.05)
@@ -240,6 +238,10 @@
         await world.close()
 
 
+def new_node(host: str) -> Sidecar:
+    return Sidecar(settings(host), HEADER_NAMES, int)
+
+
 def settings(host: str) -> SidecarSettings:
     return SidecarSettings(
         node=NodeSection(
