Start no task to open a link that is up

Cause: Dialer.open began a task whenever none ran, also on an established link, and the subscriptions call it each tick for each coordinator: 3,329 tasks in 3 s at 24 idle nodes.

Ruled out: a guard at the caller alone. Every other caller means the same.

Change: open does nothing while the link is up.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -145,7 +145,7 @@
 
     def open(self) -> None:
         """Start to connect; a link that is lost later is reconnected."""
-        if self._task is None and not self._is_closed:
+        if self._task is None and not self._is_closed and not self.is_up:
             self._task = get_running_loop().create_task(self._connect())
 
     def close(self) -> None:
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -121,6 +121,16 @@
             await until(lambda: bool(answers))
             assert answers[0].body == b'ok'
 
+    async def test_opens_an_established_link_once(self) -> None:
+        """A link that is up needs no task to connect it."""
+        async with connected_dialer() as (_, dialer):
+            dialer.open()
+            await until(lambda: dialer.is_up)
+            await asyncio.sleep(0.02)
+            before = len(asyncio.all_tasks())
+            dialer.open()
+            assert len(asyncio.all_tasks()) == before
+
     async def test_notices_a_silent_link(self) -> None:
         """A link without a reply to pings is reconnected within 2 s."""
         async with connected_dialer() as (peer, dialer):
