Send sums as often as nodes report, and faster only while short

Ruled out: sums on change. The rates of requests always change.

Change: each 0.8 s while all demand fits and no target refuses, else at the interval that the number of subscribers allows; the first report of a shortage shortens it at once. Test: when sums count as short.

Measured: not yet.

--- a/src/lovageshunt/pressure/_fleet_part.py
+++ b/src/lovageshunt/pressure/_fleet_part.py
@@ -69,6 +69,16 @@
         self.retries_by_service = retries_by_service
         self.demand_by_kind = demand_by_kind
 
+    @property
+    def is_short(self) -> bool:
+        """Whether the targets of some service lack capacity."""
+        capacities = (part.capacity for part in self.part_by_service.values())
+        return any(
+            capacity.share < 1 or capacity.refused_per_second > 0
+            for capacity in capacities
+            if capacity is not None
+        )
+
 
 class PartSums:
     """Sums the reports of the nodes that report to this one."""
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -63,6 +63,7 @@
         '_arrived_by_kind',
         '_reports_sent',
         '_parts_sent',
+        '_is_short',
         '_arrivals',
         '_retries',
         '_budgets',
@@ -114,6 +115,7 @@
         self._arrived_by_kind: dict[str, int] = {}
         self._reports_sent = 0
         self._parts_sent = 0
+        self._is_short = False
         self._to_callers = LoadSchedule()
         self._to_coordinator = LoadSchedule()
         self._demand_reported_at = float('-inf')
@@ -156,6 +158,7 @@
         """Add the load of a target to the sums of this coordinator."""
         entry = self._fleet.entry_by_id.get(report.target_id)
         if entry is not None:
+            self._is_short |= report.share < 1
             self._sums.add_capacity(
                 entry.service,
                 entry.target_id,
@@ -239,7 +242,10 @@
         self._coordinators = elected
 
     def _send_part(self, now: float) -> None:
-        interval = interval_for(self._channels.subscriber_count)
+        """Send the sums: as often as nodes report, or while short faster."""
+        interval = _DEMAND_INTERVAL_SECONDS
+        if self._is_short:
+            interval = interval_for(self._channels.subscriber_count)
         if now - self._part_sent_at < interval:
             return
         self._part_sent_at = now
@@ -249,6 +255,7 @@
             now,
             has_demand=self._parts_sent % _RUN_COSTS_PERIOD == 0,
         )
+        self._is_short = part.is_short
         self._channels.send_to_subscribers(
             FrameKind.FLEET_PART, encode_part(part)
         )
--- a/tests/pressure/test_fleet_part.py
+++ b/tests/pressure/test_fleet_part.py
@@ -52,6 +52,17 @@
         assert part.retries_by_service == {'s': 4}
         assert part.demand_by_kind['look'].seconds == pytest.approx(0.1)
 
+    def test_tells_whether_capacity_is_short(self) -> None:
+        """It is if targets refuse calls, or if not all demand fits."""
+        assert sums_of_two().total('c', 0, has_demand=False).is_short
+        sums = PartSums()
+        assert not sums.total('c', 0, has_demand=False).is_short
+        ample = TargetCapacity(share=1, slots=9)
+        sums.add_capacity('s', 'i', ample, 0)
+        assert not sums.total('c', 0, has_demand=False).is_short
+        sums.add_capacity('s', 'i', TargetCapacity(share=0.9, slots=9), 0)
+        assert sums.total('c', 0, has_demand=False).is_short
+
     def test_leaves_out_silent_nodes(self) -> None:
         """A node that reports to another coordinator by now is not counted."""
         sums = sums_of_two()
