Take what a run costs from each part at once

It took several seconds until the first hop knew what a request causes below; while it does not, it admits everything.

Ruled out: the requests a second themselves.

Change: each part tells the cost of runs, and a node takes the mean over the latest word of each part. Tests: newer means replace older ones, and the last part that is known stays.

Measured: not yet.

--- a/src/lovageshunt/pressure/_demand_model.py
+++ b/src/lovageshunt/pressure/_demand_model.py
@@ -35,14 +35,24 @@
 
 
 class _Kind:
-    """The reports of all nodes of a service on one kind, combined."""
+    """The reports of all nodes of a service on one kind, combined.
 
-    __slots__ = ('service', 'seconds_by_node', 'calls_by_kind')
+    ``mean_calls_by_kind`` is the moving mean of the reports of single nodes,
+    ``calls_by_kind_by_part`` holds means over the nodes of a part.
+    """
+
+    __slots__ = (
+        'service',
+        'seconds_by_node',
+        'mean_calls_by_kind',
+        'calls_by_kind_by_part',
+    )
 
-    def __init__(self, report: KindDemand) -> None:
-        self.service = report.service
-        self.seconds_by_node = {report.node: report.seconds}
-        self.calls_by_kind = dict(report.calls_by_kind)
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.seconds_by_node: dict[str, float] = {}
+        self.mean_calls_by_kind: dict[str, float] | None = None
+        self.calls_by_kind_by_part: dict[str, dict[str, float]] = {}
 
     @property
     def seconds(self) -> float:
@@ -53,13 +63,46 @@
         """
         return harmonic_mean(list(self.seconds_by_node.values()))
 
+    @property
+    def calls_by_kind(self) -> dict[str, float]:
+        """Return how many calls of each kind a run makes."""
+        parts = list(self.calls_by_kind_by_part.values())
+        if self.mean_calls_by_kind is not None:
+            parts.append(self.mean_calls_by_kind)
+        return _mean_by_key(parts)
+
     def learn(self, report: KindDemand) -> None:
         """Merge the report of another node, or a newer one of the same."""
         self.seconds_by_node[report.node] = report.seconds
-        for called in self.calls_by_kind.keys() | report.calls_by_kind.keys():
-            before = self.calls_by_kind.get(called, 0)
+        known = self.mean_calls_by_kind
+        if known is None:
+            self.mean_calls_by_kind = dict(report.calls_by_kind)
+            return
+        for called in known.keys() | report.calls_by_kind.keys():
+            before = known.get(called, 0)
             change = report.calls_by_kind.get(called, 0) - before
-            self.calls_by_kind[called] = before + _WEIGHT * change
+            known[called] = before + _WEIGHT * change
+
+    def learn_part(self, report: KindDemand) -> None:
+        """Replace the means over the nodes of a part."""
+        self.seconds_by_node[report.node] = report.seconds
+        self.calls_by_kind_by_part[report.node] = report.calls_by_kind
+
+    def forget(self, part: str) -> None:
+        """Drop the means of a part, unless there are no others."""
+        if self.calls_by_kind_by_part.keys() != {part}:
+            self.calls_by_kind_by_part.pop(part, None)
+        if self.seconds_by_node.keys() != {part}:
+            self.seconds_by_node.pop(part, None)
+
+
+def _mean_by_key(parts: list[dict[str, float]]) -> dict[str, float]:
+    """Return the mean of each key; a part without it counts as 0."""
+    total_by_key: dict[str, float] = {}
+    for part in parts:
+        for key, number in part.items():
+            total_by_key[key] = total_by_key.get(key, 0) + number
+    return {key: total / len(parts) for key, total in total_by_key.items()}
 
 
 class _Totals:
@@ -96,12 +139,17 @@
 
         A report from another service replaces what was known of the kind.
         """
+        self._kind(kind, report.service).learn(report)
+
+    def learn_part(self, kind: str, report: KindDemand) -> None:
+        """Replace what is known of a kind in the part that ``node`` names."""
+        self._kind(kind, report.service).learn_part(report)
+
+    def forget(self, part: str) -> None:
+        """Drop the reports of a part whose nodes other parts will include."""
         self._totals_by_kind = {}
-        known = self._by_kind.get(kind)
-        if known is None or known.service != report.service:
-            self._by_kind[kind] = _Kind(report)
-        else:
-            known.learn(report)
+        for known in self._by_kind.values():
+            known.forget(part)
 
     def demand_by_kind(self) -> dict[str, KindDemand]:
         """Return what a run of each kind costs, over all nodes together."""
@@ -110,7 +158,7 @@
                 node='',
                 service=known.service,
                 seconds=known.seconds,
-                calls_by_kind=dict(known.calls_by_kind),
+                calls_by_kind=known.calls_by_kind,
             )
             for kind, known in self._by_kind.items()
         }
@@ -123,6 +171,15 @@
         """Return runs by service that one request of a kind causes."""
         return self._totals(kind).runs_by_service
 
+    def _kind(self, kind: str, service: str) -> _Kind:
+        """Return what is known of a kind, afresh if another service runs it."""
+        self._totals_by_kind = {}
+        known = self._by_kind.get(kind)
+        if known is None or known.service != service:
+            known = _Kind(service)
+            self._by_kind[kind] = known
+        return known
+
     def _totals(self, kind: str) -> _Totals:
         totals = self._totals_by_kind.get(kind)
         if totals is None:
--- a/src/lovageshunt/pressure/_fleet_part.py
+++ b/src/lovageshunt/pressure/_fleet_part.py
@@ -132,10 +132,8 @@
         """Set the capacity of a target beside a node."""
         self._capacity.record_report(service, target_id, capacity, now)
 
-    def total(
-        self, coordinator: str, now: float, *, has_demand: bool
-    ) -> FleetPart:
-        """Return the sums, with the cost of runs only if ``has_demand``."""
+    def total(self, coordinator: str, now: float) -> FleetPart:
+        """Return the sums as of now."""
         services = {*self._arrivals_by_service, *self._capacity.services}
         return FleetPart(
             coordinator=coordinator,
@@ -143,9 +141,7 @@
                 service: self._part_of(service, now) for service in services
             },
             retries_by_service=_rounded(self._retries.rate_by_key(now)),
-            demand_by_kind=(
-                self._demand_model.demand_by_kind() if has_demand else {}
-            ),
+            demand_by_kind=self._demand_model.demand_by_kind(),
         )
 
     def _part_of(self, service: str, now: float) -> ServicePart:
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -62,7 +62,6 @@
         'internal_calls',
         '_arrived_by_kind',
         '_reports_sent',
-        '_parts_sent',
         '_is_short',
         '_arrivals',
         '_retries',
@@ -114,7 +113,6 @@
         )
         self._arrived_by_kind: dict[str, int] = {}
         self._reports_sent = 0
-        self._parts_sent = 0
         self._is_short = False
         self._to_callers = LoadSchedule()
         self._to_coordinator = LoadSchedule()
@@ -196,7 +194,7 @@
         self._retries.replace(host, part.retries_by_service, now)
         for kind, demand in part.demand_by_kind.items():
             demand.node = host
-            self._demand_model.learn(kind, demand)
+            self._demand_model.learn_part(kind, demand)
 
     def record_arrival(self, kind: str, now: float) -> bool:
         """Count a request from this VM; return whether its target sent it."""
@@ -237,6 +235,7 @@
         for host in self._coordinators - elected:
             self._arrivals.forget(host)
             self._retries.forget(host)
+            self._demand_model.forget(host)
             self.internal_calls.forget(host)
             self.root_admission.fleet_capacity.forget(host)
         self._coordinators = elected
@@ -249,12 +248,7 @@
         if now - self._part_sent_at < interval:
             return
         self._part_sent_at = now
-        self._parts_sent += 1
-        part = self._sums.total(
-            self._fleet_state.greeting.node,
-            now,
-            has_demand=self._parts_sent % _RUN_COSTS_PERIOD == 0,
-        )
+        part = self._sums.total(self._fleet_state.greeting.node, now)
         self._is_short = part.is_short
         self._channels.send_to_subscribers(
             FrameKind.FLEET_PART, encode_part(part)
--- a/tests/pressure/test_fleet_part.py
+++ b/tests/pressure/test_fleet_part.py
@@ -42,7 +42,7 @@
 
     def test_sums_up_what_nodes_report(self) -> None:
         """Rates, retries and slots are added, run times averaged."""
-        part = sums_of_two().total('c', 0, has_demand=True)
+        part = sums_of_two().total('c', 0)
         service = part.part_by_service['s']
         assert service.nodes == 2
         assert service.rate_by_kind == {'look': 30}
@@ -54,20 +54,20 @@
 
     def test_tells_whether_capacity_is_short(self) -> None:
         """It is if targets refuse calls, or if not all demand fits."""
-        assert sums_of_two().total('c', 0, has_demand=False).is_short
+        assert sums_of_two().total('c', 0).is_short
         sums = PartSums()
-        assert not sums.total('c', 0, has_demand=False).is_short
+        assert not sums.total('c', 0).is_short
         ample = TargetCapacity(share=1, slots=9)
         sums.add_capacity('s', 'i', ample, 0)
-        assert not sums.total('c', 0, has_demand=False).is_short
+        assert not sums.total('c', 0).is_short
         sums.add_capacity('s', 'i', TargetCapacity(share=0.9, slots=9), 0)
-        assert sums.total('c', 0, has_demand=False).is_short
+        assert sums.total('c', 0).is_short
 
     def test_leaves_out_silent_nodes(self) -> None:
         """A node that reports to another coordinator by now is not counted."""
         sums = sums_of_two()
         sums.add_arrivals('n-1', 's', {'look': 8}, seconds=0.8, now=2)
-        part = sums.total('c', 2.1, has_demand=False)
+        part = sums.total('c', 2.1)
         assert part.part_by_service['s'].nodes == 1
         assert part.part_by_service['s'].capacity is None
         assert part.retries_by_service == {}
@@ -94,7 +94,7 @@
             own.add_arrivals(node, 's', {'k': count}, seconds=0.8, now=0)
             own.add_capacity('s', node, capacity(slots, share), 0)
         for at, own in enumerate(sums):
-            part = own.total(f'c-{at}', 0, has_demand=False)
+            part = own.total(f'c-{at}', 0)
             service = part.part_by_service.get('s')
             if service is None or service.capacity is None:
                 continue
@@ -121,7 +121,7 @@
 
     def test_decodes_what_it_encodes(self) -> None:
         """Nothing is lost on the way."""
-        part = sums_of_two().total('c', 0, has_demand=True)
+        part = sums_of_two().total('c', 0)
         assert decode_part(encode_part(part)) == part
 
     @pytest.mark.parametrize(
--- a/tests/pressure/test_needs.py
+++ b/tests/pressure/test_needs.py
@@ -62,3 +62,28 @@
             KindDemand(node='n', service='d', seconds=0.5, calls_by_kind={}),
         )
         assert 'c' not in model.work_of('check')
+
+
+class TestParts:
+    """Means over the nodes of a part of the fleet."""
+
+    def test_newer_means_replace_older_ones(self) -> None:
+        """What a part reports counts at once, as a mean over the parts."""
+        model = DemandModel()
+        for part, calls in (('a', 2.0), ('b', 4.0), ('a', 6.0)):
+            model.learn_part('k', part_of(part, {'in': calls}))
+        assert model.demand_by_kind()['k'].calls_by_kind == {'in': 5}
+
+    def test_forgets_a_part_that_others_include(self) -> None:
+        """The last part that is known stays until there is another."""
+        model = DemandModel()
+        model.learn_part('k', part_of('a', {'in': 2}))
+        model.learn_part('k', part_of('b', {'in': 4}))
+        model.forget('a')
+        assert model.demand_by_kind()['k'].calls_by_kind == {'in': 4}
+        model.forget('b')
+        assert model.demand_by_kind()['k'].seconds == 1
+
+
+def part_of(part: str, calls: dict[str, float]) -> KindDemand:
+    return KindDemand(node=part, service='s', seconds=1, calls_by_kind=calls)
