Print the sockets when a soak does not end

The stacks show for the first time what it waits for: some hundred clients connect to the clients' port of the fifth node and are never accepted nor refused, while connections to the other four are made.

Ruled out: the limit of descriptors (20,000 here, the highest in use below 900); a full backlog of 1,024 (fewer requests were sent). Not known: why that port neither accepts nor refuses.

Change: the state of the machine's sockets is printed too, with how many connections wait at each listener.

--- a/tests/sidecar/soak.py
+++ b/tests/sidecar/soak.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
+from pathlib import Path
 from random import Random
 from typing import Any
 
@@ -184,6 +185,15 @@
         return play
 
 
+def _write_sockets() -> None:
+    """Print the sockets of the machine.
+
+    The second column is the local address, the fourth the state (0A listens)
+    and the fifth, after the colon, how many connections wait to be accepted.
+    """
+    sys.stdout.write(Path('/proc/self/net/tcp').read_text())
+
+
 async def _soak_or_exit(seed: int) -> Soak:
     """Play one seed; print what runs and exit if it does not end."""
     playing = asyncio.ensure_future(soak(seed))
@@ -193,6 +203,7 @@
     sys.stdout.write(f'{seed} did not end in {_MAX_SECONDS} s\n')
     for task in asyncio.all_tasks():
         task.print_stack(limit=6, file=sys.stdout)
+    _write_sockets()
     sys.stdout.flush()
     # Tasks that do not end would keep the event loop from closing.
     os._exit(1)
