Tell the first hop the shares of all targets, not a median of medians

Cause: a part told the median share of its targets, the higher of two where there are two, and the first hop took the median over the parts. With one or two targets of a service in each part, as on a small fleet, the share came out too high, so that too few requests were refused and runs failed deeper down.

Change: a part tells the capacities of its targets in at most eight groups of similar share, one for each target up to eight.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -345,6 +345,15 @@
         if self._transport is not None:
             self._transport.write(encoded)
 
+    def check_silence(self, now: float) -> None:
+        """Ping a quiet peer; end the connection when the timeout is over."""
+        quiet = now - self._received_at
+        if quiet > _SILENCE_TIMEOUT_SECONDS:
+            self._end(f'silent for {quiet:.2f} s')
+        elif quiet > _PING_AFTER_SECONDS and now >= self._pinged_at:
+            self._pinged_at = now + _PING_INTERVAL_SECONDS
+            self.write(encode_frame(FrameKind.PING, 0))
+
     def abort(self) -> None:
         """Close the connection without reporting it to the dialer."""
         transport = self._transport
@@ -362,15 +371,6 @@
         elif frame.kind != FrameKind.PONG:
             self._dialer.on_received(frame)
 
-    def check_silence(self, now: float) -> None:
-        """Ping a quiet peer; end the connection when the timeout is over."""
-        quiet = now - self._received_at
-        if quiet > _SILENCE_TIMEOUT_SECONDS:
-            self._end(f'silent for {quiet:.2f} s')
-        elif quiet > _PING_AFTER_SECONDS and now >= self._pinged_at:
-            self._pinged_at = now + _PING_INTERVAL_SECONDS
-            self.write(encode_frame(FrameKind.PING, 0))
-
     def _end(self, reason: str) -> None:
         if self._transport is None:
             return
--- a/src/lovageshunt/links/_fleet_part.py
+++ b/src/lovageshunt/links/_fleet_part.py
@@ -44,11 +44,10 @@
 
 
 def _service_part(fields: Mapping[str, Any]) -> ServicePart:
-    capacity = fields['capacity']
     return ServicePart(
         nodes=int(fields['nodes']),
         rate_by_kind=_numbers(fields['rate_by_kind']),
-        capacity=capacity and _capacity(capacity),
+        capacities=[_capacity(each) for each in fields['capacities']],
     )
 
 
--- a/src/lovageshunt/pressure/_fleet_capacity.py
+++ b/src/lovageshunt/pressure/_fleet_capacity.py
@@ -1,5 +1,6 @@
 """The capacity that the targets of each service report through their nodes."""
 
+from math import ceil
 from statistics import median_high
 from typing import Final
 
@@ -9,6 +10,8 @@
 #: A report older than this is dropped, in seconds: nodes repeat theirs at
 #: least each second.
 _EXPIRY_SECONDS: Final = 2.0
+#: The most groups of targets that are told of a service.
+_MAX_GROUPS: Final = 8
 
 
 class TargetCapacity(Record):
@@ -37,12 +40,12 @@
 
 
 class _Report(Record):
-    """The capacity that one target reported, and when."""
+    """The capacities that one target or coordinator reported, and when."""
 
-    __slots__ = ('capacity', 'at')
+    __slots__ = ('capacities', 'at')
 
-    def __init__(self, *, capacity: TargetCapacity, at: float) -> None:
-        self.capacity = capacity
+    def __init__(self, *, capacities: list[TargetCapacity], at: float) -> None:
+        self.capacities = capacities
         self.at = at
 
 
@@ -67,8 +70,18 @@
         now: float,
     ) -> None:
         """Record the report of a target in place of its last one."""
+        self.record_part(service, target_id, [capacity], now)
+
+    def record_part(
+        self,
+        service: str,
+        reporter: str,
+        capacities: list[TargetCapacity],
+        now: float,
+    ) -> None:
+        """Record those of a part of the targets in place of the last ones."""
         by_target = self._report_by_target_by_service.setdefault(service, {})
-        by_target[target_id] = _Report(capacity=capacity, at=now)
+        by_target[reporter] = _Report(capacities=capacities, at=now)
 
     def slots_of(self, service: str, now: float) -> float:
         """Return the slots of a service that requests may use."""
@@ -80,22 +93,20 @@
         share = median_high(capacity.share for capacity in capacities)
         return share * sum(capacity.slots for capacity in capacities)
 
-    def total_of(self, service: str, now: float) -> TargetCapacity | None:
-        """Return the capacity of all targets as that of one, if there is any.
+    def groups_of(self, service: str, now: float) -> list[TargetCapacity]:
+        """Return the capacities of a service in few groups, by their share.
 
-        Its share is the median, as ``slots_of`` applies it.
+        Targets of similar share are one group, so that the median over the
+        groups of several parts is about that over their targets.
         """
-        capacities = self._current(service, now)
-        if not capacities:
-            return None
-        return TargetCapacity(
-            share=median_high(each.share for each in capacities),
-            slots=sum(each.slots for each in capacities),
-            sent_per_second=sum(each.sent_per_second for each in capacities),
-            refused_per_second=sum(
-                each.refused_per_second for each in capacities
-            ),
+        capacities = sorted(
+            self._current(service, now), key=lambda each: each.share
         )
+        size = ceil(len(capacities) / _MAX_GROUPS)
+        return [
+            _sum_of(capacities[first : first + size])
+            for first in range(0, len(capacities), size or 1)
+        ]
 
     def forget(self, reporter: str) -> None:
         """Drop the reports of a reporter whose targets others include."""
@@ -116,4 +127,18 @@
         for target_id, report in list(by_target.items()):
             if now - report.at > _EXPIRY_SECONDS:
                 by_target.pop(target_id)
-        return [report.capacity for report in by_target.values()]
+        return [
+            capacity
+            for report in by_target.values()
+            for capacity in report.capacities
+        ]
+
+
+def _sum_of(capacities: list[TargetCapacity]) -> TargetCapacity:
+    """Return the capacity of some targets as that of one."""
+    return TargetCapacity(
+        share=median_high(each.share for each in capacities),
+        slots=sum(each.slots for each in capacities),
+        sent_per_second=sum(each.sent_per_second for each in capacities),
+        refused_per_second=sum(each.refused_per_second for each in capacities),
+    )
--- a/src/lovageshunt/pressure/_fleet_part.py
+++ b/src/lovageshunt/pressure/_fleet_part.py
@@ -25,21 +25,21 @@
     """The nodes of one service in a part of the fleet.
 
     ``nodes`` of them reported ``rate_by_kind``, their requests a second.
-    ``capacity`` is that of their targets together, if any is known.
+    ``capacities`` are those of their targets, in few groups.
     """
 
-    __slots__ = ('nodes', 'rate_by_kind', 'capacity')
+    __slots__ = ('nodes', 'rate_by_kind', 'capacities')
 
     def __init__(
         self,
         *,
         nodes: int,
         rate_by_kind: dict[str, float],
-        capacity: TargetCapacity | None,
+        capacities: list[TargetCapacity],
     ) -> None:
         self.nodes = nodes
         self.rate_by_kind = rate_by_kind
-        self.capacity = capacity
+        self.capacities = capacities
 
 
 class FleetPart(Record):
@@ -72,11 +72,10 @@
     @property
     def is_short(self) -> bool:
         """Whether the targets of some service lack capacity."""
-        capacities = (part.capacity for part in self.part_by_service.values())
         return any(
             capacity.share < 1 or capacity.refused_per_second > 0
-            for capacity in capacities
-            if capacity is not None
+            for part in self.part_by_service.values()
+            for capacity in part.capacities
         )
 
 
@@ -149,7 +148,7 @@
         return ServicePart(
             nodes=rates.node_count(now) if rates else 0,
             rate_by_kind=_rounded(rates.rate_by_key(now)) if rates else {},
-            capacity=self._capacity.total_of(service, now),
+            capacities=self._capacity.groups_of(service, now),
         )
 
 
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -186,10 +186,9 @@
             for kind, rate in service_part.rate_by_kind.items():
                 rate_by_kind[kind] = rate_by_kind.get(kind, 0) + rate
             self._learn_arrivals(host, service, service_part)
-            if service_part.capacity is not None:
-                self.root_admission.fleet_capacity.record_report(
-                    service, host, service_part.capacity, now
-                )
+            self.root_admission.fleet_capacity.record_part(
+                service, host, service_part.capacities, now
+            )
         self._arrivals.replace(host, rate_by_kind, now)
         self._retries.replace(host, part.retries_by_service, now)
         for kind, demand in part.demand_by_kind.items():
--- a/tests/pressure/test_fleet_part.py
+++ b/tests/pressure/test_fleet_part.py
@@ -46,9 +46,7 @@
         service = part.part_by_service['s']
         assert service.nodes == 2
         assert service.rate_by_kind == {'look': 30}
-        assert service.capacity == TargetCapacity(
-            share=1, slots=18, sent_per_second=20, refused_per_second=4
-        )
+        assert service.capacities == [capacity(9), capacity(9)]
         assert part.retries_by_service == {'s': 4}
         assert part.demand_by_kind['look'].seconds == pytest.approx(0.1)
 
@@ -69,14 +67,14 @@
         sums.add_arrivals('n-1', 's', {'look': 8}, seconds=0.8, now=2)
         part = sums.total('c', 2.1)
         assert part.part_by_service['s'].nodes == 1
-        assert part.part_by_service['s'].capacity is None
+        assert part.part_by_service['s'].capacities == []
         assert part.retries_by_service == {}
 
     @given(
         st.lists(
             st.tuples(st.integers(0, 40), st.floats(0.1, 1), st.integers(1, 9)),
             min_size=1,
-            max_size=20,
+            max_size=16,
         )
     )
     def test_sums_in_parts_are_as_good_as_all_reports(
@@ -86,6 +84,7 @@
         whole = FleetRates()
         parts = FleetRates()
         capacities = FleetCapacity()
+        all_targets = FleetCapacity()
         sums = (PartSums(), PartSums())
         for at, (count, share, slots) in enumerate(reports):
             node = f'n-{at}'
@@ -93,19 +92,20 @@
             own = sums[at % 2]
             own.add_arrivals(node, 's', {'k': count}, seconds=0.8, now=0)
             own.add_capacity('s', node, capacity(slots, share), 0)
+            all_targets.record_report('s', node, capacity(slots, share), 0)
         for at, own in enumerate(sums):
             part = own.total(f'c-{at}', 0)
             service = part.part_by_service.get('s')
-            if service is None or service.capacity is None:
+            if service is None:
                 continue
             parts.replace(f'c-{at}', service.rate_by_kind, 0)
-            capacities.record_report('s', f'c-{at}', service.capacity, 0)
+            capacities.record_part('s', f'c-{at}', service.capacities, 0)
         assert parts.rate_by_key(0).get('k') == pytest.approx(
             whole.rate_by_key(0)['k'], abs=0.01
         )
-        total = capacities.total_of('s', 0)
-        assert total is not None
-        assert total.slots == sum(slots for _, _, slots in reports)
+        assert capacities.slots_of('s', 0) == pytest.approx(
+            all_targets.slots_of('s', 0)
+        )
 
     def test_former_coordinator_is_not_counted_twice(self) -> None:
         """Its sums are dropped once those of another include its nodes."""
