--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -111,7 +111,7 @@
     def test_errors_have_their_own_limit(self, stream):
         """Refusals beyond the rate leave room for an error."""
         limit = configure_logs('INFO', 1, stream)
-        limit._clock = lambda: 0.0
+        limit._clock = float
         logging.getLogger('x').info('first')
         assert not may_log(logging.INFO)
         assert may_log(logging.ERROR)
--- a/tests/test_receiving.py
+++ b/tests/test_receiving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import tracemalloc
+from struct import pack_into
 
 from lovageshunt._receiving import ReceivingProtocol
 from tests.loopback import own_host
@@ -51,7 +52,7 @@
         try:
             for _ in range(8):
                 buffer = recorder.get_buffer(-1)
-                buffer[:4] = b'data'
+                pack_into('4s', buffer, 0, b'data')
                 recorder.buffer_updated(4)
             peak_bytes = tracemalloc.get_traced_memory()[1]
         finally:
