Replace one node of the test world after the other

Cause: two restarts of one node at once closed the old node twice and made two new ones. The first of these was replaced while it was starting, was closed by nobody, and went on to listen.

Ruled out: a fault of the product. A node is closed before it listens in the test world only.

Change: a lock for each node; its running is cancelled before it is replaced.

--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -168,6 +168,7 @@
         self.targets = [FakeTarget(host) for host in self.hosts]
         self.nodes = [new_node(host) for host in self.hosts]
         self.tasks: list[asyncio.Task[None]] = []
+        self._restarting = [asyncio.Lock() for _ in self.hosts]
 
     async def open(self) -> None:
         for target in self.targets:
@@ -201,17 +202,28 @@
         ]
 
     async def restart_node(self, at: int) -> None:
-        """Replace a node by a new process that knows nothing."""
-        self.nodes[at].close()
-        await asyncio.sleep(0.05)
-        node = new_node(self.hosts[at])
-        self.nodes[at] = node
-        self.tasks.append(asyncio.ensure_future(node.run()))
-        await asyncio.sleep(0.05)
-        node.fleet_state.apply_configuration(configuration('s'))
-        node.fleet_state.apply_targets(self.entries(), 1)
+        """Replace a node by a new process that knows nothing.
+
+        A node that is replaced while it starts would go on to listen, so one
+        is replaced after the other.
+        """
+        async with self._restarting[at]:
+            await self._end_node(at)
+            await asyncio.sleep(0.05)
+            node = new_node(self.hosts[at])
+            self.nodes[at] = node
+            self.tasks[at] = asyncio.ensure_future(node.run())
+            await asyncio.sleep(0.05)
+            node.fleet_state.apply_configuration(configuration('s'))
+            node.fleet_state.apply_targets(self.entries(), 1)
         await asyncio.sleep(0.3)
 
+    async def _end_node(self, at: int) -> None:
+        self.nodes[at].close()
+        self.tasks[at].cancel()
+        await asyncio.wait((self.tasks[at],))
+        self.nodes[at].close()
+
     async def close(self) -> None:
         for task in self.tasks:
             task.cancel()
