--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -13,6 +13,7 @@
 from lovageshunt.clock import now as clock_now
 from lovageshunt.errors import PlatformUnavailableError
 from lovageshunt.links import Frame, FrameKind, IncomingLink, PlatformPulse
+from lovageshunt.sidecar import Sidecar
 from standins.store import StoreStandIn
 from tests.platform.test_configuration import published
 from tests.platform.test_entries import ENTRY
@@ -98,7 +99,7 @@
             if node.news.view.is_reader
         ]
 
-    def node_of(self, host: str):  # type: ignore[no-untyped-def]
+    def node_of(self, host: str) -> Sidecar:
         return self.world.nodes[self.world.hosts.index(host)]
 
     def versions(self) -> list[int]:
