Do not run an order again whose answer is no longer kept

Cause: RecentOrders forgot an answer 4 s after it was given, and an order that was forgotten could not be told from a new one.

(The log is rate limited; the line by which m3 forgot this very order was dropped, that of its second run is there.)

Ruled out: a retry of the origin (same stream number, no retry logged), a second attempt of the client (one attempt id), a restart of m3 (the order would have ended as unknown).

Change: a node keeps the highest forgotten stream number of each sender and answers an unknown order up to it as unknown. Senders number their orders in the order of sending, so a new order is above it.

--- a/src/lovageshunt/links/__init__.py
+++ b/src/lovageshunt/links/__init__.py
@@ -23,7 +23,7 @@
     encode_load,
     encode_order,
 )
-from lovageshunt.links._incoming import IncomingLink, OrderHandler, RecentOrders
+from lovageshunt.links._incoming import IncomingLink, OrderHandler
 from lovageshunt.links._messages import (
     DemandReport,
     Greeting,
@@ -35,6 +35,7 @@
     Subscription,
     TargetLoadReport,
 )
+from lovageshunt.links._recent_orders import RecentOrders
 
 __all__ = [
     'Dialer',
--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -1,7 +1,6 @@
 """The side of a link that accepts orders."""
 
 from asyncio import BaseTransport, Transport, get_running_loop
-from collections import deque
 from collections.abc import Callable
 from functools import partial
 from logging import getLogger
@@ -21,17 +20,16 @@
     encode_frame,
 )
 from lovageshunt.links._messages import Greeting, RunAnswer, RunOrder
+from lovageshunt.links._recent_orders import (
+    AcceptedOrder,
+    OrderKey,
+    RecentOrders,
+)
 
 _log = getLogger(__name__)
-#: How long an answer is kept for a sender whose link was lost: longer than
-#: the sender takes to detect a silent link and to reconnect.
-_RETENTION_SECONDS: Final = 4.0
 #: How long a sender may take to reconnect before its calls are cancelled.
 _RESUME_TIMEOUT_SECONDS: Final = 1.0
 
-#: The incarnation of an order's sender, and its stream number there.
-OrderKey = tuple[str, int]
-
 
 class OrderHandler(Interface):
     """Runs the orders that arrive on links."""
@@ -50,38 +48,6 @@
         """Cancel an order whose sender has cancelled it or is gone."""
 
 
-class _AcceptedOrder:
-    """An order that was accepted from a sender.
-
-    ``token`` is the handler's while the order runs, ``answer`` the encoded
-    answer afterwards. ``link`` is the one that the sender used last.
-    """
-
-    __slots__ = ('token', 'answer', 'link')
-
-    def __init__(self, link: 'IncomingLink') -> None:
-        self.token: Any = None
-        self.answer: bytes | None = None
-        self.link = link
-
-
-class RecentOrders:
-    """The orders that run or were answered recently, to detect repeats."""
-
-    __slots__ = ('by_key', '_answered')
-
-    def __init__(self) -> None:
-        self.by_key: dict[OrderKey, _AcceptedOrder] = {}
-        self._answered: deque[tuple[float, OrderKey]] = deque()
-
-    def note_answered(self, key: OrderKey) -> None:
-        """Note an answer; remove those older than the retention time."""
-        now = clock_now()
-        self._answered.append((now, key))
-        while self._answered[0][0] < now - _RETENTION_SECONDS:
-            self.by_key.pop(self._answered.popleft()[1], None)
-
-
 class IncomingLink(ReceivingProtocol):
     """One link that another node opened; ``peer`` is its greeting.
 
@@ -148,13 +114,12 @@
             self._transport.close()
 
     def answer(
-        self, key: OrderKey, accepted: _AcceptedOrder, answer: RunAnswer
+        self, key: OrderKey, accepted: AcceptedOrder, answer: RunAnswer
     ) -> None:
         """Send an answer on the link that the sender uses now; keep it."""
-        accepted.answer = encode_answer(answer)
-        accepted.token = None
-        accepted.link.send_answer(key[1], accepted.answer)
-        self._recent_orders.note_answered(key)
+        encoded = encode_answer(answer)
+        accepted.link.send_answer(key[1], encoded)
+        self._recent_orders.note_answered(key, encoded, clock_now())
 
     def send_answer(self, stream: int, encoded: bytes) -> None:
         """Write an encoded answer; drop it if the link is closed."""
@@ -185,8 +150,16 @@
             if earlier.answer is not None:
                 self.send_answer(frame.stream, earlier.answer)
             return
+        forgotten = self._recent_orders.answer_if_forgotten(key)
+        if forgotten is not None:
+            _log.warning(
+                'not running an order again whose answer is no longer kept',
+                extra={'peer': self.peer.node, 'stream': frame.stream},
+            )
+            self.send_answer(frame.stream, forgotten)
+            return
         order = decode_order(frame.payload, clock_now())
-        accepted = _AcceptedOrder(self)
+        accepted = AcceptedOrder(self, order)
         self._recent_orders.by_key[key] = accepted
         token = self._handler.submit(order, partial(self.answer, key, accepted))
         if accepted.answer is None:
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -15,11 +15,11 @@
     Greeting,
     LinkListener,
     RunAnswer,
-    RunOrder,
     encode_answer,
     encode_frame,
     encode_message,
 )
+from tests.links.orders import order
 from tests.loopback import own_host
 
 HOST = own_host(109)
@@ -87,23 +87,6 @@
         server.close()
 
 
-def order(*, is_repeatable: bool = True) -> RunOrder:
-    return RunOrder(
-        attempt_id=b'a',
-        target_id='i',
-        kind='k',
-        caller_service='s',
-        importance=1,
-        is_repeatable=is_repeatable,
-        is_repeat=False,
-        deadline=clock_now() + 5,
-        method=b'GET',
-        request_target=b'/',
-        fields=b'',
-        body=b'',
-    )
-
-
 async def until(condition: Callable[[], bool], seconds: float = 4) -> None:
     async with asyncio.timeout(seconds):
         while not condition():
--- /dev/null
+++ b/tests/links/test_incoming.py
@@ -0,0 +1,148 @@
+"""The side of a link that accepts orders, with the frames fed in."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from lovageshunt.calls import Outcome, RefusalReason
+from lovageshunt.links import (
+    FrameKind,
+    FrameReader,
+    Greeting,
+    IncomingLink,
+    RecentOrders,
+    RunAnswer,
+    RunOrder,
+    decode_answer,
+    encode_frame,
+    encode_message,
+    encode_order,
+)
+from tests.http1.wire import FakeTransport
+from tests.links.orders import order
+
+ANSWER = RunAnswer(outcome=Outcome.ANSWERED, status=200, body=b'ok')
+
+
+class ScriptedHandler:
+    """Notes the orders that are started; ends them when told to."""
+
+    def __init__(self) -> None:
+        self.started: list[RunOrder] = []
+        self.ends: list[Callable[[RunAnswer], None]] = []
+
+    def submit(
+        self, order: RunOrder, ended: Callable[[RunAnswer], None]
+    ) -> Any:
+        """Note an order and the callback for its end."""
+        self.started.append(order)
+        self.ends.append(ended)
+        return order
+
+    def abandon(self, token: Any) -> None:
+        """Ignore it: the order goes on."""
+
+
+class Receiver:
+    """A node that accepts links, on a clock that the test sets."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = float(1000)
+        self.handler = ScriptedHandler()
+        self.recent_orders = RecentOrders()
+        monkeypatch.setattr(
+            'lovageshunt.links._incoming.clock_now', lambda: self.now
+        )
+
+    def accept_link(self, sender: str = 'sender-1') -> 'SenderLink':
+        link = IncomingLink(
+            handler=self.handler,
+            recent_orders=self.recent_orders,
+            greeting=Greeting(node='b', service='s', incarnation='own'),
+            open_links=set(),
+            on_frame=lambda link, frame: None,
+        )
+        return SenderLink(self, link, sender)
+
+
+class SenderLink:
+    """A link as its sender uses it."""
+
+    def __init__(
+        self, receiver: Receiver, link: IncomingLink, sender: str
+    ) -> None:
+        self._receiver = receiver
+        self._link = link
+        self._transport = FakeTransport()
+        link.connection_made(self._transport)
+        hello = Greeting(node='a', service='s', incarnation=sender)
+        link.data_received(
+            encode_frame(FrameKind.GREETING, 0, encode_message(hello))
+        )
+
+    def send(self, stream: int, sent: RunOrder) -> None:
+        payload = encode_order(sent, self._receiver.now)
+        self._link.data_received(encode_frame(FrameKind.ORDER, stream, payload))
+
+    @property
+    def answers(self) -> dict[int, RunAnswer]:
+        """The answers that were written, by stream number."""
+        return {
+            frame.stream: decode_answer(frame.payload)
+            for frame in FrameReader().feed(self._transport.written)
+            if frame.kind == FrameKind.ANSWER
+        }
+
+
+@pytest.fixture
+def receiver(monkeypatch: pytest.MonkeyPatch) -> Receiver:
+    return Receiver(monkeypatch)
+
+
+class TestOrderThatArrivesAgain:
+    """An order that must not run twice is sent again on a new link."""
+
+    def test_runs_once_however_late_it_comes(self, receiver: Receiver) -> None:
+        """An order that was forgotten is told as unknown and not run again.
+
+        Guards against TWICE: the sender and then this node stood still, and
+        the order came again after its answer had been dropped.
+        """
+        once = order(is_repeatable=False, deadline=receiver.now + 6)
+        receiver.accept_link().send(1, once)
+        receiver.handler.ends[0](ANSWER)
+        receiver.now += 60
+        receiver.accept_link('sender-2').send(1, once)
+        receiver.handler.ends[1](ANSWER)
+        resumed = receiver.accept_link()
+        resumed.send(1, once)
+        assert len(receiver.handler.started) == 2
+        assert resumed.answers[1].outcome is Outcome.UNKNOWN
+        assert resumed.answers[1].reason is RefusalReason.CONNECTION_LOST
+
+    def test_gets_its_answer_until_its_deadline(
+        self, receiver: Receiver
+    ) -> None:
+        """The answer is kept as long as the client may wait for it."""
+        receiver.accept_link().send(
+            1, order(is_repeatable=False, deadline=receiver.now + 6)
+        )
+        receiver.handler.ends[0](ANSWER)
+        receiver.now += 5
+        link = receiver.accept_link()
+        link.send(2, order(deadline=receiver.now + 6))
+        receiver.handler.ends[1](ANSWER)
+        link.send(1, order(is_repeatable=False, deadline=receiver.now + 1))
+        assert len(receiver.handler.started) == 2
+        assert link.answers[1].outcome is Outcome.ANSWERED
+
+    def test_gets_its_answer_when_it_ends(self, receiver: Receiver) -> None:
+        """An order that runs goes on, and is answered on the new link."""
+        once = order(is_repeatable=False, deadline=receiver.now + 6)
+        receiver.accept_link().send(1, once)
+        link = receiver.accept_link()
+        link.send(1, once)
+        receiver.handler.ends[0](ANSWER)
+        assert len(receiver.handler.started) == 1
+        assert link.answers[1].outcome is Outcome.ANSWERED
