Send a refused request again on another connection

Cause: a response belongs to a request if it echoes its id. A refused request that no other target takes is sent to the refuser again under the same id, on the connection that was used last there. A late second copy of the refusal bears the right id and passes for the new response.

Change: a connection keeps the ids that it carried without success and does not carry them again; the pool takes the next fit connection or opens one.

--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -17,6 +17,7 @@
     Response,
     first_header,
 )
+from lovageshunt.http1._refused_ids import RefusedIds
 
 _log = getLogger(__name__)
 #: Lower statuses are those of interim responses, which precede the final one.
@@ -30,6 +31,8 @@
 
     ``identity`` is a header with the value that the response echoes; a
     response with another value belongs to an earlier request and is ignored.
+    A request that is sent again has the same value, so it needs a connection
+    that has not carried it: see ``ClientConnection.may_carry``.
     ``has_body`` is false for HEAD, whose responses have no body. ``ended`` is
     called once.
     """
@@ -80,6 +83,7 @@
         '_keeps_alive',
         '_complete_response',
         '_is_first',
+        '_refused_ids',
         'idle_since',
         'idle_limit_seconds',
     )
@@ -98,6 +102,7 @@
         self._parser = HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._is_first = True
+        self._refused_ids = RefusedIds()
         self.idle_since = float(0)
         self.idle_limit_seconds: float | None = None
         self._has_bytes = False
@@ -111,6 +116,15 @@
         """Whether the connection can carry another exchange."""
         return self._transport is not None
 
+    def may_carry(self, exchange: Exchange) -> bool:
+        """Return whether a response can be assigned to an exchange here.
+
+        A server in trouble may send a response once more where the next one
+        is expected. If the request itself is sent again on the connection,
+        the old response and the new one have the same identity.
+        """
+        return not self._refused_ids.has(exchange.identity)
+
     def send(self, exchange: Exchange) -> None:
         """Send a request; the connection must be open and idle."""
         self._exchange = exchange
@@ -229,7 +243,10 @@
         if response is None:
             return
         self._complete_response = None
-        if self._has_surplus or not self._keeps_alive:
+        if self._exchange is not None:
+            self._refused_ids.note(self._exchange.identity, response)
+        may_be_reused = self._keeps_alive and not self._refused_ids.is_full
+        if self._has_surplus or not may_be_reused:
             self.close()
         self._end(ExchangeEnd.COMPLETE, response)
 
--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -103,10 +103,11 @@
 
         ``max_idle_seconds`` excludes connections that were idle for longer,
         for a request that must not be sent while the server closes the
-        connection. If no connection is available, the exchange ends unsent.
+        connection. A connection that has carried the same request before is
+        not used. If none is available, the exchange ends unsent.
         """
         pending = PendingExchange(exchange)
-        connection = self._take_idle(max_idle_seconds)
+        connection = self._take_idle(exchange, max_idle_seconds)
         if connection is None:
             self._open(pending)
         else:
@@ -157,16 +158,19 @@
             connection.close()
 
     def _take_idle(
-        self, max_idle_seconds: float | None
+        self, exchange: Exchange, max_idle_seconds: float | None
     ) -> ClientConnection | None:
+        """Take the connection that was used last, of those that are fit."""
         now = monotonic()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_open and not _is_idle_for_too_long(
+        for index in reversed(range(len(self._idle))):
+            connection = self._idle[index]
+            if not connection.is_open or _is_idle_for_too_long(
                 connection, now, max_idle_seconds
             ):
-                return connection
-            connection.close()
+                self._idle.pop(index)
+                connection.close()
+            elif connection.may_carry(exchange):
+                return self._idle.pop(index)
         return None
 
     def _open(self, pending: PendingExchange) -> None:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -15,9 +15,18 @@
 OURS = (b'x-attempt', b'a1')
 COMPLETE = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nContent-Length: 2\r\n\r\nok'
 STALE = b'HTTP/1.1 200 OK\r\nX-Attempt: a0\r\nContent-Length: 3\r\n\r\nold'
+REFUSAL = b'HTTP/1.1 503 X\r\nX-Attempt: a1\r\nContent-Length: 0\r\n\r\n'
 UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\n\r\npart'
 
 
+def exchange_of(attempt_id: bytes) -> Exchange:
+    return Exchange(
+        encoded=b'GET / HTTP/1.1\r\n\r\n',
+        identity=(b'x-attempt', attempt_id),
+        ended=lambda end, response: None,
+    )
+
+
 class Wire:
     """A connection over a fake transport, with one exchange sent."""
 
@@ -163,6 +172,26 @@
         wire.receive(b'Content-Length: 9\r\n\r\n')
         assert wire.only_end is ExchangeEnd.COMPLETE
 
+    def test_carries_no_refused_request_again(self) -> None:
+        """A refused request must use another connection when it is retried."""
+        wire = Wire()
+        wire.receive(REFUSAL)
+        assert not wire.connection.may_carry(exchange_of(b'a1'))
+        assert wire.connection.may_carry(exchange_of(b'a2'))
+        assert not wire.transport.is_closed
+
+    def test_is_closed_after_many_refusals(self) -> None:
+        """What a connection remembers of its refusals is bounded."""
+        wire = Wire()
+        for number in range(1000):
+            if wire.transport.is_closed:
+                break
+            attempt_id = b'r%d' % number
+            wire.connection.send(exchange_of(attempt_id))
+            wire.receive(REFUSAL.replace(b'a1', attempt_id))
+        assert wire.transport.is_closed
+        assert number > 100
+
     def test_ignores_interim_responses(self) -> None:
         """A response with status 100 does not end the exchange."""
         wire = Wire()
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -1,7 +1,7 @@
 """A pool of persistent connections to one server."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 
 from lovageshunt.http1 import (
@@ -15,9 +15,34 @@
 
 HOST = own_host(108)
 PORT = 18321
+Serve = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 
 
+def response(status: int, attempt_id: bytes) -> bytes:
+    return b'HTTP/1.1 %d X\r\nX-Attempt: %b\r\nContent-Length: 0\r\n\r\n' % (
+        status,
+        attempt_id,
+    )
+
+
+class RepeatingServer:
+    """Refuses a request; repeats the refusal where the next one is expected."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.connections += 1
+        is_first = self.connections == 1
+        while await reader.read(65536):
+            writer.write(response(503 if is_first else 200, b'a1'))
+
+
 class Server:
     """Responds to every request once ``may_respond`` is set."""
 
@@ -37,25 +62,39 @@
 
 
 @asynccontextmanager
-async def pooled(
-    max_connections: int = 5,
-) -> AsyncIterator[tuple[Server, ConnectionPool]]:
-    handler = Server()
-    server = await asyncio.start_server(handler.serve, HOST, PORT)
+async def pool_of(
+    serve: Serve, max_connections: int = 5
+) -> AsyncIterator[ConnectionPool]:
+    server = await asyncio.start_server(serve, HOST, PORT)
     pool = ConnectionPool(HOST, PORT, max_connections)
     try:
-        yield handler, pool
+        yield pool
     finally:
         pool.close()
         server.close()
 
 
-def exchange(ends: list[ExchangeEnd]) -> Exchange:
+@asynccontextmanager
+async def pooled(
+    max_connections: int = 5,
+) -> AsyncIterator[tuple[Server, ConnectionPool]]:
+    handler = Server()
+    async with pool_of(handler.serve, max_connections) as pool:
+        yield handler, pool
+
+
+def exchange(
+    ends: list[ExchangeEnd],
+    identity: tuple[bytes, bytes] | None = None,
+    statuses: list[int] | None = None,
+) -> Exchange:
     def ended(end: ExchangeEnd, response: Response | None) -> None:
         ends.append(end)
+        if statuses is not None and response is not None:
+            statuses.append(response.status)
 
     encoded = encode_request(method=b'GET', target=b'/', fields=b'', body=b'')
-    return Exchange(encoded=encoded, ended=ended)
+    return Exchange(encoded=encoded, ended=ended, identity=identity)
 
 
 async def until_ended(ends: list[ExchangeEnd], count: int = 1) -> None:
@@ -116,3 +155,35 @@
         await until_ended(ends)
         assert ends == [ExchangeEnd.REFUSED]
         assert pool.open_count == 0
+
+
+class TestRequestSentAgain:
+    """A refused request that is sent to the same server again."""
+
+    async def test_gets_no_second_copy_of_its_refusal(self) -> None:
+        """It goes on a connection that has not carried it.
+
+        Guards against REFUSED and TWICE: the server sent its refusal once
+        more, late, and it was taken for the response to the next try.
+        """
+        handler = RepeatingServer()
+        ends: list[ExchangeEnd] = []
+        statuses: list[int] = []
+        async with pool_of(handler.serve) as pool:
+            for count in (1, 2):
+                pool.send(exchange(ends, (b'x-attempt', b'a1'), statuses))
+                await until_ended(ends, count)
+        assert statuses == [503, 200]
+        assert handler.connections == 2
+
+    async def test_leaves_the_connection_to_others(self) -> None:
+        """Other requests go on using the connection of a refusal."""
+        handler = RepeatingServer()
+        ends: list[ExchangeEnd] = []
+        async with pool_of(handler.serve) as pool:
+            pool.send(exchange(ends, (b'x-attempt', b'a1')))
+            await until_ended(ends)
+            pool.send(exchange(ends, (b'x-attempt', b'a2')))
+            await asyncio.sleep(0.05)
+        assert handler.connections == 1
+        assert ends == [ExchangeEnd.COMPLETE]
