Reuse no connection whose responses do not name their call

What callers saw: a purchase that runs is told as not run, or a call gets the body of another one.

Cause: aiohttp takes whatever arrives next on a kept connection for the response. Responses of a target that embeds the library name their call and are checked; those of other targets do not, so a copy cannot be told apart.

Evidence: tests/node/serving/test_target.py::TestLateCopy, 2 failed and 17 passed before: NOT_RUN for a call that runs, and the first call's body for the second. Ruled out: bytes that arrive while the connection is idle (tests/client/test_transport.py::test_surplus holds). Tried and dropped: closing the response after reading it, and "connection: close" in the request; aiohttp has released the connection by then, and ignores the field if the target does.

Change: a call goes on a connection of its own until the target has named a call in a response.

Measured: tests/node and tests/client, 165 passed. The cost of a connection a call was not measured.

--- a/src/lovageshunt/client/_transport.py
+++ b/src/lovageshunt/client/_transport.py
@@ -98,7 +98,8 @@
     A connection whose response was truncated, cancelled or late is closed
     and never reused. No request is sent twice: the silent resend of aiohttp
     on a kept-alive connection is switched off. Requests fail as ``UNSENT``
-    before ``start`` and after ``close``.
+    before ``start`` and after ``close``. With ``keep_alive_seconds`` of 0 no
+    connection is reused.
     """
 
     def __init__(
@@ -119,7 +120,8 @@
         connector = TCPConnector(
             limit=0,
             limit_per_host=_MAX_CONNECTIONS_PER_HOST,
-            keepalive_timeout=self._keep_alive_seconds,
+            keepalive_timeout=self._keep_alive_seconds or None,
+            force_close=not self._keep_alive_seconds,
             ssl=True if self._tls is None else self._tls,
             use_dns_cache=False,
         )
--- a/src/lovageshunt/node/_assembly.py
+++ b/src/lovageshunt/node/_assembly.py
@@ -76,6 +76,7 @@
         """Open the transports; must run on the event loop that uses them."""
         await self._transport.start()
         await self._plain.start()
+        await self._single_use.start()
 
     async def close(self) -> None:
         """Cancel running tasks and close all connections."""
@@ -83,6 +84,7 @@
         await self._calls.stop()
         await self._transport.close()
         await self._plain.close()
+        await self._single_use.close()
 
     @property
     def rules_generation(self) -> int:
@@ -163,6 +165,9 @@
             max_body_bytes=body_bytes,
             keep_alive_seconds=_TARGET_KEEP_ALIVE_SECONDS,
         )
+        self._single_use = Transport(
+            max_body_bytes=body_bytes, keep_alive_seconds=0
+        )
         self._key = read_context_key(settings.security)
         options = _options_of(settings, self._key)
         self._engine = Engine(options, self._transport, rng)
@@ -243,12 +248,14 @@
             return TargetLink(
                 address=str(target.address),
                 transport=self._plain,
+                single_use=self._single_use,
                 health_path=target.health_path,
                 load_path=target.load_path,
             )
         return CallingTargetLink(
             address=str(target.address),
             transport=self._plain,
+            single_use=self._single_use,
             health_path=target.health_path,
             load_path=target.load_path,
             served_calls=self._below,
--- a/src/lovageshunt/node/egress/_served_calls.py
+++ b/src/lovageshunt/node/egress/_served_calls.py
@@ -102,6 +102,7 @@
         *,
         address: str,
         transport: Transport,
+        single_use: Transport,
         health_path: str,
         load_path: str,
         served_calls: ServedCalls,
@@ -110,6 +111,7 @@
         super().__init__(
             address=address,
             transport=transport,
+            single_use=single_use,
             health_path=health_path,
             load_path=load_path,
         )
--- a/src/lovageshunt/node/serving/_target.py
+++ b/src/lovageshunt/node/serving/_target.py
@@ -103,20 +103,26 @@
 
 
 class TargetLink:
-    """Connects this node to its target at ``address`` (IP:PORT)."""
+    """Connects this node to its target at ``address`` (IP:PORT).
+
+    ``transport`` reuses connections, ``single_use`` does not.
+    """
 
     def __init__(
         self,
         *,
         address: str,
         transport: Transport,
+        single_use: Transport,
         health_path: str,
         load_path: str,
     ) -> None:
         self._address = address
         self._transport = transport
+        self._single_use = single_use
         self._health_path = health_path
         self._load_path = load_path
+        self._names_calls = False
 
     async def dispatch(
         self,
@@ -127,8 +133,14 @@
         timeout_seconds: float,
         is_repeatable: bool,
     ) -> TargetReply:
-        """Send a call to the target and wait for the complete response."""
-        exchange = await self._transport.send(
+        """Send a call to the target and wait for the complete response.
+
+        Connections are reused only while responses name their call: if the
+        target sent another one once more, late, it would be taken for the
+        response to the next call.
+        """
+        transport = self._transport if self._names_calls else self._single_use
+        exchange = await transport.send(
             address=self._address,
             method=inbound.method,
             target=inbound.target,
@@ -138,6 +150,7 @@
         )
         if exchange.is_error():
             return _reply_of_loss(exchange.error, is_repeatable)
+        self._names_calls = ANSWER_HEADER in exchange.ok.headers
         return _reply_of_answer(exchange.ok, call_id)
 
     async def is_healthy(self) -> bool:
--- a/tests/node/serving/test_target.py
+++ b/tests/node/serving/test_target.py
@@ -13,7 +13,7 @@
 )
 from lovageshunt.client import InboundRequest, Transport
 from lovageshunt.node.serving._target import TargetLink, end_to_end_items
-from tests.client.wire import exchange_with
+from tests.client.wire import complete_answer, exchange_with
 
 _INBOUND = InboundRequest(
     method='GET',
@@ -59,15 +59,19 @@
 async def link_to(serve):
     """Yield a link to a target whose connections ``serve`` handles."""
     transport = Transport(max_body_bytes=1000)
+    single_use = Transport(max_body_bytes=1000, keep_alive_seconds=0)
     await transport.start()
+    await single_use.start()
     async with exchange_with(serve) as (server, _):
         yield TargetLink(
             address=server.address,
             transport=transport,
+            single_use=single_use,
             health_path='/health',
             load_path='/load',
         )
         await transport.close()
+        await single_use.close()
 
 
 async def dispatch(serve, *, is_repeatable=True):
@@ -82,6 +86,51 @@
         )
 
 
+def repeating(response):
+    """Return a server that sends its first response once more, late."""
+    arrivals = []
+
+    async def serve(arrival):
+        arrivals.append(arrival)
+        if len(arrivals) == 1 or arrival.connection == 1:
+            await arrival.write(response)
+        else:
+            await arrival.answer(b'own')
+
+    return serve
+
+
+class TestLateCopy:
+    """A response that is sent again where the next one is expected."""
+
+    @pytest.mark.parametrize(
+        'response',
+        [
+            b'HTTP/1.1 503 X\r\nlovageshunt-not-run: 1\r\n'
+            b'content-length: 0\r\n\r\n',
+            complete_answer(b'of the first'),
+        ],
+    )
+    async def test_is_not_taken_for_the_next_response(self, response):
+        """A call that runs is not told as refused, nor gets another's body.
+
+        Guards against REFUSED and MIXED at targets that name no call.
+        """
+        async with link_to(repeating(response)) as link:
+            replies = [
+                await link.dispatch(
+                    _INBOUND,
+                    call_id=call_id,
+                    headers={},
+                    timeout_seconds=5,
+                    is_repeatable=False,
+                )
+                for call_id in ('c1', 'c2')
+            ]
+        assert replies[1].outcome is Outcome.ANSWERED
+        assert replies[1].response.body == b'own'
+
+
 class TestOutcome:
     """Outcomes of dispatched calls."""
 
