Take no head of an earlier response for the next one

Cause: a clean close completes a response without a length if its head was received. The connection kept the head of its last response until the first byte of the next one, so that a close before that byte completed the next request with the last response, if that was a 204 or 304 (others have a length).

Evidence: a test that cuts three responses at every byte of the head, behind a 200 and behind a 204. Before, the three behind a 204 failed at 0 bytes with status 204; 33 passed. Ruled out: cuts after the first byte, and those behind a 200, held before as well. The product's own path holds (tests/client/test_transport.py::TestBrokenAnswer).

Change: the head counts as missing from the moment a request is sent.

Measured: tests/http1 all pass.

--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -128,6 +128,8 @@
     def send(self, exchange: Exchange) -> None:
         """Send a request; the connection must be open and idle."""
         self._exchange = exchange
+        # Until its first byte arrives, the head is that of the last response.
+        self._has_head = False
         self._has_bytes = False
         if self._transport is not None:
             self._transport.write(exchange.encoded)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -16,6 +16,7 @@
 COMPLETE = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nContent-Length: 2\r\n\r\nok'
 STALE = b'HTTP/1.1 200 OK\r\nX-Attempt: a0\r\nContent-Length: 3\r\n\r\nold'
 REFUSAL = b'HTTP/1.1 503 X\r\nX-Attempt: a1\r\nContent-Length: 0\r\n\r\n'
+NO_CONTENT = b'HTTP/1.1 204 No Content\r\nX-Attempt: a1\r\n\r\n'
 UNFRAMED = b'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\n\r\npart'
 
 
@@ -144,6 +145,24 @@
         wire.connection.connection_lost(ConnectionResetError())
         assert wire.only_end is ExchangeEnd.INCOMPLETE
 
+    @pytest.mark.parametrize('first', [COMPLETE, NO_CONTENT])
+    @pytest.mark.parametrize('second', [COMPLETE, UNFRAMED, REFUSAL])
+    def test_is_incomplete_when_the_head_is_truncated(
+        self, first: bytes, second: bytes
+    ) -> None:
+        """Wherever a head is cut, a clean close never completes a response.
+
+        Guards against MIXED: a 200 with an empty body, framed as complete.
+        """
+        head = second[: second.index(b'\r\n\r\n') + 3]
+        for size in range(len(head) + 1):
+            wire = Wire()
+            wire.receive(first)
+            wire.send()
+            wire.receive(head[:size])
+            wire.connection.connection_lost(None)
+            assert wire.ends[-1][1] is None
+
     def test_reports_a_close_before_any_response(self) -> None:
         """A reused connection may close while the request is on its way."""
         wire = Wire()
