Take no response without an id for that of a later request

What callers would see: 503, "not run", for a request that runs.

Cause: a response without an id was accepted as that of the request in flight, if it is a refusal (429, 503, 421), wherever it came on a connection. The platform says that the id identifies an extra response, so one without an id cannot be told from a copy.

Change: on a connection that has carried a response, one without an id ends the exchange as incomplete, that is, unknown. As the first response of a connection it is accepted, and the connection is not reused.

--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -77,6 +77,7 @@
         '_body',
         '_is_delimited',
         '_is_stale',
+        '_is_unnamed',
         '_has_head',
         '_has_bytes',
         '_has_surplus',
@@ -102,6 +103,7 @@
         self._parser = HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._is_first = True
+        self._is_unnamed = False
         self._refused_ids = RefusedIds()
         self.idle_since = float(0)
         self.idle_limit_seconds: float | None = None
@@ -204,16 +206,23 @@
         self._headers.append((lower, text))
 
     def on_headers_complete(self) -> None:
-        """Check by its identity whether the response is stale."""
+        """Check by its identity whether the response is stale.
+
+        A response that echoes no id is only safe as the first one of its
+        connection, which is then not reused.
+        """
         self._status = self._parser.get_status_code()
         self._has_head = True
         exchange = self._exchange
-        if exchange is None:
+        if exchange is None or self._complete_response is not None:
             return
         if exchange.identity is not None:
             name, wanted = exchange.identity
             echoed = first_header(self._headers, name)
             self._is_stale = bool(echoed) and echoed != wanted
+            is_interim = self._status < _MIN_FINAL_STATUS
+            if wanted and not echoed and not is_interim:
+                self._is_unnamed = True
         if not exchange.has_body and not self._is_stale:
             self._keeps_alive = False
             self._complete_response = self._response()
@@ -245,10 +254,14 @@
         if response is None:
             return
         self._complete_response = None
+        if self._is_unnamed and not self._is_first:
+            # It may be a copy of an earlier response.
+            self._cut()
+            return
         if self._exchange is not None:
             self._refused_ids.note(self._exchange.identity, response)
         may_be_reused = self._keeps_alive and not self._refused_ids.is_full
-        if self._has_surplus or not may_be_reused:
+        if self._has_surplus or self._is_unnamed or not may_be_reused:
             self.close()
         self._end(ExchangeEnd.COMPLETE, response)
 
@@ -265,7 +278,7 @@
         """Close the connection and end the exchange as incomplete."""
         if self._exchange is not None:
             _log.warning(
-                'response was cut off: malformed or too long',
+                'response was cut off: malformed, too long or without an id',
                 extra={'bytes': self._held_bytes},
             )
         self.close()
@@ -289,7 +302,8 @@
         if self._is_stale or self._is_delimited:
             return False
         is_final = self._status >= _MIN_FINAL_STATUS
-        return is_final and self._has_head
+        is_own = self._is_first or not self._is_unnamed
+        return is_final and is_own and self._has_head
 
     def _end_after_loss(self) -> ExchangeEnd:
         if self._has_bytes or self._is_first:
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -199,6 +199,38 @@
         assert wire.connection.may_carry(exchange_of(b'a2'))
         assert not wire.transport.is_closed
 
+    @pytest.mark.parametrize('status', [b'200 OK', b'503 X', b'421 X'])
+    def test_takes_no_response_without_an_id_after_another(
+        self, status: bytes
+    ) -> None:
+        """It may be a second, late copy of an earlier response.
+
+        Guards against REFUSED: a request that runs is told as not run.
+        """
+        wire = Wire()
+        wire.receive(COMPLETE)
+        wire.send()
+        wire.receive(b'HTTP/1.1 ' + status + b'\r\nContent-Length: 0\r\n\r\n')
+        assert wire.ends[-1] == (ExchangeEnd.INCOMPLETE, None)
+        assert wire.transport.is_closed
+
+    def test_accepts_a_response_before_one_without_an_id(self) -> None:
+        """What follows a complete response does not make it doubtful."""
+        wire = Wire()
+        wire.receive(COMPLETE)
+        wire.send()
+        wire.receive(COMPLETE + b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n')
+        assert wire.body == b'ok'
+        assert wire.transport.is_closed
+
+    def test_takes_a_response_without_an_id_as_the_first(self) -> None:
+        """It cannot be an earlier one; the connection is not reused."""
+        wire = Wire()
+        wire.receive(b'HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n')
+        assert wire.only_end is ExchangeEnd.COMPLETE
+        assert wire.transport.is_closed
+        assert not wire.freed
+
     def test_is_closed_after_many_refusals(self) -> None:
         """What a connection remembers of its refusals is bounded."""
         wire = Wire()
