Read what arrived during a pause before a link counts as silent

What callers saw: a 502 or a late answer for an order that had ended while the sender's process stood still.

Cause: the check for silence counts the pause of its own process. On waking, the timers run before the sockets are read (a wait that was interrupted returns no sockets when its time is over), so the link was dropped with what had arrived on it. In the trace of case 1: m4 logs "silent for 3.58 s" after a pause of 3.51 s.

Change: one check adds half a second to a silence at most, so a link that stays silent after a pause is lost within a second of it.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -41,6 +41,9 @@
 _PING_INTERVAL_SECONDS: Final = 0.25
 #: A link on which nothing was received for this long is closed.
 _SILENCE_TIMEOUT_SECONDS: Final = 1.25
+#: The most that one check adds to a silence. Checks are further apart only if
+#: this process stood still, and then it has not read what arrived meanwhile.
+_MAX_CHECK_INTERVAL_SECONDS: Final = 0.5
 #: How long a lost link may take to reconnect before its repeatable calls are
 #: ended, so that they are retried elsewhere.
 _RESUME_SECONDS: Final = 0.3
@@ -319,6 +322,7 @@
         self._transport: Transport | None = None
         self._reader = FrameReader()
         self._received_at = clock_now()
+        self._checked_at = self._received_at
         self._pinged_at = float('-inf')
         self.greeting = get_running_loop().create_future()
 
@@ -347,6 +351,9 @@
 
     def check_silence(self, now: float) -> None:
         """Ping a quiet peer; end the connection when the timeout is over."""
+        interval = now - self._checked_at
+        self._checked_at = now
+        self._received_at += max(0, interval - _MAX_CHECK_INTERVAL_SECONDS)
         quiet = now - self._received_at
         if quiet > _SILENCE_TIMEOUT_SECONDS:
             self._end(f'silent for {quiet:.2f} s')
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -34,6 +34,7 @@
         self.sends_greeting = True
         self.answers_orders = True
         self.connection_count = 0
+        self.after_answer: Callable[[], None] = lambda: None
         self.writers: list[asyncio.StreamWriter] = []
 
     async def serve(
@@ -59,6 +60,7 @@
         answer = RunAnswer(outcome=Outcome.ANSWERED, status=200, body=b'ok')
         payload = encode_answer(answer)
         writer.write(encode_frame(FrameKind.ANSWER, frame.stream, payload))
+        self.after_answer()
 
     def abort_connections(self) -> None:
         for writer in self.writers:
@@ -126,6 +128,38 @@
 
             await until(is_reconnected, 2)
 
+    async def test_reads_what_arrived_while_it_stood_still(self) -> None:
+        """After a pause of this process, answers that wait are read first.
+
+        Guards against a ready answer that is thrown away with its link.
+        """
+        async with connected_dialer() as (peer, dialer):
+            dialer.open()
+            await until(lambda: dialer.is_up)
+            answers: list[RunAnswer] = []
+
+            def wake_up() -> None:
+                # The answer is in the socket, and the check comes first.
+                peer.answers_orders = False
+                dialer.check_silence(clock_now() + 3.5)
+
+            peer.after_answer = wake_up
+            dialer.check_silence(clock_now())
+            dialer.send(order(is_repeatable=False), answers.append)
+            await until(lambda: bool(answers))
+            assert answers[0].outcome is Outcome.ANSWERED
+            assert peer.connection_count == 1
+
+    async def test_notices_silence_after_it_stood_still(self) -> None:
+        """A link that stays silent after a pause is lost soon after it."""
+        async with connected_dialer() as (peer, dialer):
+            dialer.open()
+            await until(lambda: dialer.is_up)
+            paused_until = clock_now() + 10
+            for tenth in range(12):
+                dialer.check_silence(paused_until + tenth / 10)
+            assert not dialer.is_up
+
     async def test_resends_to_the_same_incarnation(self) -> None:
         """An order on a lost link is answered on the next connection."""
         async with connected_dialer() as (peer, dialer):
