Accept fractions for the reserve of retries

Cause: the setting retry_reserve was a whole number.

Ruled out: the other bounds in the template, which are numbers already.

Change: retry_reserve is a number; so is the budget's reserve, as before. The reference writes 1000000 for the largest value, not 1e+06.

Measured: tests/settings/test_sidecar.py 1 failed, 4 passed before; tests of settings and pages pass now.

--- a/src/lovageshunt/settings/_kinds.py
+++ b/src/lovageshunt/settings/_kinds.py
@@ -87,7 +87,7 @@
     """Create a kind of numbers; both bounds are allowed values."""
     return ValueKind(
         name='number',
-        expected=f'a number from {minimum:g} to {maximum:g}',
+        expected=f'a number from {minimum:.10g} to {maximum:.10g}',
         parse=partial(_parse_float, minimum=minimum, maximum=maximum),
     )
 
--- a/src/lovageshunt/settings/_sidecar.py
+++ b/src/lovageshunt/settings/_sidecar.py
@@ -76,7 +76,7 @@
         *,
         stop_seconds: float,
         retry_ratio: float,
-        retry_reserve: int,
+        retry_reserve: float,
         retry_window_seconds: float,
     ) -> None:
         self.stop_seconds = stop_seconds
--- a/src/lovageshunt/settings/_sidecar_keys.py
+++ b/src/lovageshunt/settings/_sidecar_keys.py
@@ -90,7 +90,7 @@
             ),
             Key(
                 name='retry_reserve',
-                kind=bounded_int(0, _MAX_COUNT),
+                kind=bounded_float(0, _MAX_COUNT),
                 default='0',
                 unit='retries',
                 meaning='Retries in a window on top of the ratio.',
--- a/tests/settings/test_sidecar.py
+++ b/tests/settings/test_sidecar.py
@@ -47,6 +47,21 @@
         assert settings.bounds.retry_reserve == 47
         assert settings.logs.records_per_second == 50
 
+    def test_reads_fractions_of_bounds(self, tmp_path: Path) -> None:
+        """Each bound may be a fraction, also one that counts something.
+
+        Guards against a node that does not start under such a bound.
+        """
+        path = tmp_path / 'node.ini'
+        text = filled_template()
+        for whole in ('_seconds = 6', '_reserve = 47', '_seconds = 10'):
+            text = text.replace(whole, f'{whole}.25')
+        path.write_text(text)
+        bounds = load_sidecar_settings(path).ok.bounds
+        assert bounds.stop_seconds == 6.25
+        assert bounds.retry_reserve == 47.25
+        assert bounds.retry_window_seconds == 10.25
+
     @pytest.mark.parametrize(
         ('before', 'after', 'key'),
         [
