Keep a link whose greeting is read as its timeout ends

What callers would see: calls to one node that get no answer until their time limit, for good.

Cause: if the greeting is read in the turn of the event loop in which the timeout of the attempt ends, the link is taken into use and the attempt then closes its connection without a word to the dialer, which counts the link as up.

Evidence: tests/links/test_dialer.py, the new test failed before (an order gets no answer within 1 s).

Change: an attempt that ends after its connection was taken into use leaves it open.

Measured: tests/links all pass.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -259,6 +259,9 @@
                     connection.write(encode_frame(FrameKind.GREETING, 0, hello))
                     await connection.greeting
             except OSError as error:
+                if self._connection is connection:
+                    # The greeting came as the timeout ended.
+                    break
                 connection.abort()
                 self._on_connect_failed(error)
                 await sleep(self._pause)
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -1,6 +1,7 @@
 """The side of a link that sends orders, against a scripted peer."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from itertools import count
@@ -89,6 +90,11 @@
         server.close()
 
 
+def stand_still() -> None:
+    """Block the event loop until an attempt to connect has timed out."""
+    time.sleep(0.7)
+
+
 async def until(condition: Callable[[], bool], seconds: float = 4) -> None:
     async with asyncio.timeout(seconds):
         while not condition():
@@ -128,6 +134,29 @@
 
             await until(is_reconnected, 2)
 
+    async def test_uses_a_link_whose_greeting_came_with_the_timeout(
+        self,
+    ) -> None:
+        """A greeting that is read as the timeout ends establishes the link.
+
+        Guards against calls that never end: the link counted as up, but its
+        connection had been closed.
+        """
+        async with connected_dialer() as (peer, dialer):
+            peer.sends_greeting = False
+            dialer.open()
+            await until(lambda: bool(peer.writers))
+            hello = Greeting(node='n', service='s', incarnation='late')
+            payload = encode_message(hello)
+            peer.writers[0].write(encode_frame(FrameKind.GREETING, 0, payload))
+            # Both are due when the event loop goes on.
+            stand_still()
+            await until(lambda: dialer.is_up)
+            answers: list[RunAnswer] = []
+            dialer.send(order(), answers.append)
+            await until(lambda: bool(answers), 1)
+            assert answers[0].outcome is Outcome.ANSWERED
+
     async def test_reads_what_arrived_while_it_stood_still(self) -> None:
         """After a pause of this process, answers that wait are read first.
 
