Wait in a planned stop until responses have been sent

What callers saw: answers of 3.9 MB that slow clients still read were cut, all 8, 2.6 s after SIGTERM of a grace of 6 s.

Cause: a response counted as done once it was written to the transport, and the process ended with what the transport held.

Change: connections with unsent bytes keep a shutdown going; it ends 0.2 s before its time is over.

--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -205,6 +205,12 @@
         """Whether no request is in progress or partly received."""
         return self._current is None and not self._is_reading
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether the client has not yet taken all of its responses."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def close_if_due(self, now: float) -> None:
         """Close the connection if a time limit of its client has passed.
 
--- a/src/lovageshunt/sidecar/_planned_stop.py
+++ b/src/lovageshunt/sidecar/_planned_stop.py
@@ -21,6 +21,8 @@
 #: The part of a planned shutdown that is reserved for the last responses, in
 #: seconds.
 _LAST_RESPONSES_SECONDS: Final = 1.0
+#: How long before the end of its time the process exits, in seconds.
+_EXIT_SECONDS: Final = 0.2
 #: The interval at which a planned shutdown checks for its end, in seconds.
 _STOP_TICK_SECONDS: Final = 0.05
 
@@ -68,9 +70,9 @@
                 continue
             self._executor.drain()
             self._close_idle()
-            if self._origin.open_count == 0 and self._executor.is_empty:
+            if self._executor.is_empty and not self._owes_responses():
                 break
-        await self._end_calls()
+        await self._end_calls(started_at + stop_seconds - _EXIT_SECONDS)
         _log.info('planned shutdown finished', extra=self.counts())
 
     def counts(self) -> dict[str, int]:
@@ -80,12 +82,12 @@
             'connections': len(self._clients),
         }
 
-    async def _end_calls(self) -> None:
+    async def _end_calls(self, ends_at: float) -> None:
         """Respond to the requests in progress; pass no more on.
 
-        Responses have ``_LAST_RESPONSES_SECONDS`` to be sent.
+        Responses that are not sent by ``ends_at`` are lost; it is in seconds
+        on the process's clock.
         """
-        ends_at = clock_now() + _LAST_RESPONSES_SECONDS
         if self._origin.open_count or not self._executor.is_empty:
             _log.warning('ending the requests in progress', extra=self.counts())
         self._origin.close()
@@ -93,9 +95,15 @@
         self._close()
         self._close_idle()
         await self._pause()
-        while self._origin.open_count and clock_now() < ends_at:
+        while self._owes_responses() and clock_now() < ends_at:
             await self._pause()
 
+    def _owes_responses(self) -> bool:
+        """Return whether a client has still to get a response, or its end."""
+        if self._origin.open_count:
+            return True
+        return any(connection.is_sending for connection in self._clients)
+
     async def _pause(self) -> None:
         self._tick()
         await sleep(_STOP_TICK_SECONDS)
--- a/tests/http1/wire.py
+++ b/tests/http1/wire.py
@@ -13,6 +13,7 @@
         self.is_closed = False
         self.is_aborted = False
         self.is_paused = False
+        self.unsent_bytes = 0
         self._peer = peer
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
@@ -23,6 +24,10 @@
         """Record the bytes."""
         self.written += data
 
+    def get_write_buffer_size(self) -> int:
+        """Return the number of bytes that the test sets."""
+        return self.unsent_bytes
+
     def close(self) -> None:
         """Record the close."""
         self.is_closed = True
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from lovageshunt.http1 import Request, ServerConnection, ServerLimits
+from lovageshunt.sidecar._planned_stop import PlannedStop
+from tests.http1.wire import FakeTransport
 from tests.sidecar.world import (
     FakeTarget,
     Received,
@@ -19,6 +22,16 @@
 PLANNED_STOP = 'lovageshunt.sidecar._planned_stop.'
 
 
+class NoHandler:
+    """Handles no requests."""
+
+    def handle(self, request: Request, connection: ServerConnection) -> None:
+        """Not called: the clients send nothing."""
+
+    def abandon(self, token: object) -> None:
+        """Not called either."""
+
+
 @pytest.fixture
 def short_stop(monkeypatch: pytest.MonkeyPatch) -> None:
     """Give a planned shutdown 0.3 s for the requests in progress."""
@@ -117,6 +130,65 @@
                 assert got.body == world.hosts[2].encode()
 
 
+class IdleNode:
+    """A node without requests in progress, and one client that reads slowly."""
+
+    def __init__(self) -> None:
+        self.open_count = 0
+        self.is_empty = True
+        self.transport = FakeTransport()
+        self.clients: set[ServerConnection] = set()
+        client = ServerConnection(NoHandler(), ServerLimits(), self.clients)
+        client.connection_made(self.transport)
+
+    def stop(self, **times: float) -> None:
+        """There is nothing to stop."""
+
+    def drain(self) -> None:
+        """There is no queue."""
+
+    def close(self) -> None:
+        """There is nothing to close."""
+
+    def planned_stop(self) -> PlannedStop:
+        return PlannedStop(
+            origin=self,  # type: ignore[arg-type]
+            executor=self,  # type: ignore[arg-type]
+            clients=self.clients,
+            tick=self.close,
+            close=self.close,
+        )
+
+
+class TestSlowReader:
+    """A client that is still reading its response when its node stops."""
+
+    async def test_gets_the_rest_of_its_response(
+        self, short_stop: None
+    ) -> None:
+        """The shutdown lasts until the response has been sent.
+
+        Guards against LOST: the process ended with a part of the response.
+        """
+        node = IdleNode()
+        node.transport.unsent_bytes = 1000
+        stopping = asyncio.ensure_future(node.planned_stop().run(20))
+        await asyncio.sleep(0.4)
+        assert not stopping.done()
+        node.transport.unsent_bytes = 0
+        await asyncio.wait_for(stopping, 0.3)
+
+    async def test_does_not_hold_up_the_end(self, short_stop: None) -> None:
+        """With a client that never reads, a shutdown ends in its time."""
+        node = IdleNode()
+        node.transport.unsent_bytes = 1000
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        stop_seconds = 6
+        await node.planned_stop().run(stop_seconds)
+        assert loop.time() - started_at < stop_seconds
+
+
 class TestEndOfPlannedStop:
     """What is still in progress when the time of a shutdown is over."""
 
