Forget orders that were cancelled

What callers saw: connections closed without an answer, 11 to 16, as a node exceeded its memory and was ended.

Cause: only answered orders were forgotten; a cancelled one was kept for good, with its fields and body. One cancelled as its link was down had no outcome, so a sender that came back with it waited until the deadline.

Evidence: tests/links/test_incoming.py::TestCancelledOrder, 2 failed before (199 orders kept of 199; no answer for one that comes again), 1 held.

Change: abandoning an order returns its outcome, unless the order goes on; the outcome is kept like an answer.

--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -8,6 +8,7 @@
 from typing import Protocol as Interface
 
 from lovageshunt._receiving import ReceivingProtocol
+from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
 from lovageshunt.errors import MalformedFrameError
 from lovageshunt.links._codec import decode_greeting, encode_message
@@ -44,8 +45,12 @@
         ``ended`` is called once, unless the order is abandoned before.
         """
 
-    def abandon(self, token: Any) -> None:
-        """Cancel an order whose sender has cancelled it or is gone."""
+    def abandon(self, token: Any) -> Outcome | None:
+        """Cancel an order whose sender has cancelled it or is gone.
+
+        Return the outcome of the order, for which ``ended`` is not called any
+        more, or ``None`` if it goes on.
+        """
 
 
 class IncomingLink(ReceivingProtocol):
@@ -168,14 +173,26 @@
     def _cancel(self, stream: int) -> None:
         if self.peer is None:
             return
-        accepted = self._recent_orders.by_key.get(
-            (self.peer.incarnation, stream)
-        )
-        if accepted is not None and accepted.token is not None:
-            self._handler.abandon(accepted.token)
+        key = (self.peer.incarnation, stream)
+        accepted = self._recent_orders.by_key.get(key)
+        if accepted is not None:
+            self._abandon(key, accepted)
 
     def _abandon_all(self) -> None:
         """Cancel the calls of a sender that did not reconnect."""
-        for accepted in list(self._recent_orders.by_key.values()):
-            if accepted.link is self and accepted.token is not None:
-                self._handler.abandon(accepted.token)
+        for key, accepted in list(self._recent_orders.by_key.items()):
+            if accepted.link is self:
+                self._abandon(key, accepted)
+
+    def _abandon(self, key: OrderKey, accepted: AcceptedOrder) -> None:
+        """Cancel an order; note its outcome, in case it arrives again."""
+        if accepted.token is None:
+            return
+        outcome = self._handler.abandon(accepted.token)
+        if outcome is not None:
+            answer = RunAnswer(
+                outcome=outcome, reason=RefusalReason.CONNECTION_LOST
+            )
+            self._recent_orders.note_answered(
+                key, encode_answer(answer), clock_now()
+            )
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -156,16 +156,21 @@
         )
         return run
 
-    def abandon(self, run: Run) -> None:
-        """Cancel an order, except a non-repeatable one that is running."""
+    def abandon(self, run: Run) -> Outcome | None:
+        """Cancel an order, except a non-repeatable one that is running.
+
+        Return its outcome, or ``None`` if it goes on or has ended.
+        """
         if run.ended is None:
-            return
+            return None
         if run.sending is not None and not run.order.is_repeatable:
-            return
+            return None
         run.ended = None
-        if run.sending is None:
+        is_waiting = run.sending is None
+        if is_waiting:
             self._run_by_call_id.pop(run.call_id, None)
         self._handle(Cancelled(run.call_id))
+        return Outcome.NOT_RUN if is_waiting else Outcome.UNKNOWN
 
     def withdraw_departed(self) -> None:
         """Refuse the orders that have not been sent to a target that left.
--- a/src/lovageshunt/sidecar/_origin_call.py
+++ b/src/lovageshunt/sidecar/_origin_call.py
@@ -33,7 +33,7 @@
     def __init__(self, entry: TargetEntry) -> None:
         self.entry = entry
         self.sent_at = clock_now()
-        self.cancel: Callable[[], None] | None = None
+        self.cancel: Callable[[], object] | None = None
 
 
 class OriginCall:
--- a/tests/links/test_incoming.py
+++ b/tests/links/test_incoming.py
@@ -40,8 +40,9 @@
         self.ends.append(ended)
         return order
 
-    def abandon(self, token: Any) -> None:
-        """Ignore it: the order goes on."""
+    def abandon(self, token: Any) -> Outcome | None:
+        """Cancel repeatable orders; others go on."""
+        return Outcome.UNKNOWN if token.is_repeatable else None
 
 
 class Receiver:
@@ -81,6 +82,9 @@
             encode_frame(FrameKind.GREETING, 0, encode_message(hello))
         )
 
+    def cancel(self, stream: int) -> None:
+        self._link.data_received(encode_frame(FrameKind.CANCEL, stream))
+
     def send(self, stream: int, sent: RunOrder) -> None:
         payload = encode_order(sent, self._receiver.now)
         self._link.data_received(encode_frame(FrameKind.ORDER, stream, payload))
@@ -146,3 +150,39 @@
         receiver.handler.ends[0](ANSWER)
         assert len(receiver.handler.started) == 1
         assert link.answers[1].outcome is Outcome.ANSWERED
+
+
+class TestCancelledOrder:
+    """An order whose client has left."""
+
+    def test_is_not_kept(self, receiver: Receiver) -> None:
+        """Its memory is freed after a time, however many there are.
+
+        Guards against LOST: a node exceeded its memory and was ended.
+        """
+        link = receiver.accept_link()
+        for stream in range(1, 200):
+            link.send(stream, order(deadline=receiver.now + 2))
+            link.cancel(stream)
+            receiver.now += 0.1
+        by_key = receiver.recent_orders.by_key
+        assert len(by_key) < 50
+        assert all(accepted.token is None for accepted in by_key.values())
+
+    def test_has_an_outcome_if_it_comes_again(self, receiver: Receiver) -> None:
+        """It is neither run again nor left without an answer."""
+        link = receiver.accept_link()
+        link.send(1, order(deadline=receiver.now + 6))
+        link.cancel(1)
+        resumed = receiver.accept_link()
+        resumed.send(1, order(deadline=receiver.now + 6))
+        assert len(receiver.handler.started) == 1
+        assert resumed.answers[1].outcome is Outcome.UNKNOWN
+
+    def test_goes_on_if_it_must_not_repeat(self, receiver: Receiver) -> None:
+        """One that the target runs already is answered as usual."""
+        link = receiver.accept_link()
+        link.send(1, order(is_repeatable=False, deadline=receiver.now + 6))
+        link.cancel(1)
+        receiver.handler.ends[0](ANSWER)
+        assert link.answers[1].outcome is Outcome.ANSWERED
