Serve a request that offers an upgrade with its body

Cause: for such a request the parser reports the end of the message right after the head and raises only then; the request had been started by that time. It is the same for CONNECT.

Change: the request is parsed again without the offer, by a new parser. CONNECT is refused.

--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -12,11 +12,13 @@
 from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt.http1._limits import ServerLimits
 from lovageshunt.http1._messages import Header, Request, encode_response
+from lovageshunt.http1._upgrade import encode_head_without_upgrade
 
 _log = getLogger(__name__)
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 #: Reading is paused once this many requests wait for the one in progress.
 _MAX_PIPELINED_REQUESTS: Final = 8
+_CONNECT: Final = b'CONNECT'
 _BAD_REQUEST: Final = 400
 _REQUEST_TIMEOUT: Final = 408
 _CONTENT_TOO_LARGE: Final = 413
@@ -103,16 +105,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse data from the client; refuse malformed requests."""
-        if self._is_broken:
-            return
         self._last_activity_at = monotonic()
-        try:
-            self._parser.feed_data(data)
-        except HttpParserUpgrade:
-            self._refuse(_BAD_REQUEST)
-        except HttpParserError as error:
-            _log.info('refusing a malformed request: %s', error)
-            self._refuse(_BAD_REQUEST)
+        while data and not self._is_broken:
+            try:
+                self._parser.feed_data(data)
+            except HttpParserUpgrade as upgrade:
+                data = self._without_upgrade(data[upgrade.args[0] :])
+                continue
+            except HttpParserError as error:
+                _log.info('refusing a malformed request: %s', error)
+                self._refuse(_BAD_REQUEST)
+            return
 
     def eof_received(self) -> None:
         """Close the connection: a half-closed one counts as disconnected."""
@@ -140,6 +143,8 @@
 
     def on_headers_complete(self) -> None:
         """Send ``100 Continue`` to a client that waits for it."""
+        if self._parser.should_upgrade():
+            return
         for name, text in self._headers:
             if name == b'expect' and text.lower() == b'100-continue':
                 self._write(_CONTINUE)
@@ -154,7 +159,7 @@
 
     def on_message_complete(self) -> None:
         """Handle the request, or queue it behind the one in progress."""
-        if self._is_broken:
+        if self._is_broken or self._parser.should_upgrade():
             return
         self._is_reading = False
         request = Request(
@@ -236,6 +241,26 @@
         self._head_size = 0
         self._body_size = 0
 
+    def _without_upgrade(self, rest: bytes) -> bytes:
+        """Return what is to be parsed instead of a request with an upgrade.
+
+        The parser ends such a request with its head and leaves ``rest`` for
+        the other protocol. As no upgrade is supported, the request is parsed
+        again without the offer, by a new parser, and keeps its body.
+        """
+        method = self._parser.get_method()
+        if method == _CONNECT:
+            self._refuse(_BAD_REQUEST)
+            return b''
+        head = encode_head_without_upgrade(
+            method=method,
+            target=self._target,
+            version=self._parser.get_http_version(),
+            headers=self._headers,
+        )
+        self._parser = HttpRequestParser(self)
+        return head + rest
+
     def _start(self, request: Request) -> None:
         self._current = request
         token = self._handler.handle(request, self)
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -5,6 +5,10 @@
 from lovageshunt.http1 import Request, ServerConnection, ServerLimits
 from tests.http1.wire import FakeTransport
 
+UPGRADE = (
+    b'POST /buy HTTP/1.1\r\nHost: x\r\nX-Attempt: a1\r\nUpgrade: h2c\r\n'
+    b'Connection: Upgrade, HTTP2-Settings\r\nHTTP2-Settings: AAMAAABk\r\n'
+)
 GET = b'GET /a/b HTTP/1.1\r\nHost: x.example\r\n\r\n'
 
 
@@ -84,6 +88,57 @@
         assert not respond(connection)
         assert not transport.written
 
+    def test_keeps_the_body_of_a_request_that_offers_an_upgrade(self) -> None:
+        """The offer is ignored and the request is served with its body.
+
+        Guards against UNASKED: such a purchase ran with an empty body.
+        """
+        framings = {
+            b'Content-Length: 5': b'abcde',
+            b'Transfer-Encoding: chunked': b'2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n',
+        }
+        for framing, body in framings.items():
+            sent = b'%b%b\r\n\r\n%b%b' % (UPGRADE, framing, body, GET)
+            for size, _ in enumerate(sent):
+                handler, connection, transport = connect()
+                connection.data_received(sent[:size])
+                connection.data_received(sent[size:])
+                first = handler.requests[0]
+                assert (first.method, first.target) == (b'POST', b'/buy')
+                assert first.body == b'abcde'
+                assert first.header(b'x-attempt') == b'a1'
+                assert not first.header(b'upgrade')
+                assert first.keeps_alive
+                respond(connection)
+                assert handler.requests[1].target == b'/a/b'
+                assert not transport.is_closed
+
+    def test_closes_after_an_upgrade_if_asked_to(self) -> None:
+        """Other options of the connection field stay in force."""
+        handler, connection, _ = connect()
+        connection.data_received(
+            b'GET / HTTP/1.1\r\nHost: x\r\nConnection: upgrade, close\r\n'
+            b'Upgrade: websocket\r\n\r\n'
+        )
+        assert not handler.requests[0].keeps_alive
+
+    def test_refuses_to_connect(self) -> None:
+        """A request for a tunnel gets status 400 and is not handled."""
+        handler, connection, transport = connect()
+        connection.data_received(b'CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\nab')
+        assert not handler.requests
+        assert transport.written.startswith(b'HTTP/1.1 400')
+        assert transport.is_closed
+
+    def test_serves_many_upgrades_at_once(self) -> None:
+        """However many requests with offers arrive in one read."""
+        handler, connection, _ = connect()
+        sent = UPGRADE + b'Content-Length: 0\r\n\r\n'
+        connection.data_received(sent * 2000)
+        for _ in range(1999):
+            respond(connection)
+        assert len(handler.requests) == 2000
+
     def test_refuses_a_malformed_request(self) -> None:
         """A malformed request gets status 400 and a closed connection."""
         handler, connection, transport = connect()
