Refuse a request whose body the server has not read

What callers would see: a purchase with a body and an offer to upgrade runs with an empty body, and is answered 200.

Change: the node, its egress and the library refuse a request that offers an upgrade, states a body and has none, with 400 and the remedy. Unlike the sidecar, which reads the body, they see only what the server hands over.

--- a/src/lovageshunt/client/_asgi.py
+++ b/src/lovageshunt/client/_asgi.py
@@ -23,6 +23,8 @@
 AsgiApp = Callable[[AsgiScope, Receive, Send], Awaitable[None]]
 
 _DISCONNECT: Final = 'http.disconnect'
+_BAD_REQUEST: Final = 400
+_TOO_LARGE: Final = 413
 
 
 class InboundRequest(Record):
@@ -54,14 +56,26 @@
 class ReadFailure(Record):
     """Why a request was not read.
 
-    ``is_disconnected`` is true if its caller disconnected, and false if the
-    body exceeds the limit.
+    ``status`` is that of the refusal, ``detail`` its reason for the caller.
+    Without a status the caller has disconnected.
     """
 
-    __slots__ = ('is_disconnected',)
+    __slots__ = ('status', 'detail')
 
-    def __init__(self, *, is_disconnected: bool) -> None:
-        self.is_disconnected = is_disconnected
+    def __init__(self, *, status: int = 0, detail: str = '') -> None:
+        self.status = status
+        self.detail = detail
+
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether there is no caller any more to respond to."""
+        return not self.status
+
+
+_BODY_LOST: Final = ReadFailure(
+    status=_BAD_REQUEST,
+    detail='a request with a body cannot offer an upgrade; send it without',
+)
 
 
 async def read_inbound(
@@ -76,13 +90,38 @@
     while is_more:
         message = await receive()
         if message['type'] == _DISCONNECT:
-            return Error(ReadFailure(is_disconnected=True))
+            return Error(ReadFailure())
         chunks.append(message.get('body', b''))
         size += len(chunks[-1])
         if size > max_body_bytes:
-            return Error(ReadFailure(is_disconnected=False))
+            return Error(_too_large(max_body_bytes))
         is_more = message.get('more_body', False)
-    return Ok(_inbound_of(scope, b''.join(chunks)))
+    inbound = _inbound_of(scope, b''.join(chunks))
+    if _lacks_body(inbound):
+        return Error(_BODY_LOST)
+    return Ok(inbound)
+
+
+def _too_large(max_body_bytes: int) -> ReadFailure:
+    return ReadFailure(
+        status=_TOO_LARGE,
+        detail=(
+            f'the body is over {max_body_bytes} bytes; send less, or raise '
+            '[limits] body_bytes'
+        ),
+    )
+
+
+def _lacks_body(inbound: InboundRequest) -> bool:
+    """Return whether the server has not read the body of a request.
+
+    The HTTP parser ends a request that offers an upgrade with its head.
+    """
+    headers = inbound.headers
+    if inbound.body or 'upgrade' not in headers:
+        return False
+    has_length = headers.get('content-length', '0') != '0'
+    return has_length or 'transfer-encoding' in headers
 
 
 async def respond(
--- a/src/lovageshunt/client/_inbound.py
+++ b/src/lovageshunt/client/_inbound.py
@@ -32,7 +32,6 @@
 
 _SCOPE_KEY: Final = 'lovageshunt.scope'
 _MIN_FAILURE_STATUS: Final = 500
-_TOO_LARGE_STATUS: Final = 413
 _DEADLINE_STATUS: Final = 504
 _DEADLINE_RETRY_AFTER_MS: Final = 1000
 _DEFAULT_TIMEOUT_MS: Final = 60_000
@@ -72,7 +71,7 @@
             if not read_result.error.is_disconnected:
                 await respond(
                     send,
-                    status=_TOO_LARGE_STATUS,
+                    status=read_result.error.status,
                     headers=[],
                     body=b'',
                 )
--- a/src/lovageshunt/node/egress/_egress.py
+++ b/src/lovageshunt/node/egress/_egress.py
@@ -23,6 +23,7 @@
     AsgiScope,
     Engine,
     InboundRequest,
+    ReadFailure,
     Receive,
     Send,
     call_error,
@@ -51,7 +52,6 @@
 _BAD_REQUEST_STATUS: Final = 400
 _FORBIDDEN_STATUS: Final = 403
 _NOT_FOUND_STATUS: Final = 404
-_TOO_LARGE_STATUS: Final = 413
 _JSON: Final = (b'content-type', b'application/json')
 _ANSWER_NAME: Final = ANSWER_HEADER.encode()
 
@@ -115,7 +115,7 @@
         reading = await read_inbound(scope, receive, self._max_body_bytes)
         if reading.is_error():
             if not reading.error.is_disconnected:
-                await _refuse(send, self._too_large())
+                await _refuse(send, _refusal_of(reading.error))
             return
         inbound = reading.ok
         found = self._find(inbound)
@@ -192,13 +192,9 @@
             served.has_unknown = True
         return reply
 
-    def _too_large(self) -> _Refusal:
-        return _Refusal(
-            _TOO_LARGE_STATUS,
-            RefusalReason.MALFORMED,
-            f'the body is over {self._max_body_bytes} bytes; send less, or '
-            'raise [limits] body_bytes',
-        )
+
+def _refusal_of(failure: ReadFailure) -> _Refusal:
+    return _Refusal(failure.status, RefusalReason.MALFORMED, failure.detail)
 
 
 async def _await_downstream(
--- a/src/lovageshunt/node/serving/_ingress.py
+++ b/src/lovageshunt/node/serving/_ingress.py
@@ -48,7 +48,6 @@
 from lovageshunt.rules import KindRule
 
 _MS_PER_SECOND: Final = 1000
-_TOO_LARGE_STATUS: Final = 413
 _BAD_REQUEST_STATUS: Final = 400
 _RETRY_BOUND_STATUS: Final = 429
 _OK_STATUS: Final = 200
@@ -113,7 +112,7 @@
                 self._rule_of(scope['method'], scope['path']),
                 send,
                 reason=RefusalReason.MALFORMED,
-                status=_TOO_LARGE_STATUS,
+                status=result.error.status,
                 is_external=_is_external(scope),
             )
 
