Give each loss of a link its full time to resume

What callers would see: 502 for a purchase that runs at a node whose link breaks twice within 2.5 s.

Cause: the timer that ends calls after a loss did not ask whether the link had been resumed since; a second loss was given up when the time of the first was over.

Evidence: tests/links/test_dialer.py::test_gives_each_loss_its_full_time, 1 failed and 10 passed before: unknown 0.9 s after the second loss.

Change: a timer ends calls only if its own loss lasts. The two times stand in one table.

Measured: tests/links 101 passed.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -10,6 +10,7 @@
 )
 from collections.abc import Callable, Iterator
 from logging import getLogger
+from types import MappingProxyType
 from typing import Final, cast
 
 from lovageshunt._receiving import ReceivingProtocol
@@ -44,11 +45,9 @@
 #: The most that one check adds to a silence. Checks are further apart only if
 #: this process stood still, and then it has not read what arrived meanwhile.
 _MAX_CHECK_INTERVAL_SECONDS: Final = 0.5
-#: How long a lost link may take to reconnect before its repeatable calls are
-#: ended, so that they are retried elsewhere.
-_RESUME_SECONDS: Final = 0.3
-#: The same for calls that must not be repeated.
-_RESUME_ONCE_SECONDS: Final = 2.5
+#: How long a lost link may take to reconnect before its calls are ended, by
+#: whether they are repeatable: those are retried elsewhere.
+_RESUME_SECONDS: Final = MappingProxyType({True: 0.3, False: 2.5})
 
 EndedCallback = Callable[[RunAnswer], None]
 
@@ -240,8 +239,10 @@
             },
         )
         loop = get_running_loop()
-        loop.call_later(_RESUME_SECONDS, self._expire_unresumed, True)
-        loop.call_later(_RESUME_ONCE_SECONDS, self._expire_unresumed, False)
+        for is_repeatable, seconds in _RESUME_SECONDS.items():
+            loop.call_later(
+                seconds, self._expire_unresumed, is_repeatable, self._lost_at
+            )
         self.open()
 
     async def _connect(self) -> None:
@@ -294,8 +295,9 @@
         if sent is not None and not sent.is_written:
             self._give_up(stream)
 
-    def _expire_unresumed(self, is_repeatable: bool) -> None:
-        if self._connection is not None:
+    def _expire_unresumed(self, is_repeatable: bool, lost_at: float) -> None:
+        """End calls, unless the link was resumed since it was lost then."""
+        if self._lost_at != lost_at:
             return
         for stream, sent in list(self._sent_by_stream.items()):
             if sent.order.is_repeatable == is_repeatable:
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -201,6 +201,28 @@
             await until(lambda: bool(answers))
             assert answers[0].outcome is Outcome.ANSWERED
 
+    async def test_gives_each_loss_its_full_time(self) -> None:
+        """A link that is lost a second time may take as long to resume.
+
+        Guards against a purchase that is given up while its peer is back.
+        """
+        async with connected_dialer() as (peer, dialer):
+            peer.answers_orders = False
+            answers: list[RunAnswer] = []
+            dialer.send(order(is_repeatable=False), answers.append)
+            await until(lambda: dialer.is_up)
+            peer.abort_connections()
+            await until(lambda: peer.connection_count == 2 and dialer.is_up)
+            await asyncio.sleep(1.6)
+            peer.sends_greeting = False
+            peer.abort_connections()
+            await asyncio.sleep(1.2)
+            assert not answers
+            peer.sends_greeting = True
+            peer.answers_orders = True
+            await until(lambda: bool(answers))
+            assert answers[0].outcome is Outcome.ANSWERED
+
     async def test_ends_calls_as_unknown_after_a_restart(self) -> None:
         """An order sent to an earlier incarnation is unknown at once."""
         async with connected_dialer() as (peer, dialer):
