--- a/tests/pressure/test_root_gate.py
+++ b/tests/pressure/test_root_gate.py
@@ -169,6 +169,36 @@
         assert 0 < min(waits) < max(waits) < 1
 
 
+class TestFrequentKind:
+    """A kind of which many requests come, each with a small demand."""
+
+    def test_is_refused_with_the_others(self) -> None:
+        """It gives way if it takes most of a service that is full.
+
+        Guards against RECOVER: screens that kept the bottom full were never
+        refused, as another kind counted for ten times as much a request.
+        """
+        fleet = Fleet(0.5)
+        model = demand_of_the_load()
+        costly = KindDemand(
+            node='n', service='bottom', seconds=1.5, calls_by_kind={}
+        )
+        model.learn('quote', costly)
+        admission = RootAdmission(
+            demand_model=model,
+            arrivals=fleet.arrivals,
+            retries=fleet.retries,
+            internal_calls=fleet.internal_calls,
+            rng=Random(3),
+        )
+        fleet.admission = admission
+        fleet.report(0)
+        fleet.arrivals.learn('n', {'check': 10_000, 'quote': 1}, 1, 0)
+        admission.decision('quote', 2, 0)
+        decisions = [admission.decision('check', 2, 1) for _ in range(200)]
+        assert any(each.retry_seconds is not None for each in decisions)
+
+
 class TestRefusedCalls:
     """Targets of ``bottom`` with free slots refuse every other call.
 
