--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -299,8 +299,8 @@
         monkeypatch: pytest.MonkeyPatch,
     ) -> None:
         """A non-repeatable call whose node is lost fails, and runs once."""
-        timeout = 'lovageshunt.links._dialer._RESUME_ONCE_SECONDS'
-        monkeypatch.setattr(timeout, 0.2)
+        timeouts = 'lovageshunt.links._dialer._RESUME_SECONDS'
+        monkeypatch.setattr(timeouts, {True: 0.3, False: 0.2})
         async with world_of(3) as world:
             for target in world.targets:
                 target.serve = never
