--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -1,10 +1,13 @@
 """A node that is stopped as planned, and what its clients get."""
 
 import asyncio
+from typing import cast
 
 import pytest
 
 from lovageshunt.http1 import Request, ServerConnection, ServerLimits
+from lovageshunt.sidecar._executor import Executor
+from lovageshunt.sidecar._origin import Origin
 from lovageshunt.sidecar._planned_stop import PlannedStop
 from tests.http1.wire import FakeTransport
 from tests.sidecar.world import (
@@ -152,8 +155,8 @@
 
     def planned_stop(self) -> PlannedStop:
         return PlannedStop(
-            origin=self,  # type: ignore[arg-type]
-            executor=self,  # type: ignore[arg-type]
+            origin=cast(Origin, self),
+            executor=cast(Executor, self),
             clients=self.clients,
             tick=self.close,
             close=self.close,
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -376,7 +376,9 @@
     return int(received.line.split()[1])
 
 
-async def wait_until(condition: object, seconds: float = 2) -> None:
+async def wait_until(
+    condition: Callable[[], object], seconds: float = 2
+) -> None:
     async with asyncio.timeout(seconds):
-        while not condition():  # type: ignore[operator]
+        while not condition():
             await asyncio.sleep(0.01)
