Tell in logs and metrics which orders are sent or refused a second time

Cause: nothing said that an order had arrived again unless it was forgotten, which orders a link's loss had sent again, or that a departing target's node had refused the orders that waited.

Evidence: the page's last section; read in links and executor.

Ruled out: a line an order at the receiver, which would be hundreds at the loss of one link. The sender names up to eight that must not run twice.

Change: `lovageshunt_orders_again_total` by state (in_progress, answered, forgotten); a line at the sender when a link is back; a line at the node of a target that left, with how many orders waited and how many were sent. No decision changes.

--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -30,6 +30,8 @@
 #: How long a lost link may take to reconnect before its calls are ended, by
 #: whether they are repeatable: those are retried elsewhere.
 _RESUME_SECONDS: Final = MappingProxyType({True: 0.3, False: 2.5})
+#: The orders that a log line names; it names those that must not run twice.
+_MAX_LOGGED_ORDERS: Final = 8
 
 EndedCallback = Callable[[RunAnswer], None]
 
@@ -190,6 +192,7 @@
         self._connection = connection
         self._lost_at = None
         self._pause = _INITIAL_PAUSE_SECONDS
+        self._log_resumed(is_same)
         for stream, sent in list(self._sent_by_stream.items()):
             if sent.is_written and not is_same:
                 self._give_up(stream)
@@ -227,6 +230,32 @@
             )
         self.open()
 
+    def _log_resumed(self, is_same: bool) -> None:
+        """Log the orders that were in flight when the link was lost."""
+        written = [
+            sent.order
+            for sent in self._sent_by_stream.values()
+            if sent.is_written
+        ]
+        if not written:
+            return
+        logged = [each for each in written if not each.is_repeatable]
+        if is_same:
+            message = 'link is back, sending the orders in flight again'
+        else:
+            message = 'node has restarted, ending its orders as unknown'
+        _log.info(
+            message,
+            extra={
+                'peer': self._host,
+                'in_flight': len(written),
+                'request_ids': [
+                    each.attempt_id.decode('latin-1')
+                    for each in logged[:_MAX_LOGGED_ORDERS]
+                ],
+            },
+        )
+
     async def _connect(self) -> None:
         loop = get_running_loop()
         while not self._is_closed and self._connection is None:
--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -149,7 +149,7 @@
         if self.peer is None:
             raise MalformedFrameError('received an order before the greeting')
         key = (self.peer.incarnation, frame.stream)
-        earlier = self._recent_orders.by_key.get(key)
+        earlier = self._recent_orders.find(key)
         if earlier is not None:
             earlier.link = self
             if earlier.answer is not None:
--- a/src/lovageshunt/links/_recent_orders.py
+++ b/src/lovageshunt/links/_recent_orders.py
@@ -1,5 +1,6 @@
 """Recognises orders that arrive again, and keeps their answers for a time."""
 
+from collections import Counter
 from heapq import heappop, heappush
 from typing import Any, Final
 
@@ -57,7 +58,8 @@
     sender, of this process and of the network together, so an order that was
     forgotten is told from a new one by its stream number: a sender numbers its
     orders in the order in which it sends them. Times are in seconds on the
-    process's clock.
+    process's clock. ``again_by_state`` counts the orders that arrived again, by
+    what had become of them.
     """
 
     __slots__ = (
@@ -65,6 +67,7 @@
         '_answered',
         '_kept_bytes',
         '_last_forgotten_by_sender',
+        'again_by_state',
     )
 
     def __init__(self) -> None:
@@ -72,6 +75,15 @@
         self._answered: list[tuple[float, OrderKey]] = []
         self._kept_bytes = 0
         self._last_forgotten_by_sender: dict[str, int] = {}
+        self.again_by_state: Counter[str] = Counter()
+
+    def find(self, key: OrderKey) -> AcceptedOrder | None:
+        """Return an order that arrives again; count it by its state."""
+        earlier = self.by_key.get(key)
+        if earlier is not None:
+            is_over = earlier.answer is not None
+            self.again_by_state['answered' if is_over else 'in_progress'] += 1
+        return earlier
 
     def answer_if_forgotten(self, key: OrderKey) -> bytes | None:
         """Return the encoded answer to an order that may have run before.
@@ -82,6 +94,7 @@
         last = self._last_forgotten_by_sender.get(sender, 0)
         if key in self.by_key or stream > last:
             return None
+        self.again_by_state['forgotten'] += 1
         return _ANSWER_IF_FORGOTTEN
 
     def note_answered(self, key: OrderKey, answer: bytes, now: float) -> None:
--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -259,4 +259,12 @@
         meaning='links between nodes, opened here and accepted here',
         alert='accepted 0 for 1 min at a node whose target gets calls',
     ),
+    MetricSpec(
+        name='lovageshunt_orders_again_total',
+        kind=COUNTER,
+        labels=('state',),
+        meaning='orders that arrived again after their link was lost: '
+        'in_progress, answered or forgotten',
+        alert='any forgotten',
+    ),
 )
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -183,6 +183,14 @@
             if self._has_left(run.order.target_id)
         ]
         waiting_runs = [run for run in departed if run.sending is None]
+        if departed:
+            _log.info(
+                'target left, refusing the calls that wait',
+                extra={
+                    'waiting': len(waiting_runs),
+                    'sent': len(departed) - len(waiting_runs),
+                },
+            )
         for waiting in waiting_runs:
             self._run_by_call_id.pop(waiting.call_id)
             self._handle(Cancelled(waiting.call_id))
--- a/src/lovageshunt/sidecar/_metrics.py
+++ b/src/lovageshunt/sidecar/_metrics.py
@@ -1,5 +1,7 @@
 """The metrics of a sidecar and the handler that serves them as text."""
 
+from collections.abc import Mapping
+
 from lovageshunt.calls import LoadReport, Outcome, RefusalReason
 from lovageshunt.http1 import Request, ServerConnection
 from lovageshunt.observability import Metrics
@@ -96,8 +98,16 @@
             }
         )
 
-    def set_links(self, *, opened: int, accepted: int) -> None:
-        """Set the number of links to other nodes, by who opened them."""
+    def set_links(
+        self, *, opened: int, accepted: int, again_by_state: Mapping[str, int]
+    ) -> None:
+        """Set the number of links to other nodes, by who opened them.
+
+        ``again_by_state`` counts the orders that arrived on them again.
+        """
+        for state, number in again_by_state.items():
+            name = 'lovageshunt_orders_again_total'
+            self._registry.series(name, state).value = number
         self._registry.series('lovageshunt_links', 'opened').value = opened
         self._registry.series('lovageshunt_links', 'accepted').value = accepted
 
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -1,5 +1,6 @@
 """The links between nodes, in both directions, and their control frames."""
 
+from collections.abc import Mapping
 from itertools import count
 
 from lovageshunt.links import (
@@ -67,6 +68,11 @@
         """The number of links that other nodes have to this one."""
         return len(self._incoming)
 
+    @property
+    def again_by_state(self) -> Mapping[str, int]:
+        """How many orders arrived again, by what had become of them."""
+        return self._recent_orders.again_by_state
+
     def broadcast(self, kind: FrameKind, payload: bytes) -> None:
         """Send a frame to the nodes that have a link to this one."""
         for link in self._incoming:
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -297,6 +297,7 @@
         self._metrics.set_links(
             opened=self._peers.open_count,
             accepted=self._links.incoming_count,
+            again_by_state=self._links.again_by_state,
         )
         self._metrics.set_suppressed(self._suppressed())
 
--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -6,6 +6,8 @@
 from contextlib import asynccontextmanager, suppress
 from itertools import count
 
+import pytest
+
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
 from lovageshunt.links import (
@@ -22,6 +24,7 @@
 )
 from tests.links.orders import order
 from tests.loopback import own_host
+from tests.only import only
 
 HOST = own_host(109)
 PORT = 18311
@@ -201,6 +204,24 @@
             await until(lambda: bool(answers))
             assert answers[0].outcome is Outcome.ANSWERED
 
+    async def test_logs_which_orders_it_sends_again(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """The line names those that must not run twice."""
+        caplog.set_level('INFO')
+        async with connected_dialer() as (peer, dialer):
+            peer.answers_orders = False
+            dialer.send(order(is_repeatable=False), lambda _: None)
+            dialer.send(order(is_repeatable=True), lambda _: None)
+            await until(lambda: dialer.is_up)
+            peer.abort_connections()
+            await until(lambda: peer.connection_count == 2 and dialer.is_up)
+        resumed = only(
+            [each for each in caplog.records if 'again' in each.message]
+        )
+        assert resumed.__dict__['request_ids'] == ['a']
+        assert resumed.__dict__['in_flight'] == 2
+
     async def test_gives_each_loss_its_full_time(self) -> None:
         """A link that is lost a second time may take as long to resume.
 
--- a/tests/links/test_incoming.py
+++ b/tests/links/test_incoming.py
@@ -151,6 +151,23 @@
         assert len(receiver.handler.started) == 1
         assert link.answers[1].outcome is Outcome.ANSWERED
 
+    def test_is_counted_by_what_became_of_it(self, receiver: Receiver) -> None:
+        """The metric tells orders in progress, answered and forgotten."""
+        once = order(is_repeatable=False, deadline=receiver.now + 6)
+        receiver.accept_link().send(1, once)
+        receiver.accept_link().send(1, once)
+        receiver.handler.ends[0](ANSWER)
+        receiver.accept_link().send(1, once)
+        receiver.now += 60
+        receiver.accept_link().send(2, once)
+        receiver.handler.ends[1](ANSWER)
+        receiver.accept_link().send(1, once)
+        assert receiver.recent_orders.again_by_state == {
+            'in_progress': 1,
+            'answered': 1,
+            'forgotten': 1,
+        }
+
 
 class TestCancelledOrder:
     """An order whose client has left."""
