Show that a departing target's node tells sent purchases as not run

`Executor.withdraw_departed` lists the orders that wait, then cancels them one after the other in the queue. Each event lets the queue dispatch what is due, so that orders later in the list are sent to the target and then told as not run. Their origin sends them to another target.

A target names a limit of calls and leaves while the node is a quarter of a second late: of three waiting purchases two are sent and told as not run.

Ruled out: a new connection to the target saves the order, since it is withdrawn before it is open; so it takes idle connections, as under traffic.

--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Container
+from functools import partial
 
 import pytest
 
+from lovageshunt.admission import RateLimitReported
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
 from lovageshunt.links import RunAnswer, RunOrder
@@ -19,6 +21,7 @@
     FakeTarget,
     Received,
     answer,
+    wait_until,
 )
 
 
@@ -62,14 +65,16 @@
     )
 
 
-def order(attempt: str, *, is_repeat: bool) -> RunOrder:
+def order(
+    attempt: str, *, is_repeat: bool = False, is_repeatable: bool = True
+) -> RunOrder:
     return RunOrder(
         attempt_id=attempt.encode(),
         target_id='i-1',
         kind='/read/',
         caller_service='own',
         importance=1,
-        is_repeatable=True,
+        is_repeatable=is_repeatable,
         is_repeat=is_repeat,
         deadline=clock_now() + 2,
         method=b'GET',
@@ -221,3 +226,72 @@
                 await asyncio.sleep(0.01)
         assert answers[0].outcome is Outcome.UNKNOWN
         target.close()
+
+
+class TestDepartureOfLimitedTarget:
+    """A target that limits its calls leaves while calls wait for it.
+
+    ``now`` is ahead of the clock: the process was busy for a moment, so that
+    timers are due that have not run.
+    """
+
+    async def test_tells_no_call_as_not_run_that_was_sent(
+        self, target: HeldTarget, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against TWICE: such a call runs at another target as well."""
+        clock = Clock(monkeypatch)
+        departed: set[str] = set()
+        executor = executor_of(target, departed)
+        await open_connections(executor, target)
+        answer_by_attempt = submit_beyond_limit(executor, clock, 'abcd')
+        clock.now += 0.25
+        departed.add('i-1')
+        executor.withdraw_departed()
+        await asyncio.sleep(0.1)
+        sent = {received.attempt for received in target.received}
+        not_run = {
+            attempt
+            for attempt, got in answer_by_attempt.items()
+            if got.outcome is Outcome.NOT_RUN
+        }
+        assert sent & not_run == set()
+        assert sent | not_run == set('abcd')
+
+
+class Clock:
+    """The clock of an executor, as the test sets it."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = clock_now()
+        monkeypatch.setattr(
+            'lovageshunt.sidecar._executor.clock_now', lambda: self.now
+        )
+
+
+async def open_connections(executor: Executor, target: HeldTarget) -> None:
+    """Have calls answered, so that idle connections are there."""
+    answers: list[RunAnswer] = []
+    target.go_on.set()
+    for attempt in ('x', 'y', 'z'):
+        executor.submit(order(attempt), answers.append)
+    await wait_until(lambda: len(answers) == 3)
+    target.go_on.clear()
+    target.received.clear()
+
+
+def submit_beyond_limit(
+    executor: Executor, clock: Clock, attempts: str
+) -> dict[str, RunAnswer]:
+    """Submit calls of which the target takes the first only for now.
+
+    Return the answers by attempt, as they come.
+    """
+    limit = RateLimitReported(per_second=10)
+    executor.queue.handle(limit, clock.now)
+    answer_by_attempt: dict[str, RunAnswer] = {}
+    for attempt in attempts:
+        executor.submit(
+            order(attempt, is_repeatable=False),
+            partial(answer_by_attempt.__setitem__, attempt),
+        )
+    return answer_by_attempt
