Refuse all calls that wait for a target that left in one decision

Callers saw: a purchase that was told as not run, and ran; it went to another target and ran there too (TWICE), or ended with 503 (REFUSED).

Cause: when its target left, a node made a list of the orders that wait and cancelled them in the queue one by one. Each event lets the queue dispatch what is due meanwhile, as a limit of calls a second makes it: orders further down the list were sent, and then told as not run. An order that was overdue by then was refused by the queue and looked up again by the loop, which ended it with KeyError: the rest were not refused, and the news was not applied to the end.

Ruled out: slots without a limit, for a call waits only while none is free and a cancelled one that waits frees none. Looked for the same elsewhere: the loops of the dialer, of incoming links and of the planned stop ask for the state of each call when they come to it, or decide on all in one event.

Change: `TargetLeft` names the calls; the queue refuses those of them that wait before it dispatches anything, and the node acts on what the queue says. `send_time` moves into `RateLimit`. The queue's state machine in the tests knows limits, lateness and departures now; it would have held before, as the fault lay between queue and node.

--- a/src/lovageshunt/admission/__init__.py
+++ b/src/lovageshunt/admission/__init__.py
@@ -15,6 +15,7 @@
     LoadReported,
     RateLimitReported,
     Refuse,
+    TargetLeft,
 )
 from lovageshunt.admission._levels import OPEN_THRESHOLD, is_refused
 from lovageshunt.admission._settings import AdmissionSettings, CallerSettings
@@ -38,6 +39,7 @@
     'LoadReported',
     'RateLimitReported',
     'Refuse',
+    'TargetLeft',
     'TargetQueue',
     'is_refused',
 ]
--- a/src/lovageshunt/admission/_events.py
+++ b/src/lovageshunt/admission/_events.py
@@ -107,6 +107,19 @@
     __slots__ = ()
 
 
+class TargetLeft(Record):
+    """The target of some calls takes no more of them.
+
+    Those of ``call_ids`` that still wait are refused; the others are for
+    another target at the same address, or were dispatched.
+    """
+
+    __slots__ = ('call_ids',)
+
+    def __init__(self, call_ids: frozenset[str]) -> None:
+        self.call_ids = call_ids
+
+
 class Admit(_CallRecord):
     """Send the call to the target now."""
 
@@ -151,5 +164,6 @@
     | LoadReported
     | RateLimitReported
     | DrainStarted
+    | TargetLeft
 )
 Action: TypeAlias = Admit | Refuse | Abort
--- a/src/lovageshunt/admission/_rate_limit.py
+++ b/src/lovageshunt/admission/_rate_limit.py
@@ -52,6 +52,10 @@
         missing = calls - _ROUNDING - self._available
         return max(0, missing / _rate_of(self.per_second))
 
+    def send_time(self, ahead: int, now: float) -> float:
+        """Return when a call may be sent that is behind ``ahead`` others."""
+        return now + self.wait_seconds(ahead + 1, now)
+
     def _refill(self, now: float) -> None:
         if self.per_second is None:
             return
--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -23,6 +23,7 @@
     LoadReported,
     RateLimitReported,
     Refuse,
+    TargetLeft,
 )
 from lovageshunt.admission._queue import WaitingCall, WaitingQueue
 from lovageshunt.admission._rate_limit import RateLimit
@@ -231,7 +232,9 @@
             call_id: due for due, call_id in self._queue_deadlines
         }
         for call in self._queue.ordered():
-            if self._sent_at(call, now) > due_by_call_id[call.call_id]:
+            ahead = self._queue.ahead_of(call)
+            sent_at = self._rate_limit.send_time(ahead, now)
+            if sent_at > due_by_call_id[call.call_id]:
                 self._queue.remove(call.call_id)
                 reason = RefusalReason.QUEUE_FULL
                 actions.append(self._refusal(call, reason, now))
@@ -248,6 +251,24 @@
             self._queue.remove(call.call_id)
             actions.append(self._refusal(call, RefusalReason.LEAVING, now))
 
+    @_handle_event.register
+    def _on_target_left(
+        self,
+        event: TargetLeft,
+        actions: list[Action],
+        now: float,
+    ) -> None:
+        for call in self._queue.ordered():
+            if call.call_id in event.call_ids:
+                self._queue.remove(call.call_id)
+                actions.append(
+                    Refuse(
+                        call_id=call.call_id,
+                        reason=RefusalReason.LEAVING,
+                        retry_after_ms=0,
+                    ),
+                )
+
     def _shortage(
         self,
         call: WaitingCall,
@@ -259,7 +280,8 @@
         A limit of calls is a matter of this target alone, so that another one
         may have room for the call.
         """
-        if self._sent_at(call, now) > min(queue_deadline, call.deadline):
+        sent_at = self._rate_limit.send_time(self._queue.ahead_of(call), now)
+        if sent_at > min(queue_deadline, call.deadline):
             return RefusalReason.QUEUE_FULL
         if len(self._running) < self.limit:
             return None if now < call.deadline else RefusalReason.OVERLOAD
@@ -270,11 +292,6 @@
             return None
         return RefusalReason.OVERLOAD
 
-    def _sent_at(self, call: WaitingCall, now: float) -> float:
-        """Return when the limit of calls allows to send a call."""
-        ahead = self._queue.ahead_of(call) + 1
-        return now + self._rate_limit.wait_seconds(ahead, now)
-
     def _dispatch_waiting(self, actions: list[Action], now: float) -> None:
         while self._queue and len(self._running) < self.limit:
             if not self._rate_limit.take(now):
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -20,6 +20,7 @@
     LoadReported,
     RateLimitReported,
     Refuse,
+    TargetLeft,
     TargetQueue,
 )
 from lovageshunt.calls import Outcome, level_of
@@ -175,29 +176,25 @@
     def withdraw_departed(self) -> None:
         """Refuse the orders that have not been sent to a target that left.
 
-        Those that wait go first: a slot that becomes free is not for them.
+        The queue decides on all of them at once, so that it dispatches none
+        that is refused. An order that left it is sent once its connection is
+        open; until then it can be withdrawn.
         """
         departed = [
             run
             for run in self._run_by_call_id.values()
             if self._has_left(run.order.target_id)
         ]
-        waiting_runs = [run for run in departed if run.sending is None]
-        if departed:
-            _log.info(
-                'target left, refusing the calls that wait',
-                extra={
-                    'waiting': len(waiting_runs),
-                    'sent': len(departed) - len(waiting_runs),
-                },
-            )
-        for waiting in waiting_runs:
-            self._run_by_call_id.pop(waiting.call_id)
-            self._handle(Cancelled(waiting.call_id))
-            self._answer(waiting, refusal_of_departed(self.queue.load()))
-        for run in departed:
-            if run.sending is not None:
-                run.sending.withdraw()
+        if not departed:
+            return
+        sent = [run.sending for run in departed if run.sending is not None]
+        _log.info(
+            'target left, refusing the calls that wait',
+            extra={'waiting': len(departed) - len(sent), 'sent': len(sent)},
+        )
+        self._handle(TargetLeft(frozenset(run.call_id for run in departed)))
+        for sending in sent:
+            sending.withdraw()
 
     def advance(self, now: float) -> bool:
         """Close elapsed windows; return whether one of demand was closed."""
--- a/tests/admission/test_target_queue.py
+++ b/tests/admission/test_target_queue.py
@@ -11,7 +11,9 @@
     DrainStarted,
     Finished,
     LoadReported,
+    RateLimitReported,
     Refuse,
+    TargetLeft,
     TargetQueue,
 )
 from lovageshunt.calls import RefusalReason, level_of
@@ -124,6 +126,18 @@
         reasons = [each.reason for each in actions if isinstance(each, Refuse)]
         assert reasons == [RefusalReason.LEAVING] * 2
 
+    def test_sends_nothing_that_waits_for_a_target_that_left(self) -> None:
+        """Though more calls are due, those of the target are all refused."""
+        queue = TargetQueue(slots=9)
+        queue.handle(RateLimitReported(per_second=10), 0)
+        for call_id in 'abcde':
+            queue.handle(arrived(call_id), 0)
+        actions = queue.handle(TargetLeft(frozenset('abcd')), 0.25)
+        refused = [each for each in actions if isinstance(each, Refuse)]
+        assert {each.call_id for each in refused} == set('bcd')
+        assert {each.reason for each in refused} == {RefusalReason.LEAVING}
+        assert actions[-1] == Admit('e')
+
 
 class QueueMachine(RuleBasedStateMachine):
     """Feeds arbitrary events; each call gets exactly one outcome."""
@@ -178,6 +192,22 @@
             call_id = self.open.pop()
             self.handle(Cancelled(call_id))
 
+    @rule(seconds=st.floats(0, 1))
+    def be_late(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(per_second=st.none() | st.floats(0, 20))
+    def limit(self, per_second: float | None) -> None:
+        self.handle(RateLimitReported(per_second=per_second))
+
+    @rule(keeps=st.integers(0, 2))
+    def leave(self, keeps: int) -> None:
+        departed = frozenset(sorted(self.open)[keeps:])
+        running = set(self.running)
+        self.handle(TargetLeft(departed))
+        assert not departed & self.open
+        assert not departed & (self.running - running)
+
     @invariant()
     def runs_no_more_than_the_slots(self) -> None:
         assert len(self.running) <= 3
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -257,6 +257,22 @@
         assert sent & not_run == set()
         assert sent | not_run == set('abcd')
 
+    async def test_refuses_every_waiting_call_though_one_is_overdue(
+        self, target: HeldTarget, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against calls at a target that has left."""
+        clock = Clock(monkeypatch)
+        departed: set[str] = set()
+        executor = executor_of(target, departed)
+        await open_connections(executor, target)
+        answer_by_attempt = submit_beyond_limit(executor, clock, 'abcd')
+        clock.now += 1
+        departed.add('i-1')
+        executor.withdraw_departed()
+        await asyncio.sleep(0.1)
+        assert {received.attempt for received in target.received} == {'a'}
+        assert answer_by_attempt.keys() == set('bcd')
+
 
 class Clock:
     """The clock of an executor, as the test sets it."""
