Wait in a test until a link counts as down

Cause: test_reports_unwritten_orders_as_not_run failed once beside 195 real processes (load average above 80 on 8 cores), at `assert dialer.is_down`. Two timers of 0.6 s end in it: the order's, set when it is sent, ends it as not run; the connection's, set when its task starts, marks the link as down. Under load the task starts later by more than the 10 ms between two looks of the test, so that the order's end is seen first.

Evidence: read in `Dialer.send` and `Dialer._connect`; the failure of the run.

Ruled out: a link that stays up. It is down as soon as the second timer ends, and only another greeting, which the peer does not send, could change that.

Change: the test waits for the same condition, up to the 4 s that its other waits have. The outcome that it asserts is the same.

--- a/tests/links/test_dialer.py
+++ b/tests/links/test_dialer.py
@@ -265,7 +265,7 @@
             dialer.send(order(is_repeatable=False), answers.append)
             await until(lambda: bool(answers))
             assert answers[0].outcome is Outcome.NOT_RUN
-            assert dialer.is_down
+            await until(lambda: dialer.is_down)
 
     async def test_ends_its_calls_when_closed(self) -> None:
         """Every order ends, also when the link is closed for good."""
