Abort an older link when its sender has opened another

Callers see: a purchase or a look-up that ends with 504 although its answer was ready, and work that runs after its caller has been answered.

When a link is lost in one direction only, what its sender had written may arrive after the sender has opened a new link and sent its orders again. The node took the link of the frame that came last for the link of the sender: the answer went to a connection that nobody reads, and orders that were given up by then were started. It kept such half-open links, and wrote reports to them, until the kernel gave them up.

Evidence: two of the three tests of TestLateFramesOfAnOlderLink failed before (KeyError: 1, no answer on the newer link; an order started).

Ruled out: that an order runs twice by it.

Change: `IncomingLinks` knows the link of each sender by its incarnation; of two links the one that was accepted last counts, whichever greets first, and the other is aborted. A sender dials anew only after it has given up the link before.

--- a/src/lovageshunt/links/__init__.py
+++ b/src/lovageshunt/links/__init__.py
@@ -24,6 +24,7 @@
     encode_order,
 )
 from lovageshunt.links._incoming import IncomingLink, OrderHandler
+from lovageshunt.links._incoming_links import IncomingLinks
 from lovageshunt.links._messages import (
     DemandReport,
     Greeting,
@@ -44,6 +45,7 @@
     'FrameReader',
     'Greeting',
     'IncomingLink',
+    'IncomingLinks',
     'LeavingNotice',
     'LinkListener',
     'OutageNotice',
--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -20,6 +20,7 @@
     encode_answer,
     encode_frame,
 )
+from lovageshunt.links._incoming_links import IncomingLinks
 from lovageshunt.links._messages import Greeting, RunAnswer, RunOrder
 from lovageshunt.links._recent_orders import (
     AcceptedOrder,
@@ -56,7 +57,7 @@
 class IncomingLink(ReceivingProtocol):
     """One link that another node opened; ``peer`` is its greeting.
 
-    ``open_links`` is the set that the link is in while it is open.
+    ``open_links`` are those of the node; the link is one while it is open.
     ``on_frame`` is called with greetings and with all frames of kinds that
     the link does not handle itself.
     """
@@ -67,7 +68,7 @@
         handler: OrderHandler,
         recent_orders: RecentOrders,
         greeting: Greeting,
-        open_links: set['IncomingLink'],
+        open_links: IncomingLinks['IncomingLink'],
         on_frame: Callable[['IncomingLink', Frame], None],
     ) -> None:
         self._handler = handler
@@ -94,7 +95,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the sender's calls if it does not reconnect in time."""
         self._transport = None
-        self._open_links.discard(self)
+        sender = self.peer.incarnation if self.peer else ''
+        self._open_links.discard(self, sender)
         get_running_loop().call_later(
             _RESUME_TIMEOUT_SECONDS, self._abandon_all
         )
@@ -103,7 +105,8 @@
         """Handle the received frames; close the link if one is malformed."""
         try:
             for frame in self._reader.feed(data):
-                self._dispatch(frame)
+                if self._transport is not None:
+                    self._dispatch(frame)
         except MalformedFrameError as error:
             _log.warning('closing a link: %s', error)
             self.close()
@@ -118,6 +121,17 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close the link at once: its sender has opened a newer one."""
+        _log.info(
+            'closing a link whose sender has opened another',
+            extra={'peer': self.peer.node if self.peer else ''},
+        )
+        if self._transport is not None:
+            transport = self._transport
+            self._transport = None
+            transport.abort()
+
     def answer(
         self, key: OrderKey, accepted: AcceptedOrder, answer: RunAnswer
     ) -> None:
@@ -140,11 +154,16 @@
         elif frame.kind == FrameKind.PING:
             self.send_frame(FrameKind.PONG)
         elif frame.kind == FrameKind.GREETING:
-            self.peer = decode_greeting(frame.payload)
-            self._on_frame(self, frame)
+            self._greet(decode_greeting(frame.payload), frame)
         else:
             self._on_frame(self, frame)
 
+    def _greet(self, peer: Greeting, frame: Frame) -> None:
+        self.peer = peer
+        self._open_links.assign(self, peer.incarnation)
+        if self._transport is not None:
+            self._on_frame(self, frame)
+
     def _accept_order(self, frame: Frame) -> None:
         if self.peer is None:
             raise MalformedFrameError('received an order before the greeting')
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -9,6 +9,7 @@
     FrameKind,
     Greeting,
     IncomingLink,
+    IncomingLinks,
     LinkListener,
     OrderHandler,
     RecentOrders,
@@ -37,7 +38,7 @@
         self._greeting = greeting
         self._numbers = count(1)
         self._recent_orders = RecentOrders()
-        self._incoming: set[IncomingLink] = set()
+        self._incoming: IncomingLinks[IncomingLink] = IncomingLinks()
         self.frame_handler: FrameHandler | None = None
 
     def make_dialer(self, host: str) -> Dialer:
@@ -80,7 +81,7 @@
 
     def close_incoming(self) -> None:
         """Close the links from other nodes, which then reconnect."""
-        for link in list(self._incoming):
+        for link in self._incoming:
             link.close()
 
     def _on_dialed(self, host: str, frame: Frame) -> None:
--- a/tests/links/test_incoming.py
+++ b/tests/links/test_incoming.py
@@ -11,6 +11,7 @@
     FrameReader,
     Greeting,
     IncomingLink,
+    IncomingLinks,
     RecentOrders,
     RunAnswer,
     RunOrder,
@@ -52,6 +53,7 @@
         self.now = float(1000)
         self.handler = ScriptedHandler()
         self.recent_orders = RecentOrders()
+        self.open_links: IncomingLinks[IncomingLink] = IncomingLinks()
         monkeypatch.setattr(
             'lovageshunt.links._incoming.clock_now', lambda: self.now
         )
@@ -61,7 +63,7 @@
             handler=self.handler,
             recent_orders=self.recent_orders,
             greeting=Greeting(node='b', service='s', incarnation='own'),
-            open_links=set(),
+            open_links=self.open_links,
             on_frame=lambda link, frame: None,
         )
         return SenderLink(self, link, sender)
@@ -77,11 +79,18 @@
         self._link = link
         self._transport = FakeTransport()
         link.connection_made(self._transport)
+        if sender:
+            self.greet(sender)
+
+    def greet(self, sender: str) -> None:
         hello = Greeting(node='a', service='s', incarnation=sender)
-        link.data_received(
+        self._link.data_received(
             encode_frame(FrameKind.GREETING, 0, encode_message(hello))
         )
 
+    def lose(self) -> None:
+        self._link.connection_lost(None)
+
     def cancel(self, stream: int) -> None:
         self._link.data_received(encode_frame(FrameKind.CANCEL, stream))
 
@@ -169,6 +178,46 @@
         }
 
 
+class TestLateFramesOfAnOlderLink:
+    """A cut in one direction delays what was written to a link.
+
+    Its sender has opened a new link by then, and sent its orders again.
+    """
+
+    def test_do_not_take_the_answer_from_the_newer_link(
+        self, receiver: Receiver
+    ) -> None:
+        """Guards against a ready answer that is not delivered."""
+        once = order(is_repeatable=False, deadline=receiver.now + 6)
+        older = receiver.accept_link()
+        newer = receiver.accept_link()
+        newer.send(1, once)
+        older.send(1, once)
+        receiver.handler.ends[0](ANSWER)
+        assert newer.answers[1].outcome is Outcome.ANSWERED
+        assert len(receiver.handler.started) == 1
+
+    def test_start_no_order_that_its_sender_has_given_up(
+        self, receiver: Receiver
+    ) -> None:
+        """Guards against work that runs after its caller was answered."""
+        older = receiver.accept_link()
+        receiver.accept_link()
+        older.send(1, order(is_repeatable=False, deadline=receiver.now + 6))
+        assert not receiver.handler.started
+
+    def test_do_not_end_the_newer_link_with_a_late_greeting(
+        self, receiver: Receiver
+    ) -> None:
+        """The link that was accepted last counts, whoever speaks first."""
+        older = receiver.accept_link(sender='')
+        newer = receiver.accept_link()
+        older.greet('sender-1')
+        newer.send(1, order(deadline=receiver.now + 6))
+        receiver.handler.ends[0](ANSWER)
+        assert newer.answers[1].outcome is Outcome.ANSWERED
+
+
 class TestCancelledOrder:
     """An order whose client has left."""
 
@@ -203,3 +252,18 @@
         link.cancel(1)
         receiver.handler.ends[0](ANSWER)
         assert link.answers[1].outcome is Outcome.ANSWERED
+
+
+class TestIncomingLinks:
+    """The links of a node."""
+
+    async def test_forget_a_closed_link(self, receiver: Receiver) -> None:
+        """A link that is lost counts no more, nor against a later one."""
+        older = receiver.accept_link()
+        receiver.accept_link('sender-2')
+        assert len(receiver.open_links) == 2
+        older.lose()
+        assert len(receiver.open_links) == 1
+        later = receiver.accept_link()
+        later.send(1, order(deadline=receiver.now + 6))
+        assert len(receiver.handler.started) == 1
