Refuse odd entries of other writers whatever their depth and size

Callers see: nodes that no longer learn which targets come and go, and so refuse or send to targets that have left, until they are restarted.

Cause: an entry that nests between the interpreter's limit of 1,000 and the JSON decoder's of 1,024 decodes; the error that reports its wrong type printed it, and that raised RecursionError in place of ValueError. The follower's task ended, with no line in the log. Nothing bounded what else decodes: ports of 11 to 4,300 digits (beyond 64 bits, the message that tells other nodes of the target cannot be encoded), slots of any size and sign (the load report has 32 bits), start times beyond exact numbers, hosts that no resolver takes, ids with line ends, which go into a header field to the target; a reported text could have a megabyte.

Ruled out: the JSON decoder itself, which ends at 1,024 levels with the documented error, and takes whole numbers beyond 64 bits as floats.

An id has visible ASCII, an address a host name or IPv4 address and a port.

--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -8,17 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-ENTRY: dict[str, Any] = {
-    'service': 's',
-    'address': '10.0.0.1:80',
-    'zone': 'z',
-    'version': 'v1',
-    'slots': 8,
-    'state': 'ready',
-    'cold_left_s': 0.5,
-    'seq': 4,
-    'born': 1764800000000,
-}
+from lovageshunt.sidecar import TargetEntry
+from lovageshunt.sidecar._snapshot import (
+    FleetSnapshot,
+    decode_snapshot,
+    encode_snapshot,
+)
+from tests.platform.entry import ENTRY
+from tests.platform.odd_entries import ODD_IDS, odd_entries
 
 
 def decoded(**changes: Any) -> Any:
@@ -64,3 +61,35 @@
         """Random bytes raise ``ValueError``."""
         with pytest.raises(ValueError, match=r'.*'):
             decode_entry('i-1', garbage)
+
+
+class TestOddEntries:
+    """Entries that no target wrote, of any depth, number and size."""
+
+    def test_are_refused_or_usable(self) -> None:
+        """Guards against nodes that end, or stop following, by one entry.
+
+        An entry with a further field that is not known is usable.
+        """
+        for raw in odd_entries():
+            try:
+                entry = decode_entry('i-1', raw)
+            except ValueError as error:
+                assert 0 < len(str(error)) < 300
+                continue
+            assert 0 < entry.port < 2**16
+            assert 0 < entry.slots <= 1_000_000
+            assert 0 <= entry.started_ms < 2**53
+            assert 0 <= entry.cold_seconds <= 86_400
+            assert len(entry.host.encode('idna')) < 256
+            assert decode_snapshot(encode_snapshot(only_of(entry)))
+
+    @pytest.mark.parametrize('target_id', ODD_IDS)
+    def test_ids_that_fit_no_header_are_refused(self, target_id: str) -> None:
+        """Guards against a header field that another writer adds."""
+        with pytest.raises(ValueError, match=r'visible ASCII'):
+            decode_entry(target_id, orjson.dumps(ENTRY))
+
+
+def only_of(entry: TargetEntry) -> FleetSnapshot:
+    return FleetSnapshot(revision=1, configuration=None, entries=[entry])
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -12,8 +12,12 @@
 from lovageshunt.routes import Configuration
 from lovageshunt.sidecar import TargetEntry
 from standins.store import StoreStandIn
+from tests.platform.entry import ENTRY
+from tests.platform.odd_entries import odd_entries
 from tests.platform.test_configuration import published
-from tests.platform.test_entries import ENTRY
+
+#: The largest odd entry of these tests.
+_SMALL_BYTES = 20_000
 
 
 class FakeFleetState:
@@ -179,6 +183,21 @@
             assert 'i-1' in fleet_state.ids
             await until(lambda: fleet_state.ids == {'i-2'})
 
+    async def test_odd_entries_do_not_end_it(self) -> None:
+        """Guards against nodes that follow no more: changes apply after them.
+
+        A node that starts reads them all at once, others as they come.
+        """
+        async with following(page_size=100) as (store, fleet_state):
+            small = [raw for raw in odd_entries() if len(raw) < _SMALL_BYTES]
+            for number, raw in enumerate(small):
+                store.put(f'servers/odd-{number}', raw)
+            store.put('servers/i-3', entry())
+            await until(lambda: 'i-3' in fleet_state.ids)
+            store.compacted_revision = store.revision
+            store.put('servers/i-4', entry())
+            await until(lambda: 'i-4' in fleet_state.ids)
+
     async def test_ignores_malformed_entries(self) -> None:
         """A malformed entry does not affect the other targets."""
         async with following() as (store, fleet_state):
--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -15,8 +15,8 @@
 from lovageshunt.links import Frame, FrameKind, IncomingLink, PlatformPulse
 from lovageshunt.sidecar import Sidecar
 from standins.store import StoreStandIn
+from tests.platform.entry import ENTRY
 from tests.platform.test_configuration import published
-from tests.platform.test_entries import ENTRY
 from tests.sidecar.world import TARGET_PORT, World, new_node
 
 _NODES = 7
