--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -46,6 +46,8 @@
 _TIMEOUT_DELAY_SECONDS: Final = 0.2
 #: The time left that a retry requires at least, in seconds.
 _MIN_RETRY_SECONDS: Final = 0.05
+#: A number of ms with more digits is longer than any timeout.
+_MAX_DIGITS: Final = 12
 
 
 class Origin:
@@ -228,7 +230,7 @@
 
     def _seconds_left(self, request: Request, route: Route) -> float:
         text = request.header(self._header_names.time_left)
-        if not text.isdigit():
+        if not text.isdigit() or len(text) > _MAX_DIGITS:
             return route.timeout_seconds
         return min(int(text) / _MS_PER_SECOND, route.timeout_seconds)
 
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -13,6 +13,12 @@
         assert reported is not None
         assert (reported.running, reported.slots) == (3, 8)
 
+    @pytest.mark.parametrize('digits', [7, 10, 400, 4000, 5000])
+    def test_refuses_numbers_that_are_too_large(self, digits: int) -> None:
+        """Guards against a node that one such number makes unable to serve."""
+        assert read_load(b'3,1,%b' % (b'9' * digits)) is None
+        assert read_load(b'%b,1,8' % (b'9' * digits)) is None
+
     @pytest.mark.parametrize('text', [b'', b'3,1', b'3,1,x', b'-1,0,8'])
     def test_refuses_malformed_text(self, text: bytes) -> None:
         """Malformed text is decoded as ``None``."""
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -62,6 +62,16 @@
             await client.ask('/buy/a', body=body)
             assert world.targets[1].received[0].body == body
 
+    @pytest.mark.parametrize('digits', [400, 5000])
+    async def test_takes_a_time_of_many_digits_for_any_time(
+        self, digits: int
+    ) -> None:
+        """Guards against a connection that ends without a response."""
+        async with world_of(1) as world:
+            client = await client_of(world.hosts[0])
+            got = await client.ask('/read/a', left_ms='9' * digits)
+            assert status_of(got) == 200
+
     async def test_has_no_route_for_other_paths(self) -> None:
         """A path that matches no route gets a 404."""
         async with world_of(1) as world:
