--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -1,5 +1,7 @@
 """Decoding the configuration that operators publish."""
 
+from collections.abc import Iterator
+from copy import deepcopy
 from typing import Any
 
 import orjson
@@ -7,6 +9,12 @@
 from adapter.configuration import decode_configuration
 
 from lovageshunt.errors import MalformedRulesError
+from lovageshunt.routes import RouteTable
+from lovageshunt.sidecar._snapshot import (
+    FleetSnapshot,
+    decode_snapshot,
+    encode_snapshot,
+)
 
 
 def published(**changes: Any) -> dict[str, Any]:
@@ -36,6 +44,43 @@
     return decode_configuration(orjson.dumps(published(**changes)))
 
 
+def nested(depth: int) -> Any:
+    inner: Any = 1
+    for _ in range(depth):
+        inner = [inner]
+    return inner
+
+
+_ODD: tuple[Any, ...] = (
+    None,
+    True,
+    -1,
+    2**63,
+    2**64 - 1,
+    1e300,
+    'x' * 5000,
+    '9' * 5000,
+    {},
+    [],
+    [[1]],
+    {'a': 1},
+    nested(200),
+)
+
+
+def replaced(fields: Any, odd: Any) -> Iterator[Any]:
+    """Yield copies of a JSON value, with one part of each replaced."""
+    yield odd
+    keys = fields.keys() if isinstance(fields, dict) else ()
+    if isinstance(fields, list):
+        keys = range(len(fields))
+    for key in keys:
+        for part in replaced(fields[key], odd):
+            changed = deepcopy(fields)
+            changed[key] = part
+            yield changed
+
+
 class TestDecodeConfiguration:
     """The published fields become routes and limits."""
 
@@ -78,6 +123,27 @@
         with pytest.raises(MalformedRulesError):
             decode_configuration(raw)
 
+    def test_refuses_odd_values_in_every_place(self) -> None:
+        """Guards against nodes that stop following by one configuration.
+
+        What is accepted can be put into force and sent to other nodes.
+        """
+        refused = 0
+        for odd in _ODD:
+            for fields in replaced(published(), odd):
+                try:
+                    found = decode_configuration(orjson.dumps(fields))
+                except MalformedRulesError as error:
+                    refused += 1
+                    assert len(str(error)) < 600
+                    continue
+                assert RouteTable.of(found).find('h.example', '/x') is None
+                snapshot = FleetSnapshot(
+                    revision=1, configuration=found, entries=[]
+                )
+                assert decode_snapshot(encode_snapshot(snapshot)) == snapshot
+        assert refused > len(_ODD)
+
     def test_refuses_an_incomplete_route(self) -> None:
         """One bad route rejects all, so that no part comes into force."""
         with pytest.raises(MalformedRulesError):
