Keep a node running and following when one of its parts fails

Callers see: a node that ends by itself, or serves under what it knew when its follower ended, with no line in its log.

Cause: an error that nobody expected ended whatever met it. In a periodic step it ended the process; in the follower it ended the task, and asyncio says so only when the task is collected, which is never. So each fault of decoding was one of the whole node. A page of the platform was refused as a whole for one item whose value is no text, and read again for ever; its revision was not checked at all.

Evidence: the tests of the follower with five such values, and those of a step and a part that fail with an error whose text cannot be had, did not hold before. The odd entries showed the ended follower.

Ruled out: catching more at each decoder alone: it needs to know every error.

Change: `_supervision.py`: periodic steps run each by itself, endless parts are started again after half a second; both log the traceback as errors. The items of a page are checked fields; a value that cannot be decoded counts as empty, which its reader refuses.

Measured: tests of follower, supervision, planned stop and docs pass.

--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -43,6 +43,7 @@
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._readiness import ReadinessHandler
 from lovageshunt.sidecar._responder import Responder
+from lovageshunt.sidecar._supervision import run_each
 from lovageshunt.sidecar._suspects import Suspects
 
 _log = getLogger(__name__)
@@ -260,24 +261,33 @@
             return
 
     def _tick(self) -> None:
-        self._peers.check_silence()
-        self.news.advance()
-        self._reports.advance()
-        self._leaving.advance()
-        self._outage.advance()
+        run_each(
+            (
+                self._peers.check_silence,
+                self.news.advance,
+                self._reports.advance,
+                self._leaving.advance,
+                self._outage.advance,
+            ),
+        )
         now = monotonic()
-        if now - self._swept_at < _SWEEP_SECONDS:
-            return
-        self._swept_at = now
-        self._set_gauges()
-        for connection in list(self._clients):
-            connection.close_if_due(now)
-        self._executor.pool.close_stale()
-        self._peers.close_unused(self._fleet.hosts)
+        if now - self._swept_at >= _SWEEP_SECONDS:
+            self._swept_at = now
+            run_each(
+                (
+                    self._set_gauges,
+                    lambda: self._close_clients(now),
+                    self._executor.pool.close_stale,
+                    lambda: self._peers.close_unused(self._fleet.hosts),
+                ),
+            )
 
     def _tick_while_stopping(self) -> None:
-        self._peers.check_silence()
-        self._reports.advance()
+        run_each((self._peers.check_silence, self._reports.advance))
+
+    def _close_clients(self, now: float) -> None:
+        for connection in list(self._clients):
+            connection.close_if_due(now)
 
     def _set_gauges(self) -> None:
         executor = self._executor
--- a/standins/store.py
+++ b/standins/store.py
@@ -73,10 +73,14 @@
 
     def put(self, key: str, raw: bytes) -> None:
         """Create or replace an item and notify watches."""
+        self.put_encoded(key, b64encode(raw).decode())
+
+    def put_encoded(self, key: str, value: object) -> None:
+        """Create or replace an item whose ``value`` is sent as it is."""
         self.revision += 1
         item = {
             'key': key,
-            'value': b64encode(raw).decode(),
+            'value': value,
             'rev': self.revision,
             'created_at': self.revision,
             'lease': 0,
--- a/tests/platform/test_follow.py
+++ b/tests/platform/test_follow.py
@@ -198,6 +198,16 @@
             store.put('servers/i-4', entry())
             await until(lambda: 'i-4' in fleet_state.ids)
 
+    @pytest.mark.parametrize('value', [None, 7, 'x', ['x'], 'é'])
+    async def test_a_value_that_is_no_text_hides_no_other(
+        self, value: object
+    ) -> None:
+        """Guards against a page that is read again and again."""
+        async with following() as (store, fleet_state):
+            store.put_encoded('servers/odd', value)
+            store.put('servers/i-3', entry())
+            await until(lambda: fleet_state.ids == {'i-1', 'i-2', 'i-3'})
+
     async def test_ignores_malformed_entries(self) -> None:
         """A malformed entry does not affect the other targets."""
         async with following() as (store, fleet_state):
