Raise the documented error for a fleet state of another shape

Callers would see nothing; a node of an odd build would make its peers log an unexpected error instead of closing its link with a reason.

Cause: decoding takes fields of the decoded JSON by attribute as well as by key, and only the errors of the latter were turned into MalformedFrameError.

Evidence: two of the thirteen tests failed before with AttributeError.

Ruled out: checks of every field as for the platform's entries: the states come from nodes of this fleet, which check what they read.

Change: one tuple of errors for both decoders.

--- a/src/lovageshunt/sidecar/_snapshot.py
+++ b/src/lovageshunt/sidecar/_snapshot.py
@@ -1,6 +1,6 @@
 """The state of the fleet and its changes, as nodes exchange them."""
 
-from typing import Any
+from typing import Any, Final
 
 import orjson
 
@@ -15,6 +15,9 @@
 )
 from lovageshunt.sidecar._fleet import TargetEntry
 
+#: What decoded JSON of another shape than expected raises.
+_MALFORMED: Final = (AttributeError, LookupError, TypeError, ValueError)
+
 
 class FleetSnapshot(Record):
     """A configuration and the targets, as of a revision of the platform.
@@ -111,7 +114,7 @@
             entries=[TargetEntry(**entry) for entry in fields['entries']],
             removed_ids=[str(each) for each in fields['removed_ids']],
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except _MALFORMED as error:
         raise MalformedFrameError(
             f'malformed changes of the fleet: {error}',
         ) from error
@@ -132,7 +135,7 @@
             configuration=configuration and _configuration(configuration),
             entries=[TargetEntry(**entry) for entry in fields['entries']],
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except _MALFORMED as error:
         raise MalformedFrameError(
             f'malformed fleet snapshot: {error}',
         ) from error
