Send no waiting call in place of one that a planned stop ends

Callers would see: a look-up that its target runs for nothing, or a purchase that ends as unknown, though it had waited and could have gone elsewhere.

`Executor.stop` cancels the runs of a list one by one, and each that ends lets the queue dispatch one that waits.

Evidence: TestStop failed before: the waiting call reached the target.

Change: `stop` drains the queue before it ends the runs. The line of a target that left is written only if calls wait, not at each list while others run.

Measured: tests of the executor and of the planned stop pass.

--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -185,13 +185,13 @@
             for run in self._run_by_call_id.values()
             if self._has_left(run.order.target_id)
         ]
-        if not departed:
-            return
         sent = [run.sending for run in departed if run.sending is not None]
-        _log.info(
-            'target left, refusing the calls that wait',
-            extra={'waiting': len(departed) - len(sent), 'sent': len(sent)},
-        )
+        waiting = len(departed) - len(sent)
+        if waiting:
+            _log.info(
+                'target left, refusing the calls that wait',
+                extra={'waiting': waiting, 'sent': len(sent)},
+            )
         self._handle(TargetLeft(frozenset(run.call_id for run in departed)))
         for sending in sent:
             sending.withdraw()
@@ -210,8 +210,12 @@
         self._handle(DrainStarted())
 
     def stop(self) -> None:
-        """End the running orders as unknown, so that their senders hear it."""
+        """End the running orders as unknown, so that their senders hear it.
+
+        Those that wait are refused, as none is sent in the place of others.
+        """
         self._is_stopping = True
+        self.drain()
         for run in list(self._run_by_call_id.values()):
             run.cancel_exchange()
 
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -228,6 +228,30 @@
         target.close()
 
 
+class TestStop:
+    """A planned stop ends the calls in progress."""
+
+    async def test_sends_no_waiting_call_in_place_of_one_that_it_ends(
+        self, target: HeldTarget
+    ) -> None:
+        """Guards against a call that is sent as the process exits."""
+        executor = executor_of(target)
+        await open_connections(executor, target)
+        executor.apply_published_slots('i-1', 1)
+        answer_by_attempt: dict[str, RunAnswer] = {}
+        for attempt in 'ab':
+            executor.submit(
+                order(attempt),
+                partial(answer_by_attempt.__setitem__, attempt),
+            )
+        await wait_until(lambda: target.received)
+        executor.stop()
+        await asyncio.sleep(0.1)
+        assert [each.attempt for each in target.received] == ['a']
+        assert answer_by_attempt['a'].outcome is Outcome.UNKNOWN
+        assert answer_by_attempt['b'].outcome is Outcome.NOT_RUN
+
+
 class TestDepartureOfLimitedTarget:
     """A target that limits its calls leaves while calls wait for it.
 
