Let targets in the soak limit their calls and be replaced

Five nodes in one process are seldom late while three calls wait; the tests of the cause guard it.

Change: two more faults: all targets but one name a limit for a while, and one target takes the place of another while the event loop stands still.

--- a/tests/sidecar/soak.py
+++ b/tests/sidecar/soak.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import sys
+import time
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import suppress
 from pathlib import Path
@@ -33,6 +34,10 @@
 _ROUTE_ATTEMPTS = 2
 _CONTACT_SECONDS = 3
 _MAX_LATE_ARRIVALS = 3
+#: The header field of a target that takes eight calls a second.
+_LIMIT = 'X-Limit: 8\r\n'
+#: How long the event loop stands still at most when a target is replaced.
+_MAX_LATE_SECONDS = 0.3
 
 Fault = Callable[[], Coroutine[Any, Any, None]]
 
@@ -55,6 +60,8 @@
         self._number = 0
         self._revision = 1
         self._version = 1
+        self._replaced = [0] * _NODES
+        self._limited: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         for target in world.targets:
             target.serve = self._serve_with(target)
@@ -97,6 +104,8 @@
             self._stop_node,
             self._cut_links,
             self._change_list,
+            self._limit_targets,
+            self._replace_target,
         ]
         self._start(self._rng.choice(faults)())
 
@@ -130,7 +139,8 @@
                 self._ends.append(clock_now())
                 self._start(target.crash(1))
                 raise ConnectionError
-            return answer(received)
+            is_limited = target.host in self._limited
+            return answer(received, extra=_LIMIT if is_limited else '')
 
         return serve
 
@@ -151,18 +161,34 @@
     async def _cut_links(self) -> None:
         self._rng.choice(self.world.nodes).close_incoming_links()
 
+    async def _limit_targets(self) -> None:
+        """Let all targets but one limit their calls, so that calls wait."""
+        self._limited = set(self._rng.sample(self.world.hosts, _NODES - 1))
+        await asyncio.sleep(self._rng.uniform(1, 4))
+        self._limited = set()
+
+    async def _replace_target(self) -> None:
+        """Put another target in the place of one, while nodes are late."""
+        self._replaced[self._rng.randrange(_NODES)] += 1
+        stand_still(self._rng.uniform(0, _MAX_LATE_SECONDS))
+        self._apply_targets(self._rng.randrange(2, 8))
+
     async def _change_list(self) -> None:
-        self._revision += 1
+        self._apply_targets(self._rng.randrange(2, 8))
         self._version += 1
         for node in self.world.nodes:
-            node.fleet_state.apply_targets(
-                self.world.entries(slots=self._rng.randrange(2, 8)),
-                self._revision,
-            )
             node.fleet_state.apply_configuration(
                 configuration('s', version=self._version)
             )
 
+    def _apply_targets(self, slots: int) -> None:
+        self._revision += 1
+        for node in self.world.nodes:
+            entries = self.world.entries(slots=slots)
+            for entry, count in zip(entries, self._replaced, strict=True):
+                entry.target_id += f'-{count}'
+            node.fleet_state.apply_targets(entries, self._revision)
+
     def _check(self) -> None:
         for attempt in self._not_run & self._targets_by_attempt.keys():
             self.violations.append(f'{attempt} was told as not run, and ran')
@@ -177,6 +203,11 @@
             self.violations.append(f'{late} arrivals of what crashes targets')
 
 
+def stand_still(seconds: float) -> None:
+    """Block the event loop, so that timers are due that have not run."""
+    time.sleep(seconds)
+
+
 async def soak(seed: int) -> Soak:
     """Play one seed and return what was found."""
     async with world_of(_NODES) as world:
