--- a/src/lovageshunt/pressure/_root_admission.py
+++ b/src/lovageshunt/pressure/_root_admission.py
@@ -26,8 +26,9 @@
 
 #: The interval between updates of the admitted shares, in seconds.
 _UPDATE_SECONDS: Final = 0.1
-#: A kind whose demand on a service is at most this fraction of the highest
-#: demand of any kind on it is not refused because of that service.
+#: A kind is not refused because of a service if one of its requests, and all
+#: of them together, demand at most this fraction of what those of any other
+#: kind do there.
 _NEGLIGIBLE_FRACTION: Final = 0.1
 #: The lowest share of a kind that is admitted, so that there are calls to
 #: measure.
@@ -224,12 +225,14 @@
             kind: self._demand_model.work_of(kind).get(service, 0)
             for kind in self._root_kinds()
         }
-        highest = max(work_by_kind.values(), default=0)
-        return {
-            kind: work * rate_by_kind[kind]
+        slots_by_kind = {
+            kind: work * rate_by_kind.get(kind, 0)
             for kind, work in work_by_kind.items()
-            if work > highest * _NEGLIGIBLE_FRACTION
-            and rate_by_kind.get(kind, 0) > 0
+        }
+        kinds = _above_negligible(work_by_kind)
+        kinds |= _above_negligible(slots_by_kind)
+        return {
+            kind: slots_by_kind[kind] for kind in kinds if slots_by_kind[kind]
         }
 
     def _retry_demand(
@@ -259,3 +262,9 @@
             for kind in self._by_kind
             if not self._internal_calls.is_internal(kind)
         ]
+
+
+def _above_negligible(demand_by_kind: Mapping[str, float]) -> set[str]:
+    """Return the kinds whose demand is not far below the highest."""
+    least = max(demand_by_kind.values(), default=0) * _NEGLIGIBLE_FRACTION
+    return {kind for kind, demand in demand_by_kind.items() if demand > least}
