Arrange both tests of a limited target that leaves in one place

Ruled out: a change of what they assert; every assertion stands as it was.

Change: `leave_late` arranges, the tests assert.

--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -255,23 +255,14 @@
 class TestDepartureOfLimitedTarget:
     """A target that limits its calls leaves while calls wait for it.
 
-    ``now`` is ahead of the clock: the process was busy for a moment, so that
-    timers are due that have not run.
+    The node is late: timers are due that have not run.
     """
 
     async def test_tells_no_call_as_not_run_that_was_sent(
         self, target: HeldTarget, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against TWICE: such a call runs at another target as well."""
-        clock = Clock(monkeypatch)
-        departed: set[str] = set()
-        executor = executor_of(target, departed)
-        await open_connections(executor, target)
-        answer_by_attempt = submit_beyond_limit(executor, clock, 'abcd')
-        clock.now += 0.25
-        departed.add('i-1')
-        executor.withdraw_departed()
-        await asyncio.sleep(0.1)
+        answer_by_attempt = await leave_late(target, monkeypatch, seconds=0.25)
         sent = {received.attempt for received in target.received}
         not_run = {
             attempt
@@ -285,19 +276,31 @@
         self, target: HeldTarget, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """Guards against calls at a target that has left."""
-        clock = Clock(monkeypatch)
-        departed: set[str] = set()
-        executor = executor_of(target, departed)
-        await open_connections(executor, target)
-        answer_by_attempt = submit_beyond_limit(executor, clock, 'abcd')
-        clock.now += 1
-        departed.add('i-1')
-        executor.withdraw_departed()
-        await asyncio.sleep(0.1)
+        answer_by_attempt = await leave_late(target, monkeypatch, seconds=1)
         assert {received.attempt for received in target.received} == {'a'}
         assert answer_by_attempt.keys() == set('bcd')
 
 
+async def leave_late(
+    target: HeldTarget, monkeypatch: pytest.MonkeyPatch, *, seconds: float
+) -> dict[str, RunAnswer]:
+    """Submit calls ``a`` to ``d``, and let the target leave ``seconds`` later.
+
+    The target takes the first call only until then. Return the answers by
+    attempt, as they come.
+    """
+    clock = Clock(monkeypatch)
+    departed: set[str] = set()
+    executor = executor_of(target, departed)
+    await open_connections(executor, target)
+    answer_by_attempt = submit_beyond_limit(executor, clock, 'abcd')
+    clock.now += seconds
+    departed.add('i-1')
+    executor.withdraw_departed()
+    await asyncio.sleep(0.1)
+    return answer_by_attempt
+
+
 class Clock:
     """The clock of an executor, as the test sets it."""
 
