Leave no listener behind when the start of a node is cancelled

Callers see nothing; tests that open a world of nodes may fail with "address already in use", and so would a program that starts nodes in its own process.

Cause: `create_server` listens, and then gives way to other tasks once before it returns. A node that is cancelled there has a listener that it does not know.

Evidence: TestStart cancels a node at each of twelve steps of its start; at two of them a port stayed taken before.

Ruled out: a port that waits after its connections have ended: listeners reuse addresses.

Change: the server is made without listening, noted, and then listens.

Measured: twelve of twelve steps leave the ports free.

--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -250,8 +250,12 @@
             address.host,
             address.port,
             backlog=_MAX_BACKLOG,
+            start_serving=False,
         )
+        # Nothing is awaited between the server and its entry here, so that
+        # ``close`` finds it also if the start is cancelled.
         self._servers.append(server)
+        await server.start_serving()
 
     async def _pause(self, seconds: float) -> None:
         try:
