Let no target of the test world come back after its world was closed

A crash of a target runs beside the test and opens the target again after a while, also if its world has been closed by then. Nobody closes it any more, and the next world at its address cannot open. A world that failed while it opened left what was open, too.

The one sighting kept no more than its message.

Change: a target that has ended does not open again; a world is closed also when it fails to open; a target notes its server before it listens.

--- a/tests/sidecar/test_world.py
+++ b/tests/sidecar/test_world.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tests.sidecar.world import CLIENTS_PORT, world_of
+from tests.sidecar.world import CLIENTS_PORT, TARGET_PORT, world_of
 
 
 class TestRestarts:
@@ -16,3 +16,18 @@
         loop = asyncio.get_running_loop()
         server = await loop.create_server(asyncio.Protocol, host, CLIENTS_PORT)
         server.close()
+
+
+class TestCrashes:
+    """Targets that are down when the world is closed."""
+
+    async def test_target_does_not_come_back_after_its_world(self) -> None:
+        """Nothing listens at its address, though its crash is over."""
+        async with world_of(1) as world:
+            host = world.hosts[0]
+            crash = asyncio.ensure_future(world.targets[0].crash(0.1))
+            await asyncio.sleep(0)
+        await crash
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(asyncio.Protocol, host, TARGET_PORT)
+        server.close()
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -80,7 +80,8 @@
     """A target that responds by ``serve`` and records its requests.
 
     ``ended_early`` counts connections that were closed before the response,
-    ``crashes`` how often the target crashed.
+    ``crashes`` how often the target crashed; one that ``has_ended`` does not
+    come back.
     """
 
     def __init__(self, host: str) -> None:
@@ -88,6 +89,7 @@
         self.received: list[Received] = []
         self.ended_early = 0
         self.crashes = 0
+        self.has_ended = False
         self.serve: Serve = self.serve_normally
         self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
@@ -100,12 +102,19 @@
             self._on_connection,
             self.host,
             TARGET_PORT,
+            start_serving=False,
         )
+        await self._server.start_serving()
 
     def close(self) -> None:
         if self._server is not None:
             self._server.close()
 
+    def end(self) -> None:
+        """Close for good, also while a crash is about to return."""
+        self.has_ended = True
+        self.close()
+
     @property
     def is_up(self) -> bool:
         return self._server is not None and self._server.is_serving()
@@ -117,7 +126,8 @@
         for writer in self._writers:
             writer.transport.abort()
         await asyncio.sleep(down_seconds)
-        await self.open()
+        if not self.has_ended:
+            await self.open()
 
     async def _on_connection(
         self,
@@ -228,11 +238,12 @@
     async def close(self) -> None:
         for task in self.tasks:
             task.cancel()
-        await asyncio.wait(self.tasks)
+        if self.tasks:
+            await asyncio.wait(self.tasks)
         for node in self.nodes:
             node.close()
         for target in self.targets:
-            target.close()
+            target.end()
 
 
 @asynccontextmanager
@@ -241,11 +252,11 @@
 ) -> AsyncIterator[World]:
     """Run ``count`` nodes and targets during a test."""
     world = World(count)
-    await world.open()
-    if is_published:
-        world.publish()
-        await asyncio.sleep(0.1)
     try:
+        await world.open()
+        if is_published:
+            world.publish()
+            await asyncio.sleep(0.1)
         yield world
     finally:
         await world.close()
