Name the owner of a dialed connection, and say why a refusal has no wait

Cause: read as a newcomer, the connection took a `dialer` that is any owner of a link, and a refusal of a target that left had a wait of 0 without a reason.

Evidence: the re-read of the diff.

Change: as said.

Measured: tests of links, admission and docs pass.

--- a/src/lovageshunt/admission/_target_queue.py
+++ b/src/lovageshunt/admission/_target_queue.py
@@ -261,6 +261,7 @@
         for call in self._queue.ordered():
             if call.call_id in event.call_ids:
                 self._queue.remove(call.call_id)
+                # The wait at this target says nothing of others.
                 actions.append(
                     Refuse(
                         call_id=call.call_id,
--- a/src/lovageshunt/links/_dialed_connection.py
+++ b/src/lovageshunt/links/_dialed_connection.py
@@ -42,14 +42,14 @@
 
 
 class DialedConnection(ReceivingProtocol):
-    """One connection of a dialer's link.
+    """A connection; its owner is the dialer of the link.
 
     ``greeting`` is done once the peer's greeting was received, and fails
     with ``ConnectionError`` if the connection is lost before.
     """
 
-    def __init__(self, dialer: LinkOwner) -> None:
-        self._dialer = dialer
+    def __init__(self, owner: LinkOwner) -> None:
+        self._owner = owner
         self._transport: Transport | None = None
         self._reader = FrameReader()
         self._received_at = clock_now()
@@ -103,11 +103,11 @@
 
     def _on_frame(self, frame: Frame) -> None:
         if frame.kind == FrameKind.GREETING:
-            self._dialer.on_greeting(self, decode_greeting(frame.payload))
+            self._owner.on_greeting(self, decode_greeting(frame.payload))
             if not self.greeting.done():
                 self.greeting.set_result(None)
         elif frame.kind != FrameKind.PONG:
-            self._dialer.on_received(frame)
+            self._owner.on_received(frame)
 
     def _end(self, reason: str) -> None:
         if self._transport is None:
@@ -118,4 +118,4 @@
             # the exception here keeps asyncio from logging it.
             self.greeting.exception()
         self.abort()
-        self._dialer.on_lost(self, reason)
+        self._owner.on_lost(self, reason)
