--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
     'membership',
     'observability',
     'overload',
+    'purchases',
     'retry_shares',
     'run_once',
     'spread',
