--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -144,6 +144,14 @@
                 assert decode_snapshot(encode_snapshot(snapshot)) == snapshot
         assert refused > len(_ODD)
 
+    @pytest.mark.parametrize('missing', ['name', 'route_type', 'match'])
+    def test_refuses_a_route_without_a_field(self, missing: str) -> None:
+        """Guards against a route whose kind or place is guessed."""
+        fields = published()
+        fields['listeners'][0]['rule_set'][0].pop(missing)
+        with pytest.raises(MalformedRulesError):
+            decode_configuration(orjson.dumps(fields))
+
     def test_refuses_an_incomplete_route(self) -> None:
         """One bad route rejects all, so that no part comes into force."""
         with pytest.raises(MalformedRulesError):
