--- a/bench/purchases.py
+++ b/bench/purchases.py
@@ -35,6 +35,7 @@
 #: Requests that are sent at once, so that some wait.
 _BURST = 40
 _STARTS_AT_ONCE = 8
+_START_PAUSE_SECONDS = 0.5
 _REFUSALS = frozenset((408, 421, 429, 503))
 
 Disturb = Callable[[], Awaitable[None]]
@@ -97,7 +98,7 @@
             await self.add_target(machine, is_limiting and number % 2 == 0)
             self.deployment.start_node(machine)
             if number % _STARTS_AT_ONCE == 0:
-                await asyncio.sleep(_REPLACE_SECONDS)
+                await asyncio.sleep(_START_PAUSE_SECONDS)
         await self.deployment.wait_ready(seconds=120)
 
     async def add_target(self, machine: Machine, is_limiting: bool) -> None:
