Divide too little room among client accounts, who asks most pays first

Cause: the first hop refused all requests of one importance alike, so that one account at many times its usual cost every other account as much as itself; and it knew one importance a kind, where that of the account goes first. Change: shares by kind and importance, from the mix that is counted here, and max-min shares among the accounts of that importance, weighted by what each may ask. Without accounts a kind has one importance and nothing changes.

--- a/src/lovageshunt/pressure/__init__.py
+++ b/src/lovageshunt/pressure/__init__.py
@@ -10,6 +10,7 @@
 from lovageshunt.pressure._call_graph import CallCounts, CallGraph
 from lovageshunt.pressure._call_sampler import CallSampler
 from lovageshunt.pressure._demand_model import DemandModel, KindDemand
+from lovageshunt.pressure._fair_shares import fair_shares
 from lovageshunt.pressure._fleet_capacity import FleetCapacity, TargetCapacity
 from lovageshunt.pressure._fleet_part import (
     FleetPart,
@@ -17,12 +18,13 @@
     ServicePart,
 )
 from lovageshunt.pressure._internal_calls import InternalCallDetector
+from lovageshunt.pressure._kind_shares import KindShares, Shortage
 from lovageshunt.pressure._rates import FleetRates
 from lovageshunt.pressure._refusals import RefusalMeter
 from lovageshunt.pressure._root_admission import (
+    AccountDemand,
     RootAdmission,
     RootDecision,
-    Shortage,
 )
 from lovageshunt.pressure._target_demand import (
     DemandSettings,
@@ -30,6 +32,7 @@
 )
 
 __all__ = [
+    'AccountDemand',
     'CallCounts',
     'CallGraph',
     'CallSampler',
@@ -42,10 +45,12 @@
     'FleetRates',
     'InternalCallDetector',
     'KindDemand',
+    'KindShares',
     'RefusalMeter',
     'RootAdmission',
     'RootDecision',
     'Shortage',
     'TargetCapacity',
     'TargetDemandMeter',
+    'fair_shares',
 ]
--- a/src/lovageshunt/pressure/_root_admission.py
+++ b/src/lovageshunt/pressure/_root_admission.py
@@ -3,7 +3,8 @@
 It protects against a load beyond the capacity of a service deep in the call
 graph. A request that would be refused there, after work was spent on it at
 every hop above, is refused at its first hop instead: the less important kinds
-first, and all kinds of one importance alike.
+first, and all kinds of one importance alike. What fits of one importance is
+divided among the client accounts that ask for it, if there are any.
 
 It also covers a service whose targets refuse calls for which they have free
 slots. There the retry budget is the scarce resource, and it is reserved for
@@ -11,15 +12,16 @@
 """
 
 from collections.abc import Mapping
-from enum import StrEnum
 from random import Random
 from types import MappingProxyType
 from typing import Final
 
 from lovageshunt._record import Record
 from lovageshunt.pressure._demand_model import DemandModel
+from lovageshunt.pressure._fair_shares import fair_shares
 from lovageshunt.pressure._fleet_capacity import FleetCapacity
 from lovageshunt.pressure._internal_calls import InternalCallDetector
+from lovageshunt.pressure._kind_shares import KindShares, Shortage
 from lovageshunt.pressure._rates import FleetRates
 from lovageshunt.pressure._refusals import RetryDemand
 from lovageshunt.pressure._shares import shares_by_importance
@@ -38,13 +40,6 @@
 _RETRY_SECONDS: Final = 0.4
 
 
-class Shortage(StrEnum):
-    """The resource of a service that is scarce."""
-
-    SLOTS = 'slots'
-    RETRIES = 'retries'
-
-
 #: The fraction of a scarce resource that is divided among all kinds that use
 #: it, so that none is starved for long. It is small for retries: a request
 #: takes many of them, so a fraction like that for slots would serve hardly
@@ -77,40 +72,41 @@
         self.share = share
 
 
-class _Kind:
-    """The admitted share of one kind, and the scarce resource that limits it.
+class AccountDemand(Record):
+    """What one client account asks of the fleet.
 
-    ``service`` is empty and ``shortage`` ``None`` while all are admitted.
+    ``importance`` is that of its requests, ``None`` if it is that of their
+    routes. It asks for ``per_second`` requests and may be served in proportion
+    to ``weight``, above 0.
     """
 
-    __slots__ = ('importance', 'share', 'service', 'shortage')
+    __slots__ = ('importance', 'per_second', 'weight')
 
-    def __init__(self, importance: int) -> None:
+    def __init__(
+        self, *, importance: int | None, per_second: float, weight: float
+    ) -> None:
         self.importance = importance
-        self.admit_all()
-
-    def admit_all(self) -> None:
-        """Reset the share to 1 and clear its limit."""
-        self.share = float(1)
-        self.service = ''
-        self.shortage: Shortage | None = None
+        self.per_second = per_second
+        self.weight = weight
 
 
 class RootAdmission:
     """Admits or refuses each request of a client at its first hop.
 
     ``fleet_capacity`` holds the reports of the targets; a service without any
-    limits nothing.
+    limits nothing. ``demand_by_account`` is what the client accounts ask.
     """
 
     __slots__ = (
         'fleet_capacity',
+        'demand_by_account',
         '_demand_model',
         '_arrivals',
         '_retries',
         '_internal_calls',
         '_rng',
         '_by_kind',
+        '_account_shares',
         '_updated_at',
     )
 
@@ -136,31 +132,68 @@
         self._arrivals = arrivals
         self._retries = retries
         self._rng = rng
-        self._by_kind: dict[str, _Kind] = {}
+        self._by_kind: dict[str, KindShares] = {}
+        self.demand_by_account: Mapping[str, AccountDemand] = {}
+        #: Shares by account, for an importance and the share of it that fits.
+        self._account_shares: dict[tuple[int, float], dict[str, float]] = {}
         self._updated_at = float('-inf')
 
-    def decision(self, kind: str, importance: int, now: float) -> RootDecision:
-        """Admit a request, or refuse it with a time to retry after."""
+    def decision(
+        self, kind: str, importance: int, now: float, account: str = ''
+    ) -> RootDecision:
+        """Admit a request, or refuse it with a time to retry after.
+
+        ``account`` is the client account that sends it, if there is one.
+        """
         known = self._by_kind.get(kind)
         if known is None:
-            known = _Kind(importance)
+            known = KindShares()
             self._by_kind[kind] = known
-        known.importance = importance
+        known.record(importance)
         if now - self._updated_at >= _UPDATE_SECONDS:
             self._update(now)
-        if known.share >= 1 or self._rng.random() < known.share:
-            return RootDecision(service=known.service, share=known.share)
+        admitted = known.admitted(importance)
+        share = self._share_of(account, importance, admitted.share)
+        if share >= 1 or self._rng.random() < share:
+            return RootDecision(service=admitted.service, share=share)
         jitter = self._rng.random() + 1 / 2
         return RootDecision(
             retry_seconds=_RETRY_SECONDS * jitter,
-            service=known.service,
-            shortage=known.shortage,
-            share=known.share,
+            service=admitted.service,
+            shortage=admitted.shortage,
+            share=share,
         )
 
+    def _share_of(self, account: str, importance: int, share: float) -> float:
+        """Return the share of an account's requests that is admitted.
+
+        ``share`` is that of all requests of this importance. An account that
+        the sums do not tell of gets that.
+        """
+        if share >= 1 or account not in self.demand_by_account:
+            return share
+        shares = self._account_shares.get((importance, share))
+        if shares is None:
+            demand_by_account = {
+                name: demand.per_second
+                for name, demand in self.demand_by_account.items()
+                if demand.importance in {None, importance}
+            }
+            shares = fair_shares(
+                demand_by_account,
+                {
+                    name: self.demand_by_account[name].weight
+                    for name in demand_by_account
+                },
+                share * sum(demand_by_account.values()),
+            )
+            self._account_shares[(importance, share)] = shares
+        return max(_MIN_SHARE, shares.get(account, share))
+
     def _update(self, now: float) -> None:
         """Recompute the admitted share of each kind."""
         self._updated_at = now
+        self._account_shares = {}
         for known in self._by_kind.values():
             known.admit_all()
         rate_by_kind = self._arrivals.rate_by_key(now)
@@ -193,11 +226,9 @@
         )
         for kind in demand_by_kind:
             known = self._by_kind[kind]
-            share = max(_MIN_SHARE, shares[known.importance])
-            if share < known.share:
-                known.share = share
-                known.service = service
-                known.shortage = shortage
+            for importance in known.part_by_importance:
+                share = max(_MIN_SHARE, shares[importance])
+                known.admitted(importance).limit(share, service, shortage)
 
     def _by_importance(
         self,
@@ -206,9 +237,10 @@
         """Sum the demand over the kinds of each importance."""
         demand_by_importance: dict[int, float] = {}
         for kind, demand in demand_by_kind.items():
-            importance = self._by_kind[kind].importance
-            before = demand_by_importance.get(importance, 0)
-            demand_by_importance[importance] = before + demand
+            parts = self._by_kind[kind].part_by_importance
+            for importance, part in parts.items():
+                before = demand_by_importance.get(importance, 0)
+                demand_by_importance[importance] = before + demand * part
         return demand_by_importance
 
     def _slot_demand(
