--- a/src/lovageshunt/calls/_outcome.py
+++ b/src/lovageshunt/calls/_outcome.py
@@ -38,3 +38,5 @@
     FORBIDDEN = 'forbidden'
     MALFORMED = 'malformed'
     SHED = 'shed'
+    UNKNOWN_KEY = 'unknown_key'
+    ACCOUNT_LIMIT = 'account_limit'
--- a/src/lovageshunt/links/__init__.py
+++ b/src/lovageshunt/links/__init__.py
@@ -6,6 +6,7 @@
     decode_outage,
     decode_pulse,
     decode_subscription,
+    encode_demand,
     encode_message,
 )
 from lovageshunt.links._compression import compress, decompress
@@ -69,6 +70,7 @@
     'decode_subscription',
     'decompress',
     'encode_answer',
+    'encode_demand',
     'encode_frame',
     'encode_load',
     'encode_message',
--- a/src/lovageshunt/links/_codec.py
+++ b/src/lovageshunt/links/_codec.py
@@ -1,6 +1,6 @@
 """The JSON encoding of the messages that are not sent with every call."""
 
-from typing import Any
+from typing import Any, Final
 
 import orjson
 
@@ -15,12 +15,28 @@
     Subscription,
 )
 
+#: Fields of a demand report that an earlier build does not know.
+_ACCOUNT_FIELDS: Final = (
+    'asked_by_account',
+    'admitted_by_account',
+    'has_accounts',
+)
+
 
 def encode_message(message: Record) -> bytes:
     """Encode a message as a JSON object of its fields."""
     return orjson.dumps(message.as_dict())
 
 
+def encode_demand(report: DemandReport) -> bytes:
+    """Encode a demand report; without accounts as an earlier build reads it."""
+    fields = report.as_dict()
+    if not report.has_accounts:
+        for name in _ACCOUNT_FIELDS:
+            fields.pop(name)
+    return orjson.dumps(fields)
+
+
 def decode_greeting(payload: bytes) -> Greeting:
     """Decode a greeting; raise ``MalformedFrameError`` if malformed."""
     fields = _json_object(payload)
--- a/src/lovageshunt/links/_fleet_part.py
+++ b/src/lovageshunt/links/_fleet_part.py
@@ -36,6 +36,9 @@
                 kind: _kind_demand(demand)
                 for kind, demand in dict(fields['demand_by_kind']).items()
             },
+            # A coordinator of an earlier build does not send these.
+            asked_by_account=_numbers(fields.get('asked_by_account', {})),
+            admitted_by_account=_numbers(fields.get('admitted_by_account', {})),
         )
     except (LookupError, TypeError, ValueError) as error:
         raise MalformedFrameError(
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -195,6 +195,9 @@
     each kind that reached the node from its VM in the last ``seconds``.
     ``retries_by_service`` is the number of retries a second that the node may
     send to each service. ``revision`` and ``version`` are as in a greeting.
+    ``asked_by_account`` are the requests a second of client accounts,
+    ``admitted_by_account`` those of them within a limit; a node that
+    ``has_accounts`` reports them, also if they are none.
     """
 
     __slots__ = (
@@ -207,6 +210,9 @@
         'retries_by_service',
         'revision',
         'version',
+        'asked_by_account',
+        'admitted_by_account',
+        'has_accounts',
     )
 
     def __init__(
@@ -221,6 +227,9 @@
         retries_by_service: dict[str, float],
         revision: int,
         version: int,
+        asked_by_account: dict[str, float] | None = None,
+        admitted_by_account: dict[str, float] | None = None,
+        has_accounts: bool = False,
     ) -> None:
         self.revision = revision
         self.version = version
@@ -231,6 +240,9 @@
         self.seconds_by_kind = seconds_by_kind
         self.calls_by_kind_by_kind = calls_by_kind_by_kind
         self.retries_by_service = retries_by_service
+        self.asked_by_account = asked_by_account or {}
+        self.admitted_by_account = admitted_by_account or {}
+        self.has_accounts = has_accounts
 
 
 class Subscription(Record):
--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -267,4 +267,10 @@
         'in_progress, answered or forgotten',
         alert='any forgotten',
     ),
+    MetricSpec(
+        name='lovageshunt_accounts_over_limit',
+        kind=GAUGE,
+        meaning='client accounts that ask the fleet for more than their limits',
+        alert='above 0 for 1 min',
+    ),
 )
--- a/src/lovageshunt/routes/_configuration.py
+++ b/src/lovageshunt/routes/_configuration.py
@@ -1,6 +1,7 @@
 """The operators' configuration of routes and services, after validation."""
 
 from lovageshunt._record import Record
+from lovageshunt.routes._client_account import ClientAccount
 
 
 class Destination(Record):
@@ -19,7 +20,8 @@
     ``is_repeatable`` is true if a request may run more than once,
     ``most_attempts`` the number of targets that one request may be sent to.
     An answer is due within ``timeout_seconds`` and worth most within
-    ``aim_seconds``. ``importance`` 0 is refused last.
+    ``aim_seconds``. ``importance`` 0 is refused last. Requests on a route that
+    ``is_public`` need no key of a client account.
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         'timeout_seconds',
         'aim_seconds',
         'importance',
+        'is_public',
     )
 
     def __init__(
@@ -46,6 +49,7 @@
         timeout_seconds: float,
         aim_seconds: float,
         importance: int,
+        is_public: bool = False,
     ) -> None:
         self.name = name
         self.host = host
@@ -56,6 +60,7 @@
         self.timeout_seconds = timeout_seconds
         self.aim_seconds = aim_seconds
         self.importance = importance
+        self.is_public = is_public
 
 
 class ServiceLimits(Record):
@@ -74,6 +79,7 @@
     ``version`` increases with each one. ``head_bytes`` and ``body_bytes``
     limit the size of a client's request, ``head_seconds`` the time in which
     its head must arrive, ``idle_seconds`` the time between two requests.
+    Without ``accounts`` no request needs a key.
     """
 
     __slots__ = (
@@ -84,6 +90,7 @@
         'body_bytes',
         'head_seconds',
         'idle_seconds',
+        'accounts',
     )
 
     def __init__(
@@ -96,6 +103,7 @@
         body_bytes: int,
         head_seconds: float,
         idle_seconds: float,
+        accounts: tuple[ClientAccount, ...] = (),
     ) -> None:
         self.version = version
         self.routes = routes
@@ -104,3 +112,4 @@
         self.body_bytes = body_bytes
         self.head_seconds = head_seconds
         self.idle_seconds = idle_seconds
+        self.accounts = accounts
--- a/src/lovageshunt/sidecar/_frame_handler.py
+++ b/src/lovageshunt/sidecar/_frame_handler.py
@@ -96,10 +96,10 @@
             FrameKind.SUBSCRIBE: lambda link, payload: news.on_subscribe(
                 link, decode_subscription(payload)
             ),
-            FrameKind.LOAD: lambda _, payload: reports.add_load(
+            FrameKind.LOAD: lambda _, payload: reports.own_sums.add_load(
                 decode_load(payload)
             ),
-            FrameKind.DEMAND: lambda _, payload: reports.add_demand(
+            FrameKind.DEMAND: lambda _, payload: reports.own_sums.add_demand(
                 decode_demand(payload)
             ),
             FrameKind.SUSPECTS: self._on_suspects,
--- a/src/lovageshunt/sidecar/_header_names.py
+++ b/src/lovageshunt/sidecar/_header_names.py
@@ -12,7 +12,9 @@
     ``attempt_id`` is the id that a client gives to one attempt; responses
     echo it. ``time_left`` is how long its client still waits, in ms.
     ``target_id`` names the only target that may run a request,
-    ``caller_service`` the service that sent it. ``proof`` is on every
+    ``caller_service`` the service that sent it. ``account_key`` is the key of
+    the client account that sends a request, which no target gets to see;
+    ``account`` names that account to the target. ``proof`` is on every
     response that a target made by running a request, ``not_run`` on those
     that state that the request was not run. ``leaving`` is on the responses of
     a target that leaves. ``load`` carries a target's load; ``read_load``
@@ -26,6 +28,8 @@
         'time_left',
         'target_id',
         'caller_service',
+        'account_key',
+        'account',
         'proof',
         'not_run',
         'leaving',
@@ -42,6 +46,8 @@
         time_left: bytes,
         target_id: bytes,
         caller_service: bytes,
+        account_key: bytes,
+        account: bytes,
         proof: bytes,
         not_run: bytes,
         leaving: bytes,
@@ -54,6 +60,8 @@
         self.time_left = time_left
         self.target_id = target_id
         self.caller_service = caller_service
+        self.account_key = account_key
+        self.account = account
         self.proof = proof
         self.not_run = not_run
         self.leaving = leaving
@@ -68,3 +76,8 @@
         return frozenset(
             (self.time_left, self.target_id, self.caller_service),
         )
+
+    @property
+    def of_accounts(self) -> frozenset[bytes]:
+        """Return the request fields that only a node reads or sets."""
+        return frozenset((self.account_key, self.account))
--- /dev/null
+++ b/src/lovageshunt/sidecar/_listeners.py
@@ -0,0 +1,84 @@
+"""The listeners of a sidecar, and the connections that they accept."""
+
+from asyncio import BaseProtocol, Server, get_running_loop
+from collections.abc import Callable
+from time import monotonic
+from typing import Final
+
+from lovageshunt.http1 import RequestHandler, ServerConnection, ServerLimits
+from lovageshunt.routes import Configuration
+from lovageshunt.settings import Address
+
+#: The largest number of connections that wait to be accepted.
+_MAX_BACKLOG: Final = 1024
+#: Request heads may have this many times the configured size, because the
+#: configuration counts their bytes differently.
+_HEAD_SIZE_FACTOR: Final = 2
+
+
+class Listeners:
+    """Opens listeners and closes connections whose time is over.
+
+    ``clients`` are the open connections of clients.
+    """
+
+    __slots__ = ('clients', '_others', '_limits', '_servers')
+
+    def __init__(self) -> None:
+        self.clients: set[ServerConnection] = set()
+        self._others: set[ServerConnection] = set()
+        self._limits = ServerLimits()
+        self._servers: list[Server] = []
+
+    async def open_to_clients(
+        self, address: Address, handler: RequestHandler
+    ) -> None:
+        """Accept the connections of clients."""
+        await self.open(
+            address,
+            lambda: ServerConnection(handler, self._limits, self.clients),
+        )
+
+    async def open_to_operators(
+        self, address: Address, handler: RequestHandler
+    ) -> None:
+        """Accept the connections of probes and of those who read metrics."""
+        await self.open(
+            address,
+            lambda: ServerConnection(handler, self._limits, self._others),
+        )
+
+    async def open(
+        self, address: Address, accept: Callable[[], BaseProtocol]
+    ) -> None:
+        """Accept connections at an address."""
+        server = await get_running_loop().create_server(
+            accept,
+            address.host,
+            address.port,
+            backlog=_MAX_BACKLOG,
+            start_serving=False,
+        )
+        # Nothing is awaited between the server and its entry here, so that
+        # ``close`` finds it also if the start is cancelled.
+        self._servers.append(server)
+        await server.start_serving()
+
+    def apply_limits(self, configuration: Configuration) -> None:
+        """Apply the limits of a configuration to all connections."""
+        limits = self._limits
+        limits.head_bytes = configuration.head_bytes * _HEAD_SIZE_FACTOR
+        limits.body_bytes = configuration.body_bytes
+        limits.head_seconds = configuration.head_seconds
+        limits.idle_seconds = configuration.idle_seconds
+
+    def close_due(self) -> None:
+        """Close the connections of clients whose time limits have passed."""
+        now = monotonic()
+        for connection in list(self.clients):
+            connection.close_if_due(now)
+
+    def close(self) -> None:
+        """Stop accepting connections."""
+        for server in self._servers:
+            server.close()
--- a/src/lovageshunt/sidecar/_load_schedule.py
+++ b/src/lovageshunt/sidecar/_load_schedule.py
@@ -4,6 +4,8 @@
 
 from lovageshunt._record import Record
 
+#: The interval of the demand reports, in seconds.
+DEMAND_INTERVAL_SECONDS: Final = 0.8
 #: The interval at which an unchanged load is reported, in seconds.
 _LOAD_INTERVAL_SECONDS: Final = 1.0
 #: Larger changes than these are reported at once: of slot use, of the share
--- a/src/lovageshunt/sidecar/_metrics.py
+++ b/src/lovageshunt/sidecar/_metrics.py
@@ -111,6 +111,10 @@
         self._registry.series('lovageshunt_links', 'opened').value = opened
         self._registry.series('lovageshunt_links', 'accepted').value = accepted
 
+    def set_accounts(self, *, over_limit: int) -> None:
+        """Set the number of client accounts that are over their limits."""
+        self._set({'lovageshunt_accounts_over_limit': over_limit})
+
     def set_suppressed(self, count: int) -> None:
         """Set the number of log records that the rate limit suppressed."""
         self._registry.series('lovageshunt_logs_suppressed_total').value = count
--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -23,27 +23,34 @@
     WeightedRoundRobin,
 )
 from lovageshunt.routing import PlacementRequest
+from lovageshunt.sidecar._client_accounts import ClientAccounts
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
 from lovageshunt.sidecar._header_names import HeaderNames
-from lovageshunt.sidecar._origin_call import Attempt, OriginCall
+from lovageshunt.sidecar._origin_call import (
+    TIMEOUT_DELAY_SECONDS,
+    Attempt,
+    OriginCall,
+)
 from lovageshunt.sidecar._peers import Peers
 from lovageshunt.sidecar._pressure_reports import PressureReports
 from lovageshunt.sidecar._responder import Responder
 from lovageshunt.sidecar._suspects import Suspects
+from lovageshunt.sidecar.checks import (
+    KeyCheck,
+    LimitCheck,
+    Refusal,
+    RoomCheck,
+    StopCheck,
+    SuspectCheck,
+    first_refusal,
+)
 
 _MS_PER_SECOND: Final = 1000
-#: ``retry-after`` of a node without a configuration, in ms. It requests one
-#: several times a second.
-_SETTLING_RETRY_MS: Final = 500
-#: ``retry-after`` of a node that shuts down, in ms. By then its clients use
-#: another node.
-_LEAVING_RETRY_MS: Final = 300
-#: ``retry-after`` when no target of the service is reachable, in ms.
-_NO_TARGET_RETRY_MS: Final = 300
-#: How long after its deadline a call without a response times out here, in
-#: seconds. The target's node ends it slightly earlier.
-_TIMEOUT_DELAY_SECONDS: Final = 0.2
+#: A node without a configuration requests one several times a second.
+_SETTLING: Final = Refusal(reason=RefusalReason.SETTLING, retry_ms=500)
+#: No target of the service is reachable.
+_NO_TARGET: Final = Refusal(reason=RefusalReason.NO_TARGET, retry_ms=300)
 #: The time left that a retry requires at least, in seconds.
 _MIN_RETRY_SECONDS: Final = 0.05
 #: A number of ms with more digits is longer than any timeout.
@@ -71,43 +78,49 @@
         reports: PressureReports,
         responder: Responder,
         suspects: Suspects,
+        accounts: ClientAccounts,
         rng: Random,
     ) -> None:
         self._suspects = suspects
+        self._accounts = accounts
         self._own_host = own_host
         self._own_service = own_service
         self._header_names = header_names
         self._dropped = header_names.overwritten
+        self._stop_check = StopCheck()
+        self._checks = (
+            self._stop_check,
+            KeyCheck(accounts, header_names.account_key),
+            LimitCheck(accounts),
+            SuspectCheck(suspects),
+            RoomCheck(reports),
+        )
         self._executor = executor
         self._fleet = fleet
         self._peers = peers
         self._budgets = budgets
-        self._reports = reports
         self._responder = responder
         self._rng = rng
         self._table: RouteTable | None = None
         self._cursor = WeightedRoundRobin()
         self.open_count = 0
-        self._accepts_all_until = float('inf')
-        self._stops_at = float('inf')
 
     def stop(self, *, accepts_all_until: float, stops_at: float) -> None:
-        """Begin a planned shutdown that ends at ``stops_at``.
-
-        From ``accepts_all_until`` on, requests that could still be in
-        progress at ``stops_at`` are refused. Both are in seconds on the clock.
-        """
-        self._accepts_all_until = accepts_all_until
-        self._stops_at = stops_at
+        """Begin a planned shutdown, see ``StopCheck.begin``."""
+        self._stop_check.begin(
+            accepts_all_until=accepts_all_until, stops_at=stops_at
+        )
 
     def close(self) -> None:
         """End a planned shutdown: refuse all requests, retry none."""
-        self._accepts_all_until = float('-inf')
-        self._stops_at = float('-inf')
+        self._stop_check.end()
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Route further requests by this configuration."""
         self._table = RouteTable.of(configuration)
+        self._dropped = self._header_names.overwritten
+        if configuration.accounts:
+            self._dropped |= self._header_names.of_accounts
 
     def handle(
         self,
@@ -119,8 +132,13 @@
         call = OriginCall(request, connection, attempt_id)
         self.open_count += 1
         route = self._find_route(call)
-        if route is not None and self._accept(call, route):
+        if route is None:
+            return call
+        refusal = first_refusal(self._checks, call)
+        if refusal is None:
             self._begin(call, route)
+        else:
+            self._refuse(call, refusal)
         return call
 
     def abandon(self, call: OriginCall) -> None:
@@ -134,7 +152,7 @@
     def _find_route(self, call: OriginCall) -> Route | None:
         """Route a request; respond and return ``None`` if that fails."""
         if self._table is None:
-            self._refuse(call, RefusalReason.SETTLING, _SETTLING_RETRY_MS)
+            self._refuse(call, _SETTLING)
             return None
         host = call.request.header(b'host').decode('latin-1')
         target = call.request.target.decode('latin-1')
@@ -149,60 +167,21 @@
         call.deadline = call.started_at + seconds
         return route
 
-    def _accept(self, call: OriginCall, route: Route) -> bool:
-        """Return whether a request may be sent; respond if it may not."""
-        if self._outlasts_stop(call):
-            self._refuse(call, RefusalReason.LEAVING, _LEAVING_RETRY_MS)
-            return False
-        retry_ms = self._suspects.refusal_ms(call.request)
-        if retry_ms is not None:
-            self._refuse(call, RefusalReason.QUARANTINE, retry_ms)
-            return False
-        call.is_internal = self._reports.record_arrival(
-            route.name, call.started_at
-        )
-        return call.is_internal or self._admit(call, route)
-
     def _begin(self, call: OriginCall, route: Route) -> None:
         """Send a request to its first target."""
         self._count(call)
-        delay = call.deadline - call.started_at + _TIMEOUT_DELAY_SECONDS
+        delay = call.deadline - call.started_at + TIMEOUT_DELAY_SECONDS
         loop = get_running_loop()
         call.overdue = loop.call_later(delay, self._time_out, call)
         entry = self._fleet.choose(call.service, self._wanted(call, route))
         if entry is None:
-            self._refuse(call, RefusalReason.NO_TARGET, _NO_TARGET_RETRY_MS)
+            self._refuse(call, _NO_TARGET)
             return
         self._start_attempt(call, route, entry)
 
-    def _refuse(
-        self, call: OriginCall, reason: RefusalReason, retry_ms: int
-    ) -> None:
-        self._responder.send_not_run(call, reason, retry_ms)
-        self._end(call)
-
-    def _outlasts_stop(self, call: OriginCall) -> bool:
-        """Return whether a request may outlast a planned shutdown."""
-        if call.started_at < self._accepts_all_until:
-            return False
-        return call.deadline + _TIMEOUT_DELAY_SECONDS > self._stops_at
-
-    def _admit(self, call: OriginCall, route: Route) -> bool:
-        """Refuse a request that an overloaded service below would refuse.
-
-        Return whether the request was admitted.
-        """
-        decision = self._reports.root_admission.decision(
-            route.name,
-            route.importance,
-            call.started_at,
-        )
-        if decision.retry_seconds is None:
-            return True
-        retry_ms = round(decision.retry_seconds * _MS_PER_SECOND)
-        self._responder.send_not_run(call, 'overload', retry_ms, decision)
+    def _refuse(self, call: OriginCall, refusal: Refusal) -> None:
+        self._responder.send_refusal(call, refusal)
         self._end(call)
-        return False
 
     def _count(self, call: OriginCall) -> None:
         """Count the call in the retry budget of its service.
@@ -240,27 +219,32 @@
         route: Route,
         entry: TargetEntry,
     ) -> None:
-        call.tries += 1
-        attempt = Attempt(entry)
-        call.attempt = attempt
-        call.sent_to |= {entry.target_id}
+        attempt = call.begin_attempt(entry)
         self._fleet.call_started(entry)
         order = RunOrder(
             attempt_id=call.attempt_id,
             target_id=entry.target_id,
             kind=route.name,
             caller_service=self._own_service,
-            importance=0 if call.is_internal else 1 + route.importance,
+            importance=0 if call.is_internal else 1 + call.importance,
             is_repeatable=route.is_repeatable,
             is_repeat=call.is_repeat or call.has_run,
             deadline=call.deadline,
             method=call.request.method,
             request_target=call.request.target,
-            fields=forwarded_fields(call.request.headers, self._dropped),
+            fields=self._forwarded_fields(call),
             body=call.request.body,
         )
         self._send(call, attempt, order)
 
+    def _forwarded_fields(self, call: OriginCall) -> bytes:
+        """Return the header lines for the target, with the account's name."""
+        fields = forwarded_fields(call.request.headers, self._dropped)
+        if call.account is None:
+            return fields
+        name = call.account.name.encode()
+        return b'%b%b: %b\r\n' % (fields, self._header_names.account, name)
+
     def _send(
         self,
         call: OriginCall,
@@ -320,7 +304,7 @@
         """
         if call.has_run and self._suspects.is_suspect(call.request):
             return False
-        if clock_now() >= self._stops_at:
+        if clock_now() >= self._stop_check.stops_at:
             return False
         other = self._fleet.choose(call.service, self._wanted(call, route))
         if other is None and call.allow_last_refuser():
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -10,9 +10,8 @@
     DemandReport,
     FrameKind,
     TargetLoadReport,
+    encode_demand,
     encode_load,
-    encode_message,
-    encode_part,
 )
 from lovageshunt.pressure import (
     CallGraph,
@@ -20,17 +19,21 @@
     FleetPart,
     FleetRates,
     InternalCallDetector,
-    KindDemand,
-    PartSums,
     RootAdmission,
     ServicePart,
-    TargetCapacity,
 )
 from lovageshunt.retries import FleetRetryBudgets
+from lovageshunt.sidecar._client_accounts import ClientAccounts
+from lovageshunt.sidecar._coordinator_sums import (
+    CoordinatorSums,
+    capacity_of,
+    demand_by_kind,
+)
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import FleetState
 from lovageshunt.sidecar._load_schedule import (
+    DEMAND_INTERVAL_SECONDS,
     LoadSchedule,
     ReportedLoad,
     interval_for,
@@ -38,8 +41,6 @@
 from lovageshunt.sidecar._node_channels import NodeChannels
 
 _log = getLogger(__name__)
-#: The interval of the demand reports, in seconds.
-_DEMAND_INTERVAL_SECONDS: Final = 0.8
 #: The run costs are in the first this many demand reports, and in every one
 #: of this many after that.
 _RUN_COSTS_PERIOD: Final = 4
@@ -52,17 +53,19 @@
 
     The load goes to the nodes that send calls here, and with the demand to
     one coordinator. If this node is a coordinator, it sends the sums over the
-    reports that it got to all nodes. ``internal_calls`` distinguishes calls by
-    targets from requests of clients. ``root_admission`` decides, from the
-    sums, which requests are admitted at their first hop.
+    reports that it got to all nodes, ``own_sums``. ``internal_calls``
+    distinguishes calls by targets from requests of clients.
+    ``root_admission`` decides, from the sums, which requests are admitted at
+    their first hop.
     """
 
     __slots__ = (
         'root_admission',
         'internal_calls',
+        'own_sums',
+        '_accounts',
         '_arrived_by_kind',
         '_reports_sent',
-        '_is_short',
         '_arrivals',
         '_retries',
         '_budgets',
@@ -70,7 +73,6 @@
         '_fleet',
         '_fleet_state',
         '_channels',
-        '_sums',
         '_unsummed_hosts',
         '_coordinators',
         '_graph',
@@ -78,7 +80,6 @@
         '_to_callers',
         '_to_coordinator',
         '_demand_reported_at',
-        '_part_sent_at',
     )
 
     def __init__(
@@ -89,8 +90,10 @@
         fleet_state: FleetState,
         budgets: FleetRetryBudgets,
         channels: NodeChannels,
+        accounts: ClientAccounts,
         rng: Random,
     ) -> None:
+        self._accounts = accounts
         self._executor = executor
         self._fleet = fleet
         self._fleet_state = fleet_state
@@ -99,7 +102,12 @@
         self._demand_model = DemandModel()
         self._arrivals = FleetRates()
         self._retries = FleetRates()
-        self._sums = PartSums()
+        self.own_sums = CoordinatorSums(
+            fleet=fleet,
+            channels=channels,
+            node=fleet_state.greeting.node,
+            is_over_limit=lambda: bool(accounts.over_limit),
+        )
         self._unsummed_hosts: set[str] = set()
         self._coordinators: frozenset[str] = frozenset()
         self._budgets = budgets
@@ -113,11 +121,9 @@
         )
         self._arrived_by_kind: dict[str, int] = {}
         self._reports_sent = 0
-        self._is_short = False
         self._to_callers = LoadSchedule()
         self._to_coordinator = LoadSchedule()
         self._demand_reported_at = float('-inf')
-        self._part_sent_at = float('-inf')
 
     def handle_load(self, host: str, report: TargetLoadReport) -> None:
         """Record the load of a target that calls are sent to.
@@ -129,7 +135,7 @@
             self.root_admission.fleet_capacity.record_report(
                 entry.service,
                 entry.target_id,
-                _capacity_of(report),
+                capacity_of(report),
                 clock_now(),
             )
 
@@ -149,35 +155,9 @@
             now,
         )
         self._retries.learn(report.node, report.retries_by_service, 1, now)
-        for kind, demand in _demand_by_kind(report).items():
+        for kind, demand in demand_by_kind(report).items():
             self._demand_model.learn(kind, demand)
 
-    def add_load(self, report: TargetLoadReport) -> None:
-        """Add the load of a target to the sums of this coordinator."""
-        entry = self._fleet.entry_by_id.get(report.target_id)
-        if entry is not None:
-            self._is_short |= report.share < 1
-            self._sums.add_capacity(
-                entry.service,
-                entry.target_id,
-                _capacity_of(report),
-                clock_now(),
-            )
-
-    def add_demand(self, report: DemandReport) -> None:
-        """Add the demand at a node to the sums of this coordinator."""
-        now = clock_now()
-        self._sums.add_arrivals(
-            report.node,
-            report.service,
-            report.arrived_by_kind,
-            seconds=report.seconds,
-            now=now,
-        )
-        self._sums.add_retries(report.node, report.retries_by_service, now)
-        for kind, demand in _demand_by_kind(report).items():
-            self._sums.add_demand(kind, demand)
-
     def handle_part(self, host: str, part: FleetPart) -> None:
         """Record the sums of the coordinator on ``host``."""
         now = clock_now()
@@ -194,6 +174,11 @@
         for kind, demand in part.demand_by_kind.items():
             demand.node = host
             self._demand_model.learn_part(kind, demand)
+        is_own = host == self._channels.own_host
+        self._accounts.handle_part(host, part, now, is_own=is_own)
+        self.root_admission.demand_by_account = (
+            self._accounts.demand_by_account(now)
+        )
 
     def record_arrival(self, kind: str, now: float) -> bool:
         """Count a request from this VM; return whether its target sent it."""
@@ -211,10 +196,12 @@
         for counts in self._executor.meters.watch.take_windows(now):
             self._graph.learn(counts)
         self._report_load(now)
-        if now - self._demand_reported_at >= _DEMAND_INTERVAL_SECONDS:
+        if now - self._demand_reported_at >= DEMAND_INTERVAL_SECONDS:
             self._report_demand(now)
         if self._channels.is_coordinator:
-            self._send_part(now)
+            part = self.own_sums.take_due(now)
+            if part is not None:
+                self.handle_part(self._channels.own_host, part)
 
     def _learn_arrivals(
         self, host: str, service: str, part: ServicePart
@@ -222,7 +209,7 @@
         """Record the requests at a mean node of a service."""
         if part.nodes == 0:
             return
-        factor = _DEMAND_INTERVAL_SECONDS / part.nodes
+        factor = DEMAND_INTERVAL_SECONDS / part.nodes
         count_by_kind = {
             kind: rate * factor for kind, rate in part.rate_by_kind.items()
         }
@@ -235,25 +222,11 @@
             self._arrivals.forget(host)
             self._retries.forget(host)
             self._demand_model.forget(host)
+            self._accounts.forget(host)
             self.internal_calls.forget(host)
             self.root_admission.fleet_capacity.forget(host)
         self._coordinators = elected
 
-    def _send_part(self, now: float) -> None:
-        """Send the sums: as often as nodes report, or while short faster."""
-        interval = _DEMAND_INTERVAL_SECONDS
-        if self._is_short:
-            interval = interval_for(self._channels.subscriber_count)
-        if now - self._part_sent_at < interval:
-            return
-        self._part_sent_at = now
-        part = self._sums.total(self._fleet_state.greeting.node, now)
-        self._is_short = part.is_short
-        self._channels.send_to_subscribers(
-            FrameKind.FLEET_PART, encode_part(part)
-        )
-        self.handle_part(self._channels.own_host, part)
-
     def _report_load(self, now: float) -> None:
         """Report the load of the own target if that is due."""
         entry = self._fleet.own_entry
@@ -291,7 +264,7 @@
 
     def _send_to_coordinator(self, report: TargetLoadReport) -> None:
         if self._channels.is_primary:
-            self.add_load(report)
+            self.own_sums.add_load(report)
         else:
             self._channels.send_to_primary(FrameKind.LOAD, encode_load(report))
 
@@ -311,7 +284,7 @@
     def _report_demand(self, now: float) -> None:
         seconds = now - self._demand_reported_at
         self._demand_reported_at = now
-        if not self._arrived_by_kind:
+        if not self._arrived_by_kind and not self._accounts.is_used:
             return
         self._reports_sent += 1
         seconds_by_kind: dict[str, float] = {}
@@ -321,46 +294,30 @@
             seconds_by_kind = dict(self._executor.meters.demand.seconds_by_kind)
             calls_by_kind_by_kind = self._graph.calls_by_kind()
         own = self._fleet_state.greeting
+        seconds = min(seconds, DEMAND_INTERVAL_SECONDS * 2)
+        asked, admitted = self._accounts.take_rates(seconds)
         report = DemandReport(
             node=own.node,
             service=own.service,
-            seconds=min(seconds, _DEMAND_INTERVAL_SECONDS * 2),
+            seconds=seconds,
             arrived_by_kind=self._drain_arrivals(),
             seconds_by_kind=seconds_by_kind,
             calls_by_kind_by_kind=calls_by_kind_by_kind,
             retries_by_service=self._budgets.per_second_by_service(now),
             revision=own.revision,
             version=own.version,
+            asked_by_account=asked,
+            admitted_by_account=admitted,
+            has_accounts=self._accounts.is_used,
         )
         _log.debug('reporting demand', extra={'needs': report.as_dict()})
         if self._channels.is_primary:
-            self.add_demand(report)
+            self.own_sums.add_demand(report)
         else:
-            encoded = encode_message(report)
+            encoded = encode_demand(report)
             self._channels.send_to_primary(FrameKind.DEMAND, encoded)
 
     def _drain_arrivals(self) -> dict[str, int]:
         arrived_by_kind = self._arrived_by_kind
         self._arrived_by_kind = {}
         return arrived_by_kind
-
-
-def _capacity_of(report: TargetLoadReport) -> TargetCapacity:
-    return TargetCapacity(
-        share=report.share,
-        slots=report.load.limit,
-        sent_per_second=report.sent_per_second,
-        refused_per_second=report.refused_per_second,
-    )
-
-
-def _demand_by_kind(report: DemandReport) -> dict[str, KindDemand]:
-    return {
-        kind: KindDemand(
-            node=report.node,
-            service=report.service,
-            seconds=seconds,
-            calls_by_kind=report.calls_by_kind_by_kind.get(kind, {}),
-        )
-        for kind, seconds in report.seconds_by_kind.items()
-    }
--- a/src/lovageshunt/sidecar/_responder.py
+++ b/src/lovageshunt/sidecar/_responder.py
@@ -4,17 +4,17 @@
 
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.links import RunAnswer
-from lovageshunt.pressure import RootDecision
 from lovageshunt.sidecar._fingerprint import fingerprint_of_request
 from lovageshunt.sidecar._journal import DecisionLog
 from lovageshunt.sidecar._metrics import SidecarMetrics
 from lovageshunt.sidecar._origin_call import OriginCall
+from lovageshunt.sidecar.checks import Refusal, RefusalStatus
 
 _MS_PER_SECOND: Final = 1000
 _NOT_FOUND: Final = 404
 _BAD_GATEWAY: Final = 502
-_UNAVAILABLE: Final = 503
 _GATEWAY_TIMEOUT: Final = 504
+_REFUSAL_STATUSES: Final = frozenset(RefusalStatus)
 #: ``retry-after`` of a failure that does not specify one, in ms.
 _DEFAULT_RETRY_MS: Final = 200
 
@@ -55,33 +55,28 @@
         """Respond that no route matches the request."""
         self._respond(call, _NOT_FOUND, 'no_route')
 
-    def send_not_run(
-        self,
-        call: OriginCall,
-        reason: str,
-        retry_ms: int,
-        decision: RootDecision | None = None,
-    ) -> None:
-        """Respond 503: the request was not run and may be retried later.
+    def send_refusal(self, call: OriginCall, refusal: Refusal) -> None:
+        """Respond that the request has not run.
 
         If an earlier attempt may have run, the status is 502 instead.
         """
-        inputs: dict[str, Any] = {}
-        if decision is not None:
-            inputs['full'] = decision.service
-            inputs['short_of'] = decision.shortage
-            inputs['share'] = round(decision.share, 3)
-        status = _BAD_GATEWAY if call.has_run else _UNAVAILABLE
-        self._respond(call, status, reason, retry_ms, **inputs)
+        self._respond(
+            call,
+            _BAD_GATEWAY if call.has_run else refusal.status,
+            refusal.reason,
+            refusal.retry_ms,
+            **refusal.inputs,
+        )
 
     def send_failure(self, call: OriginCall, answer: RunAnswer) -> None:
         """Respond with the outcome of a request whose last attempt failed."""
-        reason = str(answer.reason)
-        retry_ms = answer.retry_after_ms or _DEFAULT_RETRY_MS
-        if answer.outcome is Outcome.NOT_RUN:
-            self.send_not_run(call, reason, retry_ms)
-        else:
-            self._respond(call, _BAD_GATEWAY, reason, retry_ms)
+        is_not_run = answer.outcome is Outcome.NOT_RUN and not call.has_run
+        self._respond(
+            call,
+            RefusalStatus.UNAVAILABLE if is_not_run else _BAD_GATEWAY,
+            str(answer.reason),
+            answer.retry_after_ms or _DEFAULT_RETRY_MS,
+        )
 
     def send_timeout(self, call: OriginCall) -> None:
         """Respond that no response arrived before the deadline."""
@@ -120,7 +115,7 @@
             inputs['fingerprint'] = fingerprint_of_request(call.request)
         self._metrics.count_response(status, call.age_seconds, reason)
         self._decision_log.write(
-            'refused' if status == _UNAVAILABLE else 'failed',
+            'refused' if status in _REFUSAL_STATUSES else 'failed',
             call.attempt_id,
             status=status,
             reason=reason,
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -1,22 +1,14 @@
 """One sidecar: its listeners, its parts and its planned shutdown."""
 
 import gc
-from asyncio import (
-    BaseProtocol,
-    Event,
-    Server,
-    get_running_loop,
-    timeout,
-)
+from asyncio import Event, timeout
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
 from secrets import token_hex
-from time import monotonic
 from typing import Final
 
 from lovageshunt.clock import now as clock_now
-from lovageshunt.http1 import ServerConnection, ServerLimits
 from lovageshunt.links import FrameKind, Greeting, IncomingLink
 from lovageshunt.retries import (
     FleetBudgetSettings,
@@ -25,6 +17,7 @@
 )
 from lovageshunt.routes import Configuration
 from lovageshunt.settings import Address, SidecarSettings
+from lovageshunt.sidecar._client_accounts import ClientAccounts
 from lovageshunt.sidecar._coordinator_view import CoordinatorView
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet
@@ -32,6 +25,7 @@
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._knowledge import FleetState
 from lovageshunt.sidecar._leaving import LeavingTargets
+from lovageshunt.sidecar._listeners import Listeners
 from lovageshunt.sidecar._metrics import MetricsHandler, SidecarMetrics
 from lovageshunt.sidecar._node_channels import NodeChannels
 from lovageshunt.sidecar._node_links import NodeLinks
@@ -52,11 +46,6 @@
 #: The interval at which idle connections are closed and gauges set, in
 #: seconds.
 _SWEEP_SECONDS: Final = 0.5
-#: The largest number of connections that wait to be accepted.
-_MAX_BACKLOG: Final = 1024
-#: Request heads may have this many times the configured size, because the
-#: configuration counts their bytes differently.
-_HEAD_SIZE_FACTOR: Final = 2
 #: The part of the fleet's retry budget for requests that are sent again
 #: because the target closed their connection; origins use seven tenths.
 _RESEND_PART: Final = 0.1
@@ -67,8 +56,8 @@
 
     ``suppressed`` returns how many log records were rate limited.
     ``fleet_state`` receives the configuration and the targets, ``news`` says
-    whether this node reads them from the platform. Nothing is
-    opened before ``run``.
+    whether this node reads them from the platform, ``accounts`` are the client
+    accounts in force. Nothing is opened before ``run``.
     """
 
     def __init__(
@@ -79,10 +68,7 @@
     ) -> None:
         self._suppressed = suppressed
         self._settings = settings
-        self._limits = ServerLimits()
-        self._clients: set[ServerConnection] = set()
-        self._probes: set[ServerConnection] = set()
-        self._servers: list[Server] = []
+        self._listeners = Listeners()
         self._stop = Event()
         self._swept_at = float(0)
         rng = Random()
@@ -158,12 +144,14 @@
             executor=self._executor,
             broadcast=self._links.broadcast,
         )
+        self.accounts = ClientAccounts(rng)
         self._reports = PressureReports(
             executor=self._executor,
             fleet=self._fleet,
             fleet_state=self.fleet_state,
             budgets=self._retry_budgets,
             channels=self._channels,
+            accounts=self.accounts,
             rng=rng,
         )
         self._links.frame_handler = FrameHandler(
@@ -186,13 +174,14 @@
             reports=self._reports,
             responder=Responder(header_names.attempt_id, self._metrics),
             suspects=self._suspects,
+            accounts=self.accounts,
             rng=rng,
         )
 
         self._planned_stop = PlannedStop(
             origin=self._origin,
             executor=self._executor,
-            clients=self._clients,
+            clients=self._listeners.clients,
             tick=self._tick_while_stopping,
             close=self.close,
         )
@@ -205,12 +194,17 @@
     async def run(self) -> None:
         """Serve until a planned shutdown has finished."""
         listen = self._settings.listen
-        await self._listen(listen.clients, self._accept_client)
-        await self._listen(listen.nodes, self._accept_link)
-        await self._listen(listen.ready, self._accept_probe)
+        listeners = self._listeners
+        await listeners.open_to_clients(listen.clients, self._origin)
+        await listeners.open(listen.nodes, self._accept_link)
+        await listeners.open_to_operators(
+            listen.ready, ReadinessHandler(lambda: self.is_ready)
+        )
         if listen.metrics_port is not None:
-            metrics = Address(host=listen.nodes.host, port=listen.metrics_port)
-            await self._listen(metrics, self._accept_scrape)
+            await listeners.open_to_operators(
+                Address(host=listen.nodes.host, port=listen.metrics_port),
+                MetricsHandler(self._metrics),
+            )
         # Objects that exist now live as long as the process, so the garbage
         # collector can skip them.
         gc.collect()
@@ -231,8 +225,7 @@
 
     def close(self) -> None:
         """Stop listening and close every link immediately."""
-        for server in self._servers:
-            server.close()
+        self._listeners.close()
         self._peers.close()
         self._links.close_incoming()
 
@@ -240,23 +233,6 @@
         """Close the links from other nodes, which then reconnect."""
         self._links.close_incoming()
 
-    async def _listen(
-        self,
-        address: Address,
-        accept: Callable[[], BaseProtocol],
-    ) -> None:
-        server = await get_running_loop().create_server(
-            accept,
-            address.host,
-            address.port,
-            backlog=_MAX_BACKLOG,
-            start_serving=False,
-        )
-        # Nothing is awaited between the server and its entry here, so that
-        # ``close`` finds it also if the start is cancelled.
-        self._servers.append(server)
-        await server.start_serving()
-
     async def _pause(self, seconds: float) -> None:
         try:
             async with timeout(seconds):
@@ -274,13 +250,13 @@
                 self._outage.advance,
             ),
         )
-        now = monotonic()
+        now = clock_now()
         if now - self._swept_at >= _SWEEP_SECONDS:
             self._swept_at = now
             run_each(
                 (
                     self._set_gauges,
-                    lambda: self._close_clients(now),
+                    self._listeners.close_due,
                     self._executor.pool.close_stale,
                     lambda: self._peers.close_unused(self._fleet.hosts),
                 ),
@@ -289,10 +265,6 @@
     def _tick_while_stopping(self) -> None:
         run_each((self._peers.check_silence, self._reports.advance))
 
-    def _close_clients(self, now: float) -> None:
-        for connection in list(self._clients):
-            connection.close_if_due(now)
-
     def _set_gauges(self) -> None:
         executor = self._executor
         self._metrics.set_target(
@@ -313,16 +285,14 @@
             accepted=self._links.incoming_count,
             again_by_state=self._links.again_by_state,
         )
+        self._metrics.set_accounts(over_limit=len(self.accounts.over_limit))
         self._metrics.set_suppressed(self._suppressed())
 
     def _on_configuration(self, configuration: Configuration) -> None:
-        """Apply routes, connection limits and the target's limit."""
+        """Apply routes, accounts, connection limits and the target's limit."""
+        self.accounts.apply(configuration, clock_now())
         self._origin.apply_configuration(configuration)
-        limits = self._limits
-        limits.head_bytes = configuration.head_bytes * _HEAD_SIZE_FACTOR
-        limits.body_bytes = configuration.body_bytes
-        limits.head_seconds = configuration.head_seconds
-        limits.idle_seconds = configuration.idle_seconds
+        self._listeners.apply_limits(configuration)
         own = configuration.limits_by_service.get(self._settings.node.service)
         if own is not None:
             self._executor.pool.max_connections = own.connections
@@ -331,6 +301,7 @@
         """Apply the node count, departures and the own target's slots."""
         self._resend_budget.node_count = self._fleet.node_count
         self._retry_budgets.node_count = self._fleet.node_count
+        self.accounts.limits.node_count = self._fleet.node_count
         self._leaving.apply_list()
         self.news.view.apply_list(clock_now())
         own = self._fleet.own_entry
@@ -343,17 +314,6 @@
     def _on_target_refused(self) -> None:
         self._outage.note_refused()
 
-    def _accept_client(self) -> ServerConnection:
-        return ServerConnection(self._origin, self._limits, self._clients)
-
-    def _accept_probe(self) -> ServerConnection:
-        handler = ReadinessHandler(lambda: self.is_ready)
-        return ServerConnection(handler, self._limits, self._probes)
-
-    def _accept_scrape(self) -> ServerConnection:
-        handler = MetricsHandler(self._metrics)
-        return ServerConnection(handler, self._limits, self._probes)
-
     def _accept_link(self) -> IncomingLink:
         return self._links.accept(self._executor)
 
--- a/src/lovageshunt/sidecar/_snapshot.py
+++ b/src/lovageshunt/sidecar/_snapshot.py
@@ -8,6 +8,7 @@
 from lovageshunt.errors import MalformedFrameError
 from lovageshunt.links import compress, decompress
 from lovageshunt.routes import (
+    ClientAccount,
     Configuration,
     Destination,
     Route,
@@ -17,6 +18,9 @@
 
 #: What decoded JSON of another shape than expected raises.
 _MALFORMED: Final = (AttributeError, LookupError, TypeError, ValueError)
+#: Fields that a node of an earlier build does not know; they are left out if
+#: they are false or empty, so that it reads what it can act on.
+_LATER_FIELDS: Final = ('accounts', 'is_public')
 
 
 class FleetSnapshot(Record):
@@ -143,7 +147,11 @@
 
 def _fields_of(record: Any) -> Any:
     if isinstance(record, Record):
-        return record.as_dict()
+        fields = record.as_dict()
+        for name in _LATER_FIELDS:
+            if not fields.get(name, True):
+                fields.pop(name)
+        return fields
     raise TypeError(type(record).__name__)
 
 
@@ -153,7 +161,15 @@
         service: ServiceLimits(**limit)
         for service, limit in fields.pop('limits_by_service').items()
     }
-    return Configuration(routes=routes, limits_by_service=limits, **fields)
+    accounts = tuple(_account(each) for each in fields.pop('accounts', ()))
+    return Configuration(
+        routes=routes, limits_by_service=limits, accounts=accounts, **fields
+    )
+
+
+def _account(fields: dict[str, Any]) -> ClientAccount:
+    digests = tuple(str(digest) for digest in fields.pop('key_digests'))
+    return ClientAccount(key_digests=digests, **fields)
 
 
 def _route(fields: dict[str, Any]) -> Route:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -8,6 +8,7 @@
 import pytest
 from adapter.configuration import decode_configuration
 
+from lovageshunt.client_accounts import digest_of
 from lovageshunt.errors import MalformedRulesError
 from lovageshunt.routes import RouteTable
 from lovageshunt.sidecar._snapshot import (
@@ -156,3 +157,90 @@
         """One bad route rejects all, so that no part comes into force."""
         with pytest.raises(MalformedRulesError):
             decoded(action={'service': 's1'})
+
+
+def with_accounts(*accounts: dict[str, Any]) -> Any:
+    fields = published(public=True) | {'tenants': list(accounts)}
+    return decode_configuration(orjson.dumps(fields))
+
+
+ACCOUNT: dict[str, Any] = {
+    'name': 'shop',
+    'api_keys': ['key-1', 'key-2'],
+    'priority': 0,
+    'rate_per_s': 20,
+    'burst': 5,
+}
+
+
+class TestAccounts:
+    """Client accounts in a configuration."""
+
+    def test_reads_every_field(self) -> None:
+        """Keys are kept as digests only."""
+        found = with_accounts(ACCOUNT)
+        account = found.accounts[0]
+        assert account.name == 'shop'
+        assert account.key_digests == (digest_of(b'key-1'), digest_of(b'key-2'))
+        assert account.importance == 0
+        assert (account.per_second, account.burst) == (20, 5)
+        assert found.routes[0].is_public
+        assert 'key-1' not in repr(found)
+
+    def test_reads_what_may_be_left_out(self) -> None:
+        """No limit is 0 or no field; the route's importance holds then."""
+        bare = {'name': 'shop', 'api_keys': [], 'rate_per_s': 0}
+        account = with_accounts(bare).accounts[0]
+        assert account.per_second is None
+        assert account.importance is None
+        assert not decoded().accounts
+        assert not decoded().routes[0].is_public
+
+    def test_sends_accounts_to_other_nodes(self) -> None:
+        """A node that hears of a configuration from another knows the keys."""
+        snapshot = FleetSnapshot(
+            revision=1, configuration=with_accounts(ACCOUNT), entries=[]
+        )
+        encoded = encode_snapshot(snapshot)
+        assert decode_snapshot(encoded) == snapshot
+        assert b'key-1' not in encoded
+
+    def test_is_read_by_an_earlier_build_without_accounts(self) -> None:
+        """Fields that it does not know are not in the frame then."""
+        encoded = encode_snapshot(
+            FleetSnapshot(revision=1, configuration=decoded(), entries=[])
+        )
+        assert b'accounts' not in encoded
+        assert b'is_public' not in encoded
+
+    @pytest.mark.parametrize(
+        'odd',
+        [
+            {'name': ''},
+            {'name': 'a b'},
+            {'name': 'a\r\nx: y'},
+            {'name': 5},
+            {'api_keys': 'secret-7'},
+            {'api_keys': ['']},
+            {'api_keys': [7]},
+            {'api_keys': None},
+            {'priority': -1},
+            {'priority': 1.5},
+            {'rate_per_s': -1},
+            {'rate_per_s': True},
+            {'burst': 'many'},
+        ],
+    )
+    def test_refuses_odd_fields(self, odd: dict[str, Any]) -> None:
+        """The configuration is refused, and no error shows a key."""
+        with pytest.raises(MalformedRulesError) as error:
+            with_accounts(ACCOUNT | odd)
+        assert 'secret-7' not in str(error.value)
+        assert 'key-1' not in str(error.value)
+
+    def test_refuses_one_key_of_two_accounts(self) -> None:
+        """It would not tell who sent a request."""
+        with pytest.raises(MalformedRulesError):
+            with_accounts(ACCOUNT, ACCOUNT | {'name': 'other'})
+        with pytest.raises(MalformedRulesError):
+            with_accounts(ACCOUNT, ACCOUNT | {'api_keys': ['other']})
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -9,6 +9,7 @@
 from lovageshunt.http1 import Request, ServerConnection
 from lovageshunt.links import Dialer, RunAnswer, RunOrder
 from lovageshunt.retries import FleetBudgetSettings, FleetRetryBudgets
+from lovageshunt.sidecar._client_accounts import ClientAccounts
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._fleet import Fleet, TargetEntry
 from lovageshunt.sidecar._metrics import SidecarMetrics
@@ -124,6 +125,7 @@
             reports=InnerReports(),
             responder=Responder(HEADER_NAMES.attempt_id, SidecarMetrics('n')),
             suspects=self.suspects,
+            accounts=ClientAccounts(Random(1)),
             rng=Random(1),
         )
         self.origin.apply_configuration(configuration('s'))
--- a/tests/sidecar/test_origin_call.py
+++ b/tests/sidecar/test_origin_call.py
@@ -4,10 +4,25 @@
 
 from lovageshunt.calls import RefusalReason
 from lovageshunt.http1 import Request
+from lovageshunt.sidecar._fleet import TargetEntry
 from lovageshunt.sidecar._origin_call import OriginCall
 from tests.sidecar.test_origin import RecordingConnection
 
 
+def entry(target_id: str) -> TargetEntry:
+    return TargetEntry(
+        target_id=target_id,
+        service='s',
+        host='h',
+        port=1,
+        failure_domain='z',
+        slots=4,
+        is_leaving=False,
+        cold_seconds=0,
+        started_ms=1,
+    )
+
+
 def call_sent_to(*target_ids: str) -> OriginCall:
     request = Request(
         method=b'GET',
@@ -17,7 +32,8 @@
         keeps_alive=True,
     )
     call = OriginCall(request, RecordingConnection(), b'a')
-    call.sent_to = frozenset(target_ids)
+    for target_id in target_ids:
+        call.begin_attempt(entry(target_id))
     return call
 
 
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from lovageshunt.admission import LoadReported, RateLimitReported
-from lovageshunt.routes import Configuration, Destination, Route, ServiceLimits
+from lovageshunt.routes import (
+    ClientAccount,
+    Configuration,
+    Destination,
+    Route,
+    ServiceLimits,
+)
 from lovageshunt.settings import (
     Address,
     BoundsSection,
@@ -25,6 +31,8 @@
     time_left=b'x-left',
     target_id=b'x-target',
     caller_service=b'x-caller',
+    account_key=b'x-key',
+    account=b'x-account',
     proof=b'x-proof',
     not_run=b'x-not-run',
     leaving=b'x-leaving',
@@ -188,11 +196,13 @@
             self.tasks.append(asyncio.ensure_future(node.run()))
         await asyncio.sleep(0.05)
 
-    def publish(self, *services: str) -> None:
+    def publish(
+        self, *services: str, accounts: tuple[ClientAccount, ...] = ()
+    ) -> None:
         """Give every node all targets and routes to ``services``."""
         for node in self.nodes:
             node.fleet_state.apply_configuration(
-                configuration(*(services or ('s',)))
+                configuration(*(services or ('s',)), accounts=accounts)
             )
             node.fleet_state.apply_targets(self.entries(), 1)
 
@@ -297,8 +307,18 @@
     )
 
 
-def configuration(*services: str, version: int = 1) -> Configuration:
-    """Return a repeatable route ``/read/`` and ``/buy/``, which is not."""
+def configuration(
+    *services: str,
+    version: int = 1,
+    accounts: tuple[ClientAccount, ...] = (),
+) -> Configuration:
+    """Return a repeatable route ``/read/`` and ``/buy/``, which is not.
+
+    With accounts there is a public route ``/open/`` too.
+    """
+    prefixes = (
+        ('/read/', '/buy/', '/open/') if accounts else ('/read/', '/buy/')
+    )
     destinations = tuple(
         Destination(service=service, weight=1) for service in services
     )
@@ -310,13 +330,14 @@
                 host='x.example',
                 prefix=prefix,
                 destinations=destinations,
-                is_repeatable=prefix == '/read/',
+                is_repeatable=prefix != '/buy/',
+                is_public=prefix == '/open/',
                 most_attempts=2,
                 timeout_seconds=2,
                 aim_seconds=1,
                 importance=1,
             )
-            for prefix in ('/read/', '/buy/')
+            for prefix in prefixes
         ),
         limits_by_service={
             's': ServiceLimits(service='s', connections=20),
@@ -325,6 +346,7 @@
         body_bytes=100000,
         head_seconds=3,
         idle_seconds=15,
+        accounts=accounts,
     )
 
 
