Take the load that comes with each answer into the placement

Cause: each answer carries the load of its target, and the placement threw it away. Change: Fleet.call_ended records the load of the answer.

--- a/src/lovageshunt/sidecar/_fleet.py
+++ b/src/lovageshunt/sidecar/_fleet.py
@@ -232,9 +232,17 @@
         answer: RunAnswer,
         seconds: float,
     ) -> None:
-        """Record how a call ended, ``seconds`` after it was sent."""
+        """Record how a call ended, ``seconds`` after it was sent.
+
+        The load that comes with it is newer than the last report.
+        """
         is_error = answer.status >= _FIRST_ERROR
-        self._placement(entry.service).ended(
+        placement = self._placement(entry.service)
+        if answer.load is not None:
+            placement.record_reported_load(
+                entry.target_id, answer.load, clock_now()
+            )
+        placement.ended(
             entry.target_id,
             kind,
             seconds=seconds,
