Count calls before their kind is known to be one

Cause: a node counted a request of its target as a call only once the fleet had found out which kinds targets send, 1.7 s after the first load; the runs until then counted as runs without calls, for 15 s. A node or part without an estimate counted as one that makes none, too. Change: requests of all kinds are counted by window, and only those of kinds known as calls by then are solved for. Without an estimate, no word of it. The tests fail before.

--- a/src/lovageshunt/pressure/_call_graph.py
+++ b/src/lovageshunt/pressure/_call_graph.py
@@ -6,6 +6,7 @@
 are found by non-negative least squares over exponentially decaying sums.
 """
 
+from collections.abc import Callable
 from typing import Final
 
 from lovageshunt._record import Record
@@ -32,8 +33,9 @@
     """Runs and calls of one target in one window.
 
     ``runs_by_kind`` sums the fractions of runs of each kind that fell into
-    the window, ``calls_by_kind`` counts the calls of each kind that the
-    target made. Kinds of failed runs start with ``FAILED_PREFIX``.
+    the window, ``calls_by_kind`` counts the requests of each kind from its VM:
+    the calls that the target made, and the requests of clients. Kinds of failed
+    runs start with ``FAILED_PREFIX``.
     """
 
     __slots__ = ('runs_by_kind', 'calls_by_kind')
@@ -77,9 +79,14 @@
             for called, calls in counts.calls_by_kind.items():
                 _add(self._call_products, (kind, called), runs * calls)
 
-    def calls_by_kind(self) -> dict[str, dict[str, float]]:
+    def calls_by_kind(
+        self, is_internal: Callable[[str], bool]
+    ) -> dict[str, dict[str, float]]:
         """Return calls per run, by the running kind and the called kind.
 
+        Only kinds that ``is_internal`` names are calls. Which ones these are
+        is found out when some have been counted.
+
         A failed run makes fewer calls than a good one, so failed runs are used
         only while there are hardly any others: all fail when a downstream
         service is overloaded from the start.
@@ -90,7 +97,8 @@
             if runs > _MIN_RUNS
         ]
         calls: dict[str, dict[str, float]] = {kind: {} for kind in kinds}
-        for called in sorted({pair[1] for pair in self._call_products}):
+        called_kinds = {pair[1] for pair in self._call_products}
+        for called in sorted(filter(is_internal, called_kinds)):
             for kind, count in self._solve(kinds, called).items():
                 if count >= _MIN_CALLS_PER_RUN:
                     calls[kind][called] = count
--- a/src/lovageshunt/pressure/_call_sampler.py
+++ b/src/lovageshunt/pressure/_call_sampler.py
@@ -54,7 +54,7 @@
             number += 1
 
     def called(self, kind: str, now: float) -> None:
-        """Count a call that the target made now."""
+        """Count a request from the VM, which may be a call by its target."""
         self._extend(now)
         calls = self._windows[-1].calls_by_kind
         calls[kind] = calls.get(kind, 0) + 1
--- a/src/lovageshunt/pressure/_demand_model.py
+++ b/src/lovageshunt/pressure/_demand_model.py
@@ -15,7 +15,8 @@
     """The demand of one run of a kind, as a node reports it.
 
     ``service`` runs it, ``seconds`` is how long it holds a slot at the target
-    of ``node``, ``calls_by_kind`` how many calls of each kind it makes.
+    of ``node``, ``calls_by_kind`` how many calls of each kind it makes,
+    ``None`` if the node cannot tell.
     """
 
     __slots__ = ('node', 'service', 'seconds', 'calls_by_kind')
@@ -26,7 +27,7 @@
         node: str,
         service: str,
         seconds: float,
-        calls_by_kind: dict[str, float],
+        calls_by_kind: dict[str, float] | None,
     ) -> None:
         self.node = node
         self.service = service
@@ -65,8 +66,11 @@
 
     @property
     def calls_by_kind(self) -> dict[str, float]:
-        """Return how many calls of each kind a run makes."""
-        parts = list(self.calls_by_kind_by_part.values())
+        """Return how many calls of each kind a run makes.
+
+        A part that does not know of any call yet does not count.
+        """
+        parts = [each for each in self.calls_by_kind_by_part.values() if each]
         if self.mean_calls_by_kind is not None:
             parts.append(self.mean_calls_by_kind)
         return _mean_by_key(parts)
@@ -74,6 +78,8 @@
     def learn(self, report: KindDemand) -> None:
         """Merge the report of another node, or a newer one of the same."""
         self.seconds_by_node[report.node] = report.seconds
+        if report.calls_by_kind is None:
+            return
         known = self.mean_calls_by_kind
         if known is None:
             self.mean_calls_by_kind = dict(report.calls_by_kind)
@@ -86,7 +92,8 @@
     def learn_part(self, report: KindDemand) -> None:
         """Replace the means over the nodes of a part."""
         self.seconds_by_node[report.node] = report.seconds
-        self.calls_by_kind_by_part[report.node] = report.calls_by_kind
+        if report.calls_by_kind is not None:
+            self.calls_by_kind_by_part[report.node] = report.calls_by_kind
 
     def forget(self, part: str) -> None:
         """Drop the means of a part, unless there are no others."""
--- a/src/lovageshunt/sidecar/_coordinator_sums.py
+++ b/src/lovageshunt/sidecar/_coordinator_sums.py
@@ -116,13 +116,16 @@
 
 
 def demand_by_kind(report: DemandReport) -> dict[str, KindDemand]:
-    """Return what a run of each kind costs at the node of a report."""
+    """Return what a run of each kind costs at the node of a report.
+
+    A node does not estimate the calls of a kind of which it has run few.
+    """
     return {
         kind: KindDemand(
             node=report.node,
             service=report.service,
             seconds=seconds,
-            calls_by_kind=report.calls_by_kind_by_kind.get(kind, {}),
+            calls_by_kind=report.calls_by_kind_by_kind.get(kind),
         )
         for kind, seconds in report.seconds_by_kind.items()
     }
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -183,10 +183,8 @@
     def record_arrival(self, kind: str, now: float) -> bool:
         """Count a request from this VM; return whether its target sent it."""
         self._arrived_by_kind[kind] = self._arrived_by_kind.get(kind, 0) + 1
-        is_internal = self.internal_calls.is_internal(kind)
-        if is_internal:
-            self._executor.meters.watch.called(kind, now)
-        return is_internal
+        self._executor.meters.watch.called(kind, now)
+        return self.internal_calls.is_internal(kind)
 
     def advance(self) -> None:
         """Close elapsed windows and broadcast the reports that are due."""
@@ -292,7 +290,9 @@
         is_early = self._reports_sent <= _RUN_COSTS_PERIOD
         if is_early or self._reports_sent % _RUN_COSTS_PERIOD == 0:
             seconds_by_kind = dict(self._executor.meters.demand.seconds_by_kind)
-            calls_by_kind_by_kind = self._graph.calls_by_kind()
+            calls_by_kind_by_kind = self._graph.calls_by_kind(
+                self.internal_calls.is_internal
+            )
         own = self._fleet_state.greeting
         seconds = min(seconds, DEMAND_INTERVAL_SECONDS * 2)
         asked, admitted = self._accounts.take_rates(seconds)
--- a/tests/pressure/test_call_graph.py
+++ b/tests/pressure/test_call_graph.py
@@ -10,6 +10,10 @@
 RATES = {'view': 40.0, 'peek': 170.0}
 
 
+def are_all_internal(kind: str) -> bool:
+    return True
+
+
 def estimated_calls(
     seconds: float,
     seed: int,
@@ -42,7 +46,7 @@
             sampler.ended(kind, started_at, at, is_good=True)
         else:
             sampler.called(kind, at)
-    return graph.calls_by_kind()
+    return graph.calls_by_kind(are_all_internal)
 
 
 class TestCallGraph:
@@ -76,7 +80,9 @@
             for _ in range(4 if is_good else 1):
                 sampler.called('ledger', now)
             sampler.ended('peek', now - 0.01, now + 0.01, is_good=is_good)
-        assert 3.4 < graph.calls_by_kind()['peek']['ledger'] < 4.6
+        assert (
+            3.4 < graph.calls_by_kind(are_all_internal)['peek']['ledger'] < 4.6
+        )
 
     def test_is_not_misled_by_a_few_failed_runs(self) -> None:
         """Failures that coincide with a burst of calls do not replace the
@@ -88,7 +94,9 @@
             runs = {'peek': 2.0, '!peek': 0.5} if is_burst else {'peek': 2.0}
             calls = {'ledger': 20 if is_burst else 8}
             graph.learn(CallCounts(runs_by_kind=runs, calls_by_kind=calls))
-        assert 3.5 < graph.calls_by_kind()['peek']['ledger'] < 4.6
+        assert (
+            3.5 < graph.calls_by_kind(are_all_internal)['peek']['ledger'] < 4.6
+        )
 
     def test_learns_from_failed_runs_while_there_are_no_others(self) -> None:
         """When every run fails downstream, its calls are still estimated."""
@@ -100,8 +108,25 @@
                 graph.learn(counts)
             sampler.called('ledger', now)
             sampler.ended('peek', now - 0.01, now + 0.01, is_good=False)
-        assert graph.calls_by_kind()['peek']['ledger'] > 0.8
+        assert graph.calls_by_kind(are_all_internal)['peek']['ledger'] > 0.8
+
+    def test_counts_calls_before_their_kind_is_known(self) -> None:
+        """Guards against a bottom that is underestimated after a start.
+
+        Which kinds are calls is found out seconds after the first of them;
+        the runs until then made theirs too. Requests of clients are no calls.
+        """
+        graph = CallGraph()
+        for _ in range(60):
+            calls = {'ledger': 8, 'view': 5}
+            graph.learn(
+                CallCounts(runs_by_kind={'peek': 2.0}, calls_by_kind=calls)
+            )
+        assert not graph.calls_by_kind(lambda kind: False)['peek']
+        found = graph.calls_by_kind(lambda kind: kind == 'ledger')['peek']
+        assert found.keys() == {'ledger'}
+        assert 3.9 < found['ledger'] < 4.1
 
     def test_is_empty_for_an_idle_target(self) -> None:
         """Without runs there are no kinds to estimate."""
-        assert not CallGraph().calls_by_kind()
+        assert not CallGraph().calls_by_kind(are_all_internal)
--- a/tests/pressure/test_needs.py
+++ b/tests/pressure/test_needs.py
@@ -85,5 +85,23 @@
         assert model.demand_by_kind()['k'].seconds == 1
 
 
-def part_of(part: str, calls: dict[str, float]) -> KindDemand:
+class TestUnknownCalls:
+    """Nodes and parts that have not seen what a kind calls."""
+
+    def test_node_without_an_estimate_lowers_none(self) -> None:
+        """A node that has run few of a kind does not say that it calls none."""
+        model = DemandModel()
+        model.learn('k', part_of('n1', {'in': 4}))
+        model.learn('k', part_of('n2', None))
+        assert model.demand_by_kind()['k'].calls_by_kind == {'in': 4}
+
+    def test_part_without_an_estimate_lowers_none(self) -> None:
+        """A part that knows of no calls yet is left out of the mean."""
+        model = DemandModel()
+        model.learn_part('k', part_of('a', {'in': 4}))
+        model.learn_part('k', part_of('b', {}))
+        assert model.demand_by_kind()['k'].calls_by_kind == {'in': 4}
+
+
+def part_of(part: str, calls: dict[str, float] | None) -> KindDemand:
     return KindDemand(node=part, service='s', seconds=1, calls_by_kind=calls)
--- a/tests/sidecar/test_pressure_reports.py
+++ b/tests/sidecar/test_pressure_reports.py
@@ -64,6 +64,19 @@
                 assert rates.get('/read/', 0) > 0
 
 
+class TestCallGraph:
+    """What a node learns of the calls that its target makes."""
+
+    async def test_counts_requests_whose_kind_is_not_known(self) -> None:
+        """They may turn out to be calls by the target."""
+        async with world_of(1) as world:
+            reports = world.nodes[0]._reports
+            now = asyncio.get_running_loop().time()
+            assert not reports.record_arrival('/read/', now)
+            watch = world.nodes[0]._executor.meters.watch
+            assert watch._windows[-1].calls_by_kind == {'/read/': 1}
+
+
 class TestEarlierBuild:
     """A node of an earlier build reports to all nodes, and is in no sum."""
 
