Bound what clients make a node hold, and hold a body once

Cause: limits applied to one request and only to what the parser had handed over; nothing bounded all connections together. A part of a header stayed in the parser without a limit; a body was a list of objects, joined and copied at each step, and a frame was copied with each read of it. One count of what all connections hold (ReceiveBuffers, setting held_mebibytes, 80 by default), above which the one without progress for longest is given up, 503 and not run; heads in part, empty lines and the framing of chunks bounded by what was received; a head has a time; connections are bounded; links and the listeners of operators too. A body is collected in one buffer, passes as a view and is written in slices. Empty lines were read for ever and end now.

--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -8,7 +8,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
-from lovageshunt._receiving import ReceivingProtocol
+from lovageshunt._sending import Buffer, PacedProtocol, PacedWriter
 from lovageshunt.http1._limits import ResponseBuffers
 from lovageshunt.http1._messages import (
     BODILESS_STATUSES,
@@ -24,11 +24,14 @@
 _MIN_FINAL_STATUS: Final = 200
 _FRAMING_FIELDS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _TIMEOUT_OPTION: Final = b'timeout='
+#: A body of up to this size is sent together with its head, in bytes.
+_MAX_JOINED_BYTES: Final = 16 * 1024
 
 
 class Exchange:
-    """An encoded request, with a callback for its end.
+    """A request, with a callback for its end.
 
+    ``encoded`` is its head, or all of it; ``body`` follows, without a copy.
     ``identity`` is a header with the value that the response echoes; a
     response with another value belongs to an earlier request and is ignored.
     A request that is sent again has the same value, so it needs a connection
@@ -37,23 +40,25 @@
     called once.
     """
 
-    __slots__ = ('encoded', 'identity', 'has_body', 'ended')
+    __slots__ = ('encoded', 'body', 'identity', 'has_body', 'ended')
 
     def __init__(
         self,
         *,
         encoded: bytes,
         ended: Callable[[ExchangeEnd, Response | None], None],
+        body: Buffer = b'',
         identity: Header | None = None,
         has_body: bool = True,
     ) -> None:
         self.encoded = encoded
+        self.body = body
         self.identity = identity
         self.has_body = has_body
         self.ended = ended
 
 
-class ClientConnection(ReceivingProtocol):
+class ClientConnection(PacedProtocol):
     """One connection to a server, for one exchange at a time.
 
     ``on_free`` is called whenever the connection may be used again,
@@ -95,6 +100,7 @@
         on_free: Callable[['ClientConnection'], None],
         buffers: ResponseBuffers,
     ) -> None:
+        super().__init__()
         self._on_closed = on_closed
         self._on_free = on_free
         self._buffers = buffers
@@ -133,8 +139,13 @@
         # Until its first byte arrives, the head is that of the last response.
         self._has_head = False
         self._has_bytes = False
-        if self._transport is not None:
-            self._transport.write(exchange.encoded)
+        if self._transport is None or self.paced_writer is None:
+            return
+        if len(exchange.body) <= _MAX_JOINED_BYTES:
+            self._transport.write(exchange.encoded + exchange.body)
+            return
+        self.paced_writer.write(exchange.encoded)
+        self.paced_writer.write(exchange.body)
 
     def cancel(self) -> None:
         """Cancel the exchange and close the connection."""
@@ -153,6 +164,7 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Store the transport."""
         self._transport = cast(Transport, transport)
+        self.paced_writer = PacedWriter(self._transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the exchange; a clean close completes an unframed response."""
@@ -261,6 +273,9 @@
         if self._exchange is not None:
             self._refused_ids.note(self._exchange.identity, response)
         may_be_reused = self._keeps_alive and not self._refused_ids.is_full
+        # What is left of a request whose response came early is not sent.
+        is_sent = self.paced_writer is None or self.paced_writer.is_done
+        may_be_reused = may_be_reused and is_sent
         if self._has_surplus or self._is_unnamed or not may_be_reused:
             self.close()
         self._end(ExchangeEnd.COMPLETE, response)
--- a/src/lovageshunt/http1/_messages.py
+++ b/src/lovageshunt/http1/_messages.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from lovageshunt._record import Record
+from lovageshunt._sending import Buffer
 
 #: Header fields that are not forwarded, in lower case: hop-by-hop fields, and
 #: those that this package sets or handles itself.
@@ -47,7 +48,7 @@
         method: bytes,
         target: bytes,
         headers: list[Header],
-        body: bytes = b'',
+        body: Buffer = b'',
         keeps_alive: bool = True,
     ) -> None:
         self.method = method
@@ -130,24 +131,18 @@
     )
 
 
-def encode_request(
+def encode_request_head(
     *,
     method: bytes,
     target: bytes,
     fields: bytes,
-    body: bytes,
+    body_bytes: int = 0,
 ) -> bytes:
-    """Encode a request; ``fields`` are complete header lines."""
+    """Encode the head of a request; ``fields`` are complete header lines."""
     length = b''
-    if body or method not in {b'GET', b'HEAD', b'DELETE', b'OPTIONS'}:
-        length = b'content-length: %d\r\n' % len(body)
-    return b'%b %b HTTP/1.1\r\n%b%b\r\n%b' % (
-        method,
-        target,
-        fields,
-        length,
-        body,
-    )
+    if body_bytes or method not in {b'GET', b'HEAD', b'DELETE', b'OPTIONS'}:
+        length = b'content-length: %d\r\n' % body_bytes
+    return b'%b %b HTTP/1.1\r\n%b%b\r\n' % (method, target, fields, length)
 
 
 def encode_response(
--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -31,6 +31,7 @@
         self._ended = exchange.ended
         self._exchange = Exchange(
             encoded=exchange.encoded,
+            body=exchange.body,
             identity=exchange.identity,
             has_body=exchange.has_body,
             ended=self.end,
--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -7,22 +7,28 @@
 from typing import Any, Final, cast
 from typing import Protocol as Interface
 
-from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-
+from lovageshunt._receive_buffers import ReceiveBuffers
 from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt.http1._limits import ServerLimits
-from lovageshunt.http1._messages import Header, Request, encode_response
-from lovageshunt.http1._upgrade import encode_head_without_upgrade
+from lovageshunt.http1._messages import Request, encode_response
+from lovageshunt.http1._request_reader import STATUS_BY_FAULT, RequestReader
 
 _log = getLogger(__name__)
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 #: Reading is paused once this many requests wait for the one in progress.
 _MAX_PIPELINED_REQUESTS: Final = 8
-_CONNECT: Final = b'CONNECT'
-_BAD_REQUEST: Final = 400
+#: Reading is paused once this much was received beyond the request in
+#: progress, in bytes.
+_MAX_AHEAD_BYTES: Final = 64 * 1024
+#: A response of which no more is unread does not count as held, in bytes.
+_MIN_UNREAD_BYTES: Final = 64 * 1024
+#: How many times its limit a head may take to arrive as a whole: a limit that
+#: holds for clients on a slow machine, too.
+_HEAD_TIME_FACTOR: Final = 2
 _REQUEST_TIMEOUT: Final = 408
-_CONTENT_TOO_LARGE: Final = 413
-_HEADERS_TOO_LARGE: Final = 431
+_UNAVAILABLE: Final = 503
+#: ``retry-after`` of a request that is given up for others, in seconds.
+_GIVEN_UP_FIELDS: Final = b'retry-after: 1\r\n'
 
 
 class RequestHandler(Interface):
@@ -42,28 +48,27 @@
     """One client connection; requests are handled one at a time.
 
     ``open_connections`` is the set that the connection is in while it is
-    open. If ``closes_next`` is true, the next response announces that the
-    connection closes.
+    open, ``buffers`` bounds what all of them hold. If ``closes_next`` is true,
+    the next response announces that the connection closes.
+    ``last_progress_at`` is in seconds on the monotonic clock.
     """
 
     __slots__ = (
         '_handler',
         '_limits',
         '_open_connections',
+        '_buffers',
         '_transport',
-        '_parser',
-        '_target',
-        '_headers',
-        '_body',
-        '_head_size',
-        '_body_size',
+        '_reader',
+        '_began_at',
         '_pipelined',
         '_current',
+        '_current_bytes',
+        '_unread_bytes',
         '_token',
         '_is_broken',
-        '_is_reading',
-        '_last_activity_at',
         'closes_next',
+        'last_progress_at',
     )
 
     def __init__(
@@ -71,20 +76,23 @@
         handler: RequestHandler,
         limits: ServerLimits,
         open_connections: set['ServerConnection'],
+        buffers: ReceiveBuffers | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._open_connections = open_connections
+        self._buffers = buffers or ReceiveBuffers()
         self._transport: Transport | None = None
-        self._parser = HttpRequestParser(self)
-        self._pipelined: deque[Request] = deque()
+        self._reader = RequestReader(limits)
+        self._began_at: float | None = None
+        self._pipelined: deque[tuple[Request, int]] = deque()
         self._current: Request | None = None
+        self._current_bytes = 0
+        self._unread_bytes = 0
         self._token: Any = None
         self._is_broken = False
-        self._is_reading = False
-        self._last_activity_at = monotonic()
         self.closes_next = False
-        self._begin_message()
+        self.last_progress_at = monotonic()
 
     # Called by asyncio.
 
@@ -98,86 +106,46 @@
         self._transport = None
         self._open_connections.discard(self)
         self._pipelined.clear()
+        self._reader.discard()
+        self._buffers.release_all(self)
         if self._current is not None:
             self._current = None
             self._handler.abandon(self._token)
             self._token = None
 
     def data_received(self, data: bytes) -> None:
-        """Parse data from the client; refuse malformed requests."""
-        self._last_activity_at = monotonic()
-        while data and not self._is_broken:
-            try:
-                self._parser.feed_data(data)
-            except HttpParserUpgrade as upgrade:
-                data = self._without_upgrade(data[upgrade.args[0] :])
-                continue
-            except HttpParserError as error:
-                _log.info('refusing a malformed request: %s', error)
-                self._refuse(_BAD_REQUEST)
+        """Parse data from the client; refuse what is no request."""
+        self.last_progress_at = monotonic()
+        if self._is_broken:
+            return
+        self._buffers.hold(self, len(data))
+        if self._is_broken:
+            # It was given up itself.
             return
+        for request, received_bytes in self._reader.feed(data):
+            self._take(request, received_bytes)
+        self._note_unfinished()
+        fault = self._reader.fault
+        if fault is not None:
+            self._refuse(STATUS_BY_FAULT[fault], fault)
 
     def eof_received(self) -> None:
         """Close the connection: a half-closed one counts as disconnected."""
 
-    # Called by the parser.
-
-    def on_message_begin(self) -> None:
-        """Reset the state of the message."""
-        self._begin_message()
-        self._is_reading = True
-
-    def on_url(self, url: bytes) -> None:
-        """Append to the request target, which may arrive in parts."""
-        self._target += url
-        self._head_size += len(url)
-        if self._head_size > self._limits.head_bytes:
-            self._refuse(_HEADERS_TOO_LARGE)
-
-    def on_header(self, name: bytes, text: bytes) -> None:
-        """Store a header; refuse a head that is too large."""
-        self._headers.append((name.lower(), text))
-        self._head_size += len(name) + len(text)
-        if self._head_size > self._limits.head_bytes:
-            self._refuse(_HEADERS_TOO_LARGE)
-
-    def on_headers_complete(self) -> None:
-        """Send ``100 Continue`` to a client that waits for it."""
-        if self._parser.should_upgrade():
-            return
-        for name, text in self._headers:
-            if name == b'expect' and text.lower() == b'100-continue':
-                self._write(_CONTINUE)
-
-    def on_body(self, body: bytes) -> None:
-        """Store a part of the body; refuse a body that is too large."""
-        self._body_size += len(body)
-        if self._body_size > self._limits.body_bytes:
-            self._refuse(_CONTENT_TOO_LARGE)
-            return
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        """Handle the request, or queue it behind the one in progress."""
-        if self._is_broken or self._parser.should_upgrade():
-            return
-        self._is_reading = False
-        request = Request(
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=self._headers,
-            body=b''.join(self._body),
-            keeps_alive=self._parser.should_keep_alive(),
-        )
+    def pause_writing(self) -> None:
+        """Count what the client has not read."""
+        transport = self._transport
+        if transport is not None and not self._unread_bytes:
+            self._unread_bytes = transport.get_write_buffer_size()
+            self._buffers.hold(self, self._unread_bytes)
+
+    def resume_writing(self) -> None:
+        """Go on with the next request once the client has read."""
+        self._buffers.release(self, self._unread_bytes)
+        self._unread_bytes = 0
+        self.last_progress_at = monotonic()
         if self._current is None:
-            self._start(request)
-            return
-        self._pipelined.append(request)
-        if (
-            len(self._pipelined) >= _MAX_PIPELINED_REQUESTS
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
+            self._start_next()
 
     # Called by the handler.
 
@@ -188,6 +156,7 @@
             return False
         self._current = None
         self._token = None
+        self._buffers.release(self, self._current_bytes)
         closes = self.closes_next or not request.keeps_alive
         encoded = encode_response(
             status=status,
@@ -196,19 +165,36 @@
             closes=closes,
             has_body=request.method != b'HEAD',
         )
+        self.last_progress_at = monotonic()
         self._transport.write(encoded)
-        self._last_activity_at = monotonic()
         if closes or self._is_broken:
             self._transport.close()
-        elif self._pipelined:
-            self._transport.resume_reading()
-            self._start(self._pipelined.popleft())
+        elif not self._unread_bytes:
+            self._start_next()
         return True
 
+    # Called by ``ReceiveBuffers``.
+
+    @property
+    def can_be_given_up(self) -> bool:
+        """Whether no request that is whole would be lost."""
+        if self._current is not None or self._transport is None:
+            return False
+        return self._unread_bytes > 0 or self._reader.held_bytes > 0
+
+    def give_up(self) -> None:
+        """Close the connection; tell a client whose request is not whole."""
+        if self._unread_bytes and self._transport is not None:
+            self._log_refusal('unread')
+            self._is_broken = True
+            self._transport.abort()
+        else:
+            self._refuse(_UNAVAILABLE, 'memory', _GIVEN_UP_FIELDS)
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress or partly received."""
-        return self._current is None and not self._is_reading
+        return self._current is None and not self._reader.is_reading
 
     @property
     def is_sending(self) -> bool:
@@ -223,9 +209,9 @@
         """
         if self._transport is None or self._current is not None:
             return
-        elapsed = now - self._last_activity_at
-        if self._is_reading and elapsed > self._limits.head_seconds:
-            self._refuse(_REQUEST_TIMEOUT)
+        elapsed = now - self.last_progress_at
+        if self._is_late(now):
+            self._refuse(_REQUEST_TIMEOUT, 'time')
         elif elapsed > self._limits.idle_seconds:
             self._transport.close()
 
@@ -234,53 +220,85 @@
         if self._transport is not None and self.is_idle:
             self._transport.close()
 
-    def _begin_message(self) -> None:
-        self._target = b''
-        self._headers: list[Header] = []
-        self._body: list[bytes] = []
-        self._head_size = 0
-        self._body_size = 0
+    def _take(self, request: Request, received_bytes: int) -> None:
+        """Handle a request, or queue it behind the one in progress."""
+        self._began_at = None
+        if self._current is None and not self._unread_bytes:
+            self._start(request, received_bytes)
+            return
+        self._pipelined.append((request, received_bytes))
+        if len(self._pipelined) >= _MAX_PIPELINED_REQUESTS:
+            self._pause_reading()
+
+    def _note_unfinished(self) -> None:
+        """Note when a head began; read no large request ahead."""
+        reader = self._reader
+        if reader.held_bytes and self._began_at is None:
+            self._began_at = self.last_progress_at
+        if reader.expects_continue and self._transport is not None:
+            reader.expects_continue = False
+            self._transport.write(_CONTINUE)
+        ahead = reader.held_bytes + sum(size for _, size in self._pipelined)
+        if self._current is not None and ahead > _MAX_AHEAD_BYTES:
+            self._pause_reading()
+
+    def _is_late(self, now: float) -> bool:
+        """Return whether a request makes no progress, or its head is late."""
+        seconds = self._limits.head_seconds
+        if self._reader.is_reading and now - self.last_progress_at > seconds:
+            return True
+        if self._began_at is None or not self._reader.is_in_head:
+            return False
+        return now - self._began_at > seconds * _HEAD_TIME_FACTOR
 
-    def _without_upgrade(self, rest: bytes) -> bytes:
-        """Return what is to be parsed instead of a request with an upgrade.
+    def _pause_reading(self) -> None:
+        if self._transport is not None:
+            self._transport.pause_reading()
 
-        The parser ends such a request with its head and leaves ``rest`` for
-        the other protocol. As no upgrade is supported, the request is parsed
-        again without the offer, by a new parser, and keeps its body.
-        """
-        method = self._parser.get_method()
-        if method == _CONNECT:
-            self._refuse(_BAD_REQUEST)
-            return b''
-        head = encode_head_without_upgrade(
-            method=method,
-            target=self._target,
-            version=self._parser.get_http_version(),
-            headers=self._headers,
-        )
-        self._parser = HttpRequestParser(self)
-        return head + rest
+    def _start_next(self) -> None:
+        """Start the next request that waits, and read on."""
+        if self._transport is None or self._is_broken:
+            return
+        self._transport.resume_reading()
+        if self._pipelined:
+            self._start(*self._pipelined.popleft())
 
-    def _start(self, request: Request) -> None:
+    def _start(self, request: Request, received_bytes: int) -> None:
         self._current = request
+        self._current_bytes = received_bytes
         token = self._handler.handle(request, self)
         # The handler may have responded within the call.
         if self._current is request:
             self._token = token
 
-    def _refuse(self, status: int) -> None:
+    def _refuse(self, status: int, cause: str, fields: bytes = b'') -> None:
         """Accept no more data; send ``status`` if no request is in progress."""
         if self._is_broken:
             return
         self._is_broken = True
+        self._log_refusal(cause)
+        self._buffers.release(self, self._reader.held_bytes)
+        self._reader.discard()
         if self._current is not None or self._transport is None:
             return
         encoded = encode_response(
-            status=status, fields=b'', body=b'', closes=True
+            status=status, fields=fields, body=b'', closes=True
         )
         self._transport.write(encoded)
         self._transport.close()
 
-    def _write(self, encoded: bytes) -> None:
+    def _log_refusal(self, cause: str) -> None:
+        """Count and log a client that is not served any more."""
+        self._buffers.refused_by_cause[cause] += 1
+        peer = None
         if self._transport is not None:
-            self._transport.write(encoded)
+            peer = self._transport.get_extra_info('peername')
+        _log.info(
+            'closing the connection of a client',
+            extra={
+                'cause': cause,
+                'peer': peer and f'{peer[0]}:{peer[1]}',
+                'held_bytes': self._reader.held_bytes,
+                'all_held_bytes': self._buffers.held_bytes,
+            },
+        )
--- a/src/lovageshunt/links/_dialed_connection.py
+++ b/src/lovageshunt/links/_dialed_connection.py
@@ -3,7 +3,7 @@
 from asyncio import BaseTransport, Transport, get_running_loop
 from typing import Final, Protocol, cast
 
-from lovageshunt._receiving import ReceivingProtocol
+from lovageshunt._sending import Buffer, PacedProtocol, PacedWriter
 from lovageshunt.clock import now as clock_now
 from lovageshunt.errors import MalformedFrameError
 from lovageshunt.links._codec import decode_greeting
@@ -41,7 +41,7 @@
         """Handle the loss of the connection."""
 
 
-class DialedConnection(ReceivingProtocol):
+class DialedConnection(PacedProtocol):
     """A connection; its owner is the dialer of the link.
 
     ``greeting`` is done once the peer's greeting was received, and fails
@@ -49,6 +49,7 @@
     """
 
     def __init__(self, owner: LinkOwner) -> None:
+        super().__init__()
         self._owner = owner
         self._transport: Transport | None = None
         self._reader = FrameReader()
@@ -60,6 +61,7 @@
     def connection_made(self, transport: BaseTransport) -> None:
         """Store the transport."""
         self._transport = cast(Transport, transport)
+        self.paced_writer = PacedWriter(self._transport)
         self._received_at = clock_now()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -75,10 +77,11 @@
         except MalformedFrameError as error:
             self._end(str(error))
 
-    def write(self, encoded: bytes) -> None:
+    def write(self, *parts: Buffer) -> None:
         """Write complete frames; drop them if the connection is closed."""
-        if self._transport is not None:
-            self._transport.write(encoded)
+        if self._transport is not None and self.paced_writer is not None:
+            for part in parts:
+                self.paced_writer.write(part)
 
     def check_silence(self, now: float) -> None:
         """Ping a quiet peer; end the connection when the timeout is over."""
--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -16,7 +16,7 @@
     FrameKind,
     decode_answer,
     encode_frame,
-    encode_order,
+    encode_order_frame,
 )
 from lovageshunt.links._messages import Greeting, RunAnswer, RunOrder
 
@@ -30,6 +30,8 @@
 #: How long a lost link may take to reconnect before its calls are ended, by
 #: whether they are repeatable: those are retried elsewhere.
 _RESUME_SECONDS: Final = MappingProxyType({True: 0.3, False: 2.5})
+#: A body of up to this size is sent together with its head, in bytes.
+_MAX_JOINED_BYTES: Final = 16 * 1024
 #: The orders that a log line names; it names those that must not run twice.
 _MAX_LOGGED_ORDERS: Final = 8
 
@@ -298,8 +300,11 @@
         if self._connection is None:
             return
         sent.is_written = True
-        payload = encode_order(sent.order, clock_now())
-        self._connection.write(encode_frame(FrameKind.ORDER, stream, payload))
+        head, body = encode_order_frame(stream, sent.order, clock_now())
+        if len(body) > _MAX_JOINED_BYTES:
+            self._connection.write(head, body)
+        else:
+            self._connection.write(head + body)
 
     def _expire_unsent(self, stream: int) -> None:
         sent = self._sent_by_stream.get(stream)
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -8,17 +8,21 @@
 from enum import IntEnum
 from struct import Struct
 from struct import error as StructError
-from typing import Final
+from typing import Any, Final
 
 from lovageshunt._record import Record
+from lovageshunt._sending import Buffer
 from lovageshunt.calls import LoadReport, Outcome, RefusalReason
 from lovageshunt.errors import MalformedFrameError
 from lovageshunt.links._messages import RunAnswer, RunOrder, TargetLoadReport
 
 _PREFIX: Final = Struct('!IBI')
 _LENGTH_BYTES: Final = 4
+_MIN_LENGTH: Final = _PREFIX.size - _LENGTH_BYTES
 #: Enough for the largest body together with its header fields.
 _MAX_FRAME_BYTES: Final = 80 * 1024 * 1024
+#: A larger frame is collected in one buffer and not copied, in bytes.
+_MIN_LARGE_BYTES: Final = 256 * 1024
 #: Order: importance, is_repeatable, is_repeat, remaining time in ms, and the
 #: lengths of seven fields; the fields and the body follow.
 _ORDER: Final = Struct('!B??I5H2I')
@@ -59,35 +63,66 @@
 
 
 class Frame(Record):
-    """One frame; ``stream`` is the number of its call, or 0 without one."""
+    """One frame; ``stream`` is the number of its call, or 0 without one.
+
+    ``payload`` is a view of what was received if it is large.
+    """
 
     __slots__ = ('kind', 'stream', 'payload')
 
-    def __init__(self, *, kind: int, stream: int, payload: bytes) -> None:
+    def __init__(self, *, kind: int, stream: int, payload: Any) -> None:
         self.kind = kind
         self.stream = stream
         self.payload = payload
 
 
 class FrameReader:
-    """Splits a stream of bytes into frames."""
+    """Splits a stream of bytes into frames.
+
+    ``held_bytes`` is what is held of a frame that is not complete.
+    """
 
-    __slots__ = ('_buffer',)
+    __slots__ = ('_buffer', '_large', '_large_bytes')
 
     def __init__(self) -> None:
         self._buffer = b''
+        #: What was received of a large frame, and its size.
+        self._large = bytearray()
+        self._large_bytes = 0
+
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of a frame that is not complete."""
+        return len(self._buffer) + len(self._large)
 
     def feed(self, received: bytes) -> list[Frame]:
         """Return the frames that ``received`` completes.
 
         Raises ``MalformedFrameError`` if a frame's length is out of bounds.
         """
-        buffer = self._buffer + received if self._buffer else received
+        if not self._large_bytes:
+            return self._split_buffer(self._buffer + received)
+        missing = self._large_bytes - len(self._large)
+        self._large += memoryview(received)[:missing]
+        if len(received) < missing:
+            return []
+        frame = self._take_large()
+        return [frame, *self._split_buffer(received[missing:])]
+
+    def _take_large(self) -> Frame:
+        """Return the large frame, a view of what was collected of it."""
+        view = memoryview(self._large)
+        self._large = bytearray()
+        self._large_bytes = 0
+        _, kind, stream = _PREFIX.unpack_from(view)
+        return Frame(kind=kind, stream=stream, payload=view[_PREFIX.size :])
+
+    def _split_buffer(self, buffer: bytes) -> list[Frame]:
         frames: list[Frame] = []
         offset = 0
         while len(buffer) - offset >= _PREFIX.size:
             length, kind, stream = _PREFIX.unpack_from(buffer, offset)
-            if not _PREFIX.size - _LENGTH_BYTES <= length <= _MAX_FRAME_BYTES:
+            if not _MIN_LENGTH <= length <= _MAX_FRAME_BYTES:
                 raise MalformedFrameError(
                     f'frame length of {length} bytes is out of bounds',
                 )
@@ -98,17 +133,45 @@
             frames.append(Frame(kind=kind, stream=stream, payload=payload))
             offset = end
         self._buffer = buffer[offset:]
+        self._note_large()
         return frames
 
+    def _note_large(self) -> None:
+        """Collect a frame that will be large in a buffer of its own."""
+        if len(self._buffer) < _PREFIX.size:
+            return
+        size = _LENGTH_BYTES + _PREFIX.unpack_from(self._buffer)[0]
+        if size > _MIN_LARGE_BYTES:
+            self._large = bytearray(self._buffer)
+            self._large_bytes = size
+            self._buffer = b''
+
 
 def encode_frame(kind: FrameKind, stream: int, payload: bytes = b'') -> bytes:
     """Encode one frame; ``stream`` is 0 if it belongs to no call."""
-    length = len(payload) + _PREFIX.size - _LENGTH_BYTES
+    length = len(payload) + _MIN_LENGTH
     return _PREFIX.pack(length, kind, stream) + payload
 
 
+def encode_order_frame(
+    stream: int, order: RunOrder, now: float
+) -> tuple[bytes, Buffer]:
+    """Encode the frame of an order but for its body, which follows as it is.
+
+    ``now`` is in seconds on the clock of its deadline.
+    """
+    head = encode_order_head(order, now)
+    length = len(head) + len(order.body) + _MIN_LENGTH
+    return _PREFIX.pack(length, FrameKind.ORDER, stream) + head, order.body
+
+
 def encode_order(order: RunOrder, now: float) -> bytes:
     """Encode an order; ``now`` is in seconds on the clock of its deadline."""
+    return encode_order_head(order, now) + order.body
+
+
+def encode_order_head(order: RunOrder, now: float) -> bytes:
+    """Encode what precedes the body of an order."""
     target_id = order.target_id.encode()
     kind = order.kind.encode()
     caller = order.caller_service.encode()
@@ -136,14 +199,15 @@
             order.method,
             order.request_target,
             order.fields,
-            order.body,
         ),
     )
 
 
-def decode_order(payload: bytes, now: float) -> RunOrder:
+def decode_order(payload: Buffer, now: float) -> RunOrder:
     """Decode an order; its deadline is counted from ``now``, in seconds.
 
+    The body of a large one is a view of the payload.
+
     Raises ``MalformedFrameError`` if the payload is malformed.
     """
     try:
@@ -152,7 +216,9 @@
         raise MalformedFrameError(str(error)) from error
     importance, is_repeatable, is_repeat = numbers[:3]
     left_ms, *lengths = numbers[3:]
-    parts = _split(payload, _ORDER.size, lengths)
+    view = memoryview(payload)
+    size = _ORDER.size + sum(lengths)
+    parts = _split(bytes(view[:size]), _ORDER.size, lengths)
     return RunOrder(
         attempt_id=parts[0],
         target_id=_decode_text(parts[1]),
@@ -165,10 +231,15 @@
         method=parts[4],
         request_target=parts[5],
         fields=parts[6],
-        body=parts[7],
+        body=_body_of(view[size:]),
     )
 
 
+def _body_of(view: memoryview) -> Buffer:
+    """Return a body: a copy, unless it is large."""
+    return view if len(view) > _MIN_LARGE_BYTES else bytes(view)
+
+
 def encode_answer(answer: RunAnswer) -> bytes:
     load = answer.load or _NO_LOAD
     head = _ANSWER.pack(
--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable
 from functools import partial
 from logging import getLogger
+from time import monotonic
 from typing import Any, Final, cast
 from typing import Protocol as Interface
 
+from lovageshunt._receive_buffers import ReceiveBuffers
 from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
@@ -31,6 +33,8 @@
 _log = getLogger(__name__)
 #: How long a sender may take to reconnect before its calls are cancelled.
 _RESUME_TIMEOUT_SECONDS: Final = 1.0
+#: The most that is held of a frame before the greeting of a node, in bytes.
+_MAX_FIRST_FRAME_BYTES: Final = 64 * 1024
 
 
 class OrderHandler(Interface):
@@ -59,7 +63,9 @@
 
     ``open_links`` are those of the node; the link is one while it is open.
     ``on_frame`` is called with greetings and with all frames of kinds that
-    the link does not handle itself.
+    the link does not handle itself. ``buffers`` bounds what links hold of
+    frames that are not complete; ``last_progress_at`` is in seconds on the
+    monotonic clock.
     """
 
     def __init__(
@@ -70,7 +76,11 @@
         greeting: Greeting,
         open_links: IncomingLinks['IncomingLink'],
         on_frame: Callable[['IncomingLink', Frame], None],
+        buffers: ReceiveBuffers | None = None,
     ) -> None:
+        self._buffers = buffers or ReceiveBuffers()
+        self._held_bytes = 0
+        self.last_progress_at = monotonic()
         self._handler = handler
         self._recent_orders = recent_orders
         self._greeting = greeting
@@ -95,6 +105,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the sender's calls if it does not reconnect in time."""
         self._transport = None
+        self._buffers.release_all(self)
         sender = self.peer.incarnation if self.peer else ''
         self._open_links.discard(self, sender)
         get_running_loop().call_later(
@@ -103,13 +114,32 @@
 
     def data_received(self, data: bytes) -> None:
         """Handle the received frames; close the link if one is malformed."""
+        self.last_progress_at = monotonic()
         try:
             for frame in self._reader.feed(data):
                 if self._transport is not None:
                     self._dispatch(frame)
+            self._check_first_frame()
         except MalformedFrameError as error:
             _log.warning('closing a link: %s', error)
             self.close()
+        self._count_held()
+
+    @property
+    def can_be_given_up(self) -> bool:
+        """Whether the link holds a part of a frame."""
+        return self._transport is not None and self._held_bytes > 0
+
+    def give_up(self) -> None:
+        """Cut the link, so that its sender sends the frame again."""
+        _log.warning(
+            'cutting a link that holds too much of a frame',
+            extra={'held_bytes': self._held_bytes},
+        )
+        self._buffers.refused_by_cause['link'] += 1
+        self._reader = FrameReader()
+        if self._transport is not None:
+            self._transport.abort()
 
     def send_frame(self, kind: FrameKind, payload: bytes = b'') -> None:
         """Send a frame that belongs to no call; drop it on a closed link."""
@@ -146,6 +176,23 @@
             frame = encode_frame(FrameKind.ANSWER, stream, encoded)
             self._transport.write(frame)
 
+    def _check_first_frame(self) -> None:
+        """Refuse a large frame of one that has not greeted."""
+        if (
+            self.peer is None
+            and self._reader.held_bytes > _MAX_FIRST_FRAME_BYTES
+        ):
+            raise MalformedFrameError('the first frame is no greeting')
+
+    def _count_held(self) -> None:
+        """Count what the link holds of a frame."""
+        before = self._held_bytes
+        self._held_bytes = self._reader.held_bytes
+        if self._held_bytes > before:
+            self._buffers.hold(self, self._held_bytes - before)
+        elif self._held_bytes < before:
+            self._buffers.release(self, before - self._held_bytes)
+
     def _dispatch(self, frame: Frame) -> None:
         if frame.kind == FrameKind.ORDER:
             self._accept_order(frame)
--- a/src/lovageshunt/links/_messages.py
+++ b/src/lovageshunt/links/_messages.py
@@ -1,6 +1,7 @@
 """The messages that nodes exchange on links."""
 
 from lovageshunt._record import Record
+from lovageshunt._sending import Buffer
 from lovageshunt.calls import LoadReport, Outcome, RefusalReason
 
 
@@ -46,7 +47,7 @@
         method: bytes,
         request_target: bytes,
         fields: bytes,
-        body: bytes,
+        body: Buffer,
     ) -> None:
         self.attempt_id = attempt_id
         self.target_id = target_id
--- a/src/lovageshunt/observability/_specs.py
+++ b/src/lovageshunt/observability/_specs.py
@@ -273,4 +273,18 @@
         meaning='client accounts that ask the fleet for more than their limits',
         alert='above 0 for 1 min',
     ),
+    MetricSpec(
+        name='lovageshunt_held_bytes',
+        kind=GAUGE,
+        meaning='bytes of requests, unread responses and parts of frames that '
+        'connections hold',
+        alert='above half of held_mebibytes for 1 min',
+    ),
+    MetricSpec(
+        name='lovageshunt_clients_closed_total',
+        kind=COUNTER,
+        labels=('cause',),
+        meaning='connections closed for what a client sent or did not read',
+        alert='cause memory or connections, any in 1 min',
+    ),
 )
--- a/src/lovageshunt/settings/__init__.py
+++ b/src/lovageshunt/settings/__init__.py
@@ -34,6 +34,7 @@
 )
 from lovageshunt.settings._sidecar import (
     BoundsSection,
+    SidecarClientsSection,
     SidecarListenSection,
     SidecarSettings,
     SidecarTargetSection,
@@ -65,6 +66,7 @@
     'SectionTable',
     'SecuritySection',
     'SettingsFault',
+    'SidecarClientsSection',
     'SidecarListenSection',
     'SidecarSettings',
     'SidecarTargetSection',
--- a/src/lovageshunt/settings/_sidecar.py
+++ b/src/lovageshunt/settings/_sidecar.py
@@ -34,6 +34,22 @@
         self.metrics_port = metrics_port
 
 
+class SidecarClientsSection(Record):
+    """What clients may make a node hold.
+
+    All connections together hold at most ``held_mebibytes``, in MiB, of what
+    they have received or not sent. At most ``connections`` of clients are open.
+    """
+
+    __slots__ = ('held_mebibytes', 'connections')
+
+    def __init__(
+        self, *, held_mebibytes: int = 80, connections: int = 2000
+    ) -> None:
+        self.held_mebibytes = held_mebibytes
+        self.connections = connections
+
+
 class SidecarTargetSection(Record):
     """The target on the sidecar's VM.
 
@@ -88,7 +104,15 @@
 class SidecarSettings(Record):
     """All settings of a sidecar, by section."""
 
-    __slots__ = ('node', 'listen', 'target', 'platform', 'bounds', 'logs')
+    __slots__ = (
+        'node',
+        'listen',
+        'clients',
+        'target',
+        'platform',
+        'bounds',
+        'logs',
+    )
 
     def __init__(
         self,
@@ -99,7 +123,9 @@
         platform: StoreSection,
         bounds: BoundsSection,
         logs: LogsSection,
+        clients: SidecarClientsSection | None = None,
     ) -> None:
+        self.clients = clients or SidecarClientsSection()
         self.node = node
         self.listen = listen
         self.target = target
@@ -120,6 +146,7 @@
         SidecarSettings(
             node=NodeSection(**by_section['node']),
             listen=SidecarListenSection(**by_section['listen']),
+            clients=SidecarClientsSection(**by_section['clients']),
             target=SidecarTargetSection(**by_section['target']),
             platform=StoreSection(**by_section['platform']),
             bounds=BoundsSection(**by_section['bounds']),
--- a/src/lovageshunt/settings/_sidecar_keys.py
+++ b/src/lovageshunt/settings/_sidecar_keys.py
@@ -51,6 +51,34 @@
             ),
         ),
     ),
+    SectionTable(
+        name='clients',
+        meaning='What clients may make this node hold.',
+        keys=(
+            Key(
+                name='held_mebibytes',
+                kind=bounded_int(1, _MAX_COUNT),
+                default='80',
+                unit='MiB',
+                meaning=(
+                    'What all connections hold together of requests, unread '
+                    'responses and parts of frames; above it those without '
+                    'progress for longest are closed. More than the largest '
+                    'body, and less than half of the memory.'
+                ),
+            ),
+            Key(
+                name='connections',
+                kind=bounded_int(1, _MAX_COUNT),
+                default='2000',
+                unit='connections',
+                meaning=(
+                    'Connections of clients at a time; above it the one idle '
+                    'for longest is closed.'
+                ),
+            ),
+        ),
+    ),
     SectionTable(
         name='target',
         meaning='The target on the VM of this node.',
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -270,7 +270,8 @@
 
     def _send(self, run: Run) -> None:
         exchange = Exchange(
-            encoded=run.encoded(self._header_names),
+            encoded=run.encoded_head(self._header_names),
+            body=run.order.body,
             identity=(self._header_names.attempt_id, run.order.attempt_id),
             has_body=run.order.method != b'HEAD',
             ended=lambda end, response: self._on_ended(run, end, response),
--- a/src/lovageshunt/sidecar/_fingerprint.py
+++ b/src/lovageshunt/sidecar/_fingerprint.py
@@ -7,8 +7,9 @@
 
 from typing import Final
 
-from xxhash import xxh3_64_hexdigest
+from xxhash import xxh3_64
 
+from lovageshunt._sending import Buffer
 from lovageshunt.http1 import Request
 from lovageshunt.links import RunOrder
 
@@ -28,6 +29,9 @@
     return _fingerprint(order.method, host, order.request_target, order.body)
 
 
-def _fingerprint(method: bytes, host: bytes, target: bytes, body: bytes) -> str:
-    head = b'%b %b %b ' % (method, host.lower(), target)
-    return xxh3_64_hexdigest(head + body)
+def _fingerprint(
+    method: bytes, host: bytes, target: bytes, body: Buffer
+) -> str:
+    digest = xxh3_64(b'%b %b %b ' % (method, host.lower(), target))
+    digest.update(body)
+    return digest.hexdigest()
--- a/src/lovageshunt/sidecar/_listeners.py
+++ b/src/lovageshunt/sidecar/_listeners.py
@@ -5,10 +5,12 @@
 from time import monotonic
 from typing import Final
 
+from lovageshunt._receive_buffers import ReceiveBuffers
 from lovageshunt.http1 import RequestHandler, ServerConnection, ServerLimits
 from lovageshunt.routes import Configuration
-from lovageshunt.settings import Address
+from lovageshunt.settings import Address, SidecarClientsSection
 
+_BYTES_PER_MEBIBYTE: Final = 1024 * 1024
 #: The largest number of connections that wait to be accepted.
 _MAX_BACKLOG: Final = 1024
 #: Request heads may have this many times the configured size, because the
@@ -19,12 +21,24 @@
 class Listeners:
     """Opens listeners and closes connections whose time is over.
 
-    ``clients`` are the open connections of clients.
+    ``clients`` are the open connections of clients, at most as
+    many as the settings allow; ``buffers`` bounds what all connections hold.
     """
 
-    __slots__ = ('clients', '_others', '_limits', '_servers')
+    __slots__ = (
+        'clients',
+        '_others',
+        'buffers',
+        '_max_connections',
+        '_limits',
+        '_servers',
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, settings: SidecarClientsSection) -> None:
+        self.buffers = ReceiveBuffers(
+            settings.held_mebibytes * _BYTES_PER_MEBIBYTE
+        )
+        self._max_connections = settings.connections
         self.clients: set[ServerConnection] = set()
         self._others: set[ServerConnection] = set()
         self._limits = ServerLimits()
@@ -35,8 +49,7 @@
     ) -> None:
         """Accept the connections of clients."""
         await self.open(
-            address,
-            lambda: ServerConnection(handler, self._limits, self.clients),
+            address, lambda: self._new_connection(handler, self.clients)
         )
 
     async def open_to_operators(
@@ -44,8 +57,7 @@
     ) -> None:
         """Accept the connections of probes and of those who read metrics."""
         await self.open(
-            address,
-            lambda: ServerConnection(handler, self._limits, self._others),
+            address, lambda: self._new_connection(handler, self._others)
         )
 
     async def open(
@@ -73,12 +85,26 @@
         limits.idle_seconds = configuration.idle_seconds
 
     def close_due(self) -> None:
-        """Close the connections of clients whose time limits have passed."""
+        """Close the connections whose time limits have passed."""
         now = monotonic()
-        for connection in list(self.clients):
+        for connection in self.clients | self._others:
             connection.close_if_due(now)
 
     def close(self) -> None:
         """Stop accepting connections."""
         for server in self._servers:
             server.close()
+
+    def _new_connection(
+        self, handler: RequestHandler, others: set[ServerConnection]
+    ) -> ServerConnection:
+        """Return a connection; close the longest idle one if they are many."""
+        if len(others) >= self._max_connections:
+            idle = [each for each in others if each.is_idle]
+            oldest = min(
+                idle, key=lambda each: each.last_progress_at, default=None
+            )
+            if oldest is not None:
+                oldest.close_idle()
+                self.buffers.refused_by_cause['connections'] += 1
+        return ServerConnection(handler, self._limits, others, self.buffers)
--- a/src/lovageshunt/sidecar/_metrics.py
+++ b/src/lovageshunt/sidecar/_metrics.py
@@ -111,6 +111,15 @@
         self._registry.series('lovageshunt_links', 'opened').value = opened
         self._registry.series('lovageshunt_links', 'accepted').value = accepted
 
+    def set_received(
+        self, *, held_bytes: int, refused_by_cause: Mapping[str, int]
+    ) -> None:
+        """Set what connections hold, and how many were closed by cause."""
+        self._set({'lovageshunt_held_bytes': held_bytes})
+        for cause, number in refused_by_cause.items():
+            name = 'lovageshunt_clients_closed_total'
+            self._registry.series(name, cause).value = number
+
     def set_accounts(self, *, over_limit: int) -> None:
         """Set the number of client accounts that are over their limits."""
         self._set({'lovageshunt_accounts_over_limit': over_limit})
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from itertools import count
 
+from lovageshunt._receive_buffers import ReceiveBuffers
 from lovageshunt.links import (
     Dialer,
     Frame,
@@ -22,6 +23,7 @@
 
     ``port`` is the same at every node of a fleet. ``frame_handler`` is set
     once the parts that handle frames exist; until then frames are ignored.
+    ``buffers`` bounds what links hold of frames that are not complete.
     """
 
     __slots__ = (
@@ -30,10 +32,14 @@
         '_numbers',
         '_recent_orders',
         '_incoming',
+        '_buffers',
         'frame_handler',
     )
 
-    def __init__(self, *, port: int, greeting: Greeting) -> None:
+    def __init__(
+        self, *, port: int, greeting: Greeting, buffers: ReceiveBuffers
+    ) -> None:
+        self._buffers = buffers
         self._port = port
         self._greeting = greeting
         self._numbers = count(1)
@@ -62,6 +68,7 @@
             greeting=self._greeting,
             open_links=self._incoming,
             on_frame=self._on_incoming,
+            buffers=self._buffers,
         )
 
     @property
--- a/src/lovageshunt/sidecar/_run.py
+++ b/src/lovageshunt/sidecar/_run.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from lovageshunt.clock import now as clock_now
-from lovageshunt.http1 import ExchangeEnd, PendingExchange, encode_request
+from lovageshunt.http1 import ExchangeEnd, PendingExchange, encode_request_head
 from lovageshunt.links import RunAnswer, RunOrder
 from lovageshunt.sidecar._header_names import HeaderNames
 
@@ -65,8 +65,8 @@
         if self.sending is not None:
             self.sending.cancel()
 
-    def encoded(self, header_names: HeaderNames) -> bytes:
-        """Encode the request with the time left until its deadline."""
+    def encoded_head(self, header_names: HeaderNames) -> bytes:
+        """Encode the head of the request, with the time left until then."""
         order = self.order
         left = max(1, round((order.deadline - clock_now()) * _MS_PER_SECOND))
         fields = b'%b%b: %d\r\n%b: %b\r\n%b: %b\r\n' % (
@@ -78,9 +78,9 @@
             header_names.caller_service,
             order.caller_service.encode(),
         )
-        return encode_request(
+        return encode_request_head(
             method=order.method,
             target=order.request_target,
             fields=fields,
-            body=order.body,
+            body_bytes=len(order.body),
         )
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -68,7 +68,7 @@
     ) -> None:
         self._suppressed = suppressed
         self._settings = settings
-        self._listeners = Listeners()
+        self._listeners = Listeners(settings.clients)
         self._stop = Event()
         self._swept_at = float(0)
         rng = Random()
@@ -90,6 +90,7 @@
         self._links = NodeLinks(
             port=settings.listen.nodes.port,
             greeting=greeting,
+            buffers=self._listeners.buffers,
         )
         self._peers = Peers(own_host, self._links.make_dialer)
         self._fleet = Fleet(
@@ -285,6 +286,10 @@
             accepted=self._links.incoming_count,
             again_by_state=self._links.again_by_state,
         )
+        self._metrics.set_received(
+            held_bytes=self._listeners.buffers.held_bytes,
+            refused_by_cause=self._listeners.buffers.refused_by_cause,
+        )
         self._metrics.set_accounts(over_limit=len(self.accounts.over_limit))
         self._metrics.set_suppressed(self._suppressed())
 
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -9,7 +9,7 @@
     Exchange,
     ExchangeEnd,
     Response,
-    encode_request,
+    encode_request_head,
 )
 from tests.loopback import own_host
 
@@ -93,7 +93,7 @@
         if statuses is not None and response is not None:
             statuses.append(response.status)
 
-    encoded = encode_request(method=b'GET', target=b'/', fields=b'', body=b'')
+    encoded = encode_request_head(method=b'GET', target=b'/', fields=b'')
     return Exchange(encoded=encoded, ended=ended, identity=identity)
 
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import pytest
+
 from lovageshunt.http1 import Request, ServerConnection, ServerLimits
 from tests.http1.wire import FakeTransport
 
@@ -211,3 +213,93 @@
         connection.close_if_due(1e9)
         connection.close_idle()
         assert not transport.is_closed
+
+
+class TestClientsNobodyControls:
+    """What a client may make a node hold."""
+
+    @pytest.mark.parametrize(
+        'start',
+        [b'GET / HTTP/1.1\r\nX: ', b'GET / HTTP/1.1\r\n', b'GET /', b'\r\n'],
+        ids=['header value', 'header name', 'target', 'empty lines'],
+    )
+    def test_bounds_a_part_of_a_head(self, start: bytes) -> None:
+        """The parser holds a field until it is whole, without a bound."""
+        handler, connection, transport = connect(ServerLimits(head_bytes=1000))
+        unit = b'\r\n' if start == b'\r\n' else b'a'
+        connection.data_received(start)
+        for _ in range(100):
+            connection.data_received(unit * 500)
+        assert transport.written.startswith(b'HTTP/1.1 431 ')
+        assert transport.is_closed
+        assert not handler.requests
+
+    def test_bounds_the_framing_of_chunks(self) -> None:
+        """An extension of a chunk may go on for ever."""
+        _, connection, transport = connect()
+        connection.data_received(
+            b'POST / HTTP/1.1\r\nHost: x\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n1;'
+        )
+        for _ in range(100):
+            connection.data_received(b'a' * 1000)
+        assert transport.written.startswith(b'HTTP/1.1 400 ')
+
+    def test_serves_a_body_in_the_smallest_chunks(self) -> None:
+        """A client may frame each byte of a body."""
+        handler, connection, _ = connect()
+        connection.data_received(
+            b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        for _ in range(1000):
+            connection.data_received(b'1\r\na\r\n' * 100)
+        connection.data_received(b'0\r\n\r\n')
+        assert len(handler.requests[0].body) == 100_000
+
+    def test_gives_up_a_body_that_is_not_whole(self) -> None:
+        """503 with a time to come back: it was not sent anywhere."""
+        _, connection, transport = connect()
+        connection.data_received(
+            b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nabc'
+        )
+        assert connection.can_be_given_up
+        connection.give_up()
+        assert transport.written.startswith(b'HTTP/1.1 503 ')
+        assert b'retry-after: ' in transport.written
+        assert transport.is_closed
+
+    def test_keeps_a_request_that_is_whole(self) -> None:
+        """It may run already; what follows it on the connection can wait."""
+        handler, connection, transport = connect()
+        connection.data_received(GET)
+        assert not connection.can_be_given_up
+        connection.data_received(
+            b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999\r\n\r\n'
+            + bytes(70_000)
+        )
+        assert transport.is_paused
+        respond(connection)
+        assert not transport.is_paused
+        assert connection.can_be_given_up
+        assert len(handler.requests) == 1
+
+    def test_starts_nothing_for_a_client_that_does_not_read(self) -> None:
+        """Responses do not pile up for it, and it can be given up."""
+        handler, connection, transport = connect()
+        connection.data_received(GET + GET)
+        transport.unsent_bytes = 100_000
+        connection.pause_writing()
+        respond(connection)
+        assert len(handler.requests) == 1
+        assert connection.can_be_given_up
+        transport.unsent_bytes = 0
+        connection.resume_writing()
+        assert len(handler.requests) == 2
+
+    def test_ends_a_head_that_trickles(self) -> None:
+        """Each byte is progress, and the head has a time all the same."""
+        _, connection, transport = connect(ServerLimits(head_seconds=5))
+        connection.data_received(b'GET / HT')
+        connection.last_progress_at += 100
+        connection.close_if_due(connection.last_progress_at)
+        assert transport.written.startswith(b'HTTP/1.1 408 ')
--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -152,3 +152,32 @@
             refused_per_second=2.5,
         )
         assert decode_load(encode_load(report)) == report
+
+
+class TestLargeFrames:
+    """Frames that are collected in one buffer."""
+
+    def test_reads_them_in_pieces_of_any_size(self) -> None:
+        """A large frame between small ones, whatever a read returns."""
+        body = bytes(range(256)) * 2048
+        large = encode_frame(FrameKind.ORDER, 7, body)
+        sent = encode_frame(FrameKind.PING, 0) + large
+        sent += encode_frame(FrameKind.PONG, 0)
+        for size in (1000, 65536, len(sent)):
+            reader = FrameReader()
+            frames = [
+                frame
+                for start in range(0, len(sent), size)
+                for frame in reader.feed(sent[start : start + size])
+            ]
+            kinds = [frame.kind for frame in frames]
+            assert kinds == [FrameKind.PING, FrameKind.ORDER, FrameKind.PONG]
+            assert bytes(frames[1].payload) == body
+            assert reader.held_bytes == 0
+
+    def test_counts_what_it_holds(self) -> None:
+        """A part of a frame is held until the rest of it is there."""
+        reader = FrameReader()
+        large = encode_frame(FrameKind.ORDER, 7, bytes(300_000))
+        reader.feed(large[:200_000])
+        assert reader.held_bytes == 200_000
