Take bytes without a status for no answer

Cause: nothing said what a status is. A target in trouble may send an answer with status 000 (MIXED, the users' report). On the platform's path 000 to 099 ended as 502 by chance, 600 and 999 were passed on as they were; on the product's own path 000 to 099 passed for answers, or for not run. Change: a status is 100 to 599, decided where responses are read; other bytes close the connection, and the outcome is unknown: repeatable calls go elsewhere, a purchase gets 502 and is never told not to have run. Also looked at and held: 1xx alone, 101, two and four digits, letters, 204 with a body.

--- a/src/lovageshunt/errors.py
+++ b/src/lovageshunt/errors.py
@@ -30,6 +30,17 @@
         )
 
 
+class MalformedResponseError(LovageshuntError):
+    """Raised when the bytes of a target are no response in HTTP."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(
+            f'a response has the status {status:03d}, expected 100 to 599; '
+            'its connection is closed and the outcome of the call is unknown, '
+            'see the logs of the target',
+        )
+
+
 class PlatformUnavailableError(LovageshuntError):
     """Returned when a published value could not be read.
 
--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -9,6 +9,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from lovageshunt._sending import Buffer, PacedProtocol, PacedWriter
+from lovageshunt.errors import MalformedResponseError
 from lovageshunt.http1._limits import ResponseBuffers
 from lovageshunt.http1._messages import (
     BODILESS_STATUSES,
@@ -22,6 +23,8 @@
 _log = getLogger(__name__)
 #: Lower statuses are those of interim responses, which precede the final one.
 _MIN_FINAL_STATUS: Final = 200
+#: What is a status in HTTP; with another one bytes are no response.
+_STATUSES: Final = range(100, 600)
 _FRAMING_FIELDS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _TIMEOUT_OPTION: Final = b'timeout='
 #: A body of up to this size is sent together with its head, in bytes.
@@ -224,6 +227,8 @@
         connection, which is then not reused.
         """
         self._status = self._parser.get_status_code()
+        if self._status not in _STATUSES:
+            raise MalformedResponseError(self._status)
         self._has_head = True
         exchange = self._exchange
         if exchange is None or self._complete_response is not None:
--- a/src/lovageshunt/node/serving/_target.py
+++ b/src/lovageshunt/node/serving/_target.py
@@ -25,6 +25,7 @@
 
 #: Response header by which a target states that it did not run the call.
 NOT_RUN_HEADER: Final = 'lovageshunt-not-run'
+_FINAL_STATUSES: Final = range(200, 600)
 _FIRST_FAILURE_STATUS: Final = 500
 _SHED_STATUSES: Final = frozenset((429, 503))
 _LOAD_TIMEOUT_SECONDS: Final = 1.0
@@ -226,6 +227,12 @@
 
 
 def _reply_of_answer(response: TransportResponse, call_id: str) -> TargetReply:
+    if response.status not in _FINAL_STATUSES:
+        # No response in HTTP, whatever else it says.
+        return TargetReply(
+            outcome=Outcome.UNKNOWN,
+            reason=RefusalReason.MALFORMED,
+        )
     if NOT_RUN_HEADER in response.headers:
         return TargetReply(
             outcome=Outcome.NOT_RUN,
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -322,3 +322,60 @@
         other = Wire(buffers=buffers)
         other.receive(HEAD + b'\r\n', b'x' * 99000)
         assert not other.ends
+
+
+def response_with(status: str, extra: str = '') -> bytes:
+    return (
+        f'HTTP/1.1 {status} S\r\nX-Attempt: a1\r\n{extra}'
+        'Content-Length: 2\r\n\r\nok'
+    ).encode()
+
+
+class TestStatuses:
+    """What is a status, and what is bytes that are no response."""
+
+    @pytest.mark.parametrize(
+        'status', ['000', '001', '099', '600', '999', '20', '2000', 'abc']
+    )
+    def test_refuses_what_is_no_status(self, status: str) -> None:
+        """Guards against MIXED: a client got 600 and 999 as an answer."""
+        wire = Wire()
+        wire.receive(response_with(status))
+        wire.connection.connection_lost(None)
+        assert wire.only_end is ExchangeEnd.INCOMPLETE
+        assert wire.transport.is_closed
+        assert not wire.freed
+
+    @pytest.mark.parametrize('status', ['200', '299', '304', '499', '599'])
+    def test_delivers_a_final_status(self, status: str) -> None:
+        """Each status from 200 to 599 is an answer, known or not."""
+        wire = Wire()
+        wire.receive(response_with(status))
+        assert wire.only_end is ExchangeEnd.COMPLETE
+
+    @pytest.mark.parametrize('status', ['100', '103', '199'])
+    def test_waits_after_an_interim_status(self, status: str) -> None:
+        """It precedes the final one, and alone is no answer."""
+        wire = Wire()
+        wire.receive(f'HTTP/1.1 {status} S\r\nX-Attempt: a1\r\n\r\n'.encode())
+        assert not wire.ends
+        wire.connection.connection_lost(None)
+        assert wire.only_end is ExchangeEnd.INCOMPLETE
+
+    def test_refuses_to_switch_protocols(self) -> None:
+        """Nobody asked for another protocol."""
+        wire = Wire()
+        wire.receive(
+            b'HTTP/1.1 101 S\r\nX-Attempt: a1\r\nUpgrade: h2c\r\n'
+            b'Connection: upgrade\r\n\r\n'
+        )
+        wire.connection.connection_lost(None)
+        assert wire.only_end is ExchangeEnd.INCOMPLETE
+
+    def test_keeps_no_connection_with_a_body_after_no_content(self) -> None:
+        """The answer has no body; what follows it belongs to nothing."""
+        wire = Wire()
+        wire.receive(NO_CONTENT + b'body')
+        assert wire.body == b''
+        assert wire.transport.is_closed
+        assert not wire.freed
--- a/tests/node/serving/test_target.py
+++ b/tests/node/serving/test_target.py
@@ -163,6 +163,19 @@
         reply = await dispatch(serve)
         assert (reply.outcome, reply.reason) == (outcome, reason)
 
+    @pytest.mark.parametrize('status', ['000', '042', '600', '999'])
+    async def test_is_unknown_without_a_status(self, status):
+        """Guards against MIXED: 000 passed for an answer.
+
+        Such bytes do not prove either that the call has not run.
+        """
+        reply = await dispatch(
+            answer_of(status=status, lovageshunt_not_run='1'),
+            is_repeatable=False,
+        )
+        assert reply.outcome is Outcome.UNKNOWN
+        assert reply.response is None
+
     @pytest.mark.parametrize('serve', [disconnect, hang])
     async def test_lost_purchase_is_unknown(self, serve):
         """A purchase without a response may have run."""
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -118,6 +118,28 @@
             runs = [len(target.received) for target in world.targets]
             assert sum(runs) == 1
 
+    @pytest.mark.parametrize('status', ['000', '042', '600', '999'])
+    async def test_passes_on_no_answer_without_a_status(
+        self, status: str
+    ) -> None:
+        """Guards against MIXED: 502 to the client, and nothing runs twice.
+
+        Of what must not be repeated the outcome is unknown, so that it is
+        never told not to have run.
+        """
+        async with world_of(1) as world:
+
+            async def serve(received: Received) -> bytes:
+                line = f'HTTP/1.1 {status} '.encode()
+                return answer(received).replace(b'HTTP/1.1 200 ', line)
+
+            world.targets[0].serve = serve
+            client = await client_of(world.hosts[0])
+            assert status_of(await client.ask('/read/a')) == 502
+            assert status_of(await client.ask('/buy/a', body=b'x')) == 502
+            lines = [each.line for each in world.targets[0].received]
+            assert sum('/buy/' in line for line in lines) == 1
+
     async def test_ignores_an_earlier_answer(self) -> None:
         """A response with another attempt id is dropped."""
         async with world_of(1) as world:
