Read the pace that a target tells, and tell callers its room by it

Cause: the decoder of the load header took exactly three figures, so that an answer with the fourth one, how long work takes on that machine at this moment, lost its load report whole; and nothing used the pace. The fourth figure is read within bounds; for half a second the node beside the target tells its callers the slots divided by it, on answers and reports, in frames of the same form. Coordinators get the slots as they are. Two tests of the header fail before.

--- a/src/lovageshunt/admission/__init__.py
+++ b/src/lovageshunt/admission/__init__.py
@@ -18,6 +18,7 @@
     TargetLeft,
 )
 from lovageshunt.admission._levels import OPEN_THRESHOLD, is_refused
+from lovageshunt.admission._pace import TargetPace
 from lovageshunt.admission._settings import AdmissionSettings, CallerSettings
 from lovageshunt.admission._target_queue import TargetQueue
 
@@ -40,6 +41,7 @@
     'RateLimitReported',
     'Refuse',
     'TargetLeft',
+    'TargetPace',
     'TargetQueue',
     'is_refused',
 ]
--- a/src/lovageshunt/admission/_events.py
+++ b/src/lovageshunt/admission/_events.py
@@ -78,14 +78,18 @@
     """The target's own load endpoint answered; the report lags.
 
     ``running`` counts the calls in the target, ``slots`` is its own number
-    of slots. Either may be wrong.
+    of slots. Either may be wrong. ``pace`` is how long work takes now, as a
+    multiple of the usual, ``None`` if the target does not tell.
     """
 
-    __slots__ = ('running', 'slots')
+    __slots__ = ('running', 'slots', 'pace')
 
-    def __init__(self, *, running: int, slots: int) -> None:
+    def __init__(
+        self, *, running: int, slots: int, pace: float | None = None
+    ) -> None:
         self.running = running
         self.slots = slots
+        self.pace = pace
 
 
 class RateLimitReported(Record):
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -138,7 +138,9 @@
         self._next_number += 1
         run = Run(str(self._next_number), order, ended)
         if self._has_left(order.target_id):
-            self._answer(run, refusal_of_departed(self.queue.load()))
+            self._answer(
+                run, refusal_of_departed(self.meters.told(self.queue.load()))
+            )
             return run
         self._run_by_call_id[run.call_id] = run
         self.meters.demand.asked(order.kind)
@@ -237,7 +239,12 @@
         retry_ms = self._suspects.start(run)
         if retry_ms is not None:
             self._run_by_call_id.pop(run.call_id)
-            self._answer(run, refusal_of_suspect(retry_ms, self.queue.load()))
+            self._answer(
+                run,
+                refusal_of_suspect(
+                    retry_ms, self.meters.told(self.queue.load())
+                ),
+            )
             self._handle(
                 Finished(run.call_id, was_complete=False, was_shed=True)
             )
@@ -258,7 +265,7 @@
                 outcome=Outcome.NOT_RUN,
                 reason=action.reason,
                 retry_after_ms=action.retry_after_ms,
-                load=self.queue.load(),
+                load=self.meters.told(self.queue.load()),
             ),
         )
 
@@ -342,7 +349,10 @@
             ),
         )
         self._answer(
-            run, answer_of(run, classified, response, self.queue.load())
+            run,
+            answer_of(
+                run, classified, response, self.meters.told(self.queue.load())
+            ),
         )
 
     def _apply_rate_limit(
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -253,13 +253,24 @@
             refused_per_second=refusals.refused_per_second,
         )
         if is_due_to_callers:
-            self._fleet.record_load(report)
-            self._channels.send_to_callers(FrameKind.LOAD, encode_load(report))
+            told = self._told(report)
+            self._fleet.record_load(told)
+            self._channels.send_to_callers(FrameKind.LOAD, encode_load(told))
         if is_due_to_coordinator:
             self._send_to_coordinator(report)
             if reported.is_short:
                 self._log_shortage(load, reported)
 
+    def _told(self, report: TargetLoadReport) -> TargetLoadReport:
+        """Return what callers are told of the load of the own target."""
+        return TargetLoadReport(
+            target_id=report.target_id,
+            load=self._executor.meters.told(report.load),
+            share=report.share,
+            sent_per_second=report.sent_per_second,
+            refused_per_second=report.refused_per_second,
+        )
+
     def _send_to_coordinator(self, report: TargetLoadReport) -> None:
         if self._channels.is_primary:
             self.own_sums.add_load(report)
--- a/src/lovageshunt/sidecar/_target_meters.py
+++ b/src/lovageshunt/sidecar/_target_meters.py
@@ -2,7 +2,8 @@
 
 from typing import Final
 
-from lovageshunt.calls import Outcome, RefusalReason
+from lovageshunt.admission import TargetPace
+from lovageshunt.calls import LoadReport, Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import Response
 from lovageshunt.pressure import (
@@ -25,13 +26,18 @@
     ``refusals`` the calls that it refuses although a slot was free.
     """
 
-    __slots__ = ('demand', 'watch', 'refusals')
+    __slots__ = ('demand', 'watch', 'refusals', '_pace')
 
     def __init__(self) -> None:
         now = clock_now()
         self.demand = TargetDemandMeter(DemandSettings(), now)
         self.watch = CallSampler(now)
         self.refusals = RefusalMeter(now)
+        self._pace = TargetPace()
+
+    def told(self, load: LoadReport) -> LoadReport:
+        """Return the load to tell callers, with slots of usual pace."""
+        return self._pace.scaled(load, clock_now())
 
     def record(
         self,
@@ -41,6 +47,9 @@
     ) -> None:
         """Record what a run cost and whether it was good."""
         now = clock_now()
+        reported = classified.reported
+        if reported is not None and reported.pace is not None:
+            self._pace.record(reported.pace, now)
         kind = run.order.kind
         is_good = response is not None and response.status < _FIRST_ERROR
         is_good = is_good and classified.outcome is Outcome.ANSWERED
--- a/tests/platform/test_words.py
+++ b/tests/platform/test_words.py
@@ -13,13 +13,25 @@
         assert reported is not None
         assert (reported.running, reported.slots) == (3, 8)
 
+    @pytest.mark.parametrize(
+        ('text', 'pace'), [(b'3,1,8,100', 1), (b'3,1,8,250', 2.5)]
+    )
+    def test_reads_the_pace(self, text: bytes, pace: float) -> None:
+        """Guards against a load that is lost as it tells one number more."""
+        reported = read_load(text)
+        assert reported is not None
+        assert (reported.running, reported.slots) == (3, 8)
+        assert reported.pace == pace
+
     @pytest.mark.parametrize('digits', [7, 10, 400, 4000, 5000])
     def test_refuses_numbers_that_are_too_large(self, digits: int) -> None:
         """Guards against a node that one such number makes unable to serve."""
         assert read_load(b'3,1,%b' % (b'9' * digits)) is None
         assert read_load(b'%b,1,8' % (b'9' * digits)) is None
 
-    @pytest.mark.parametrize('text', [b'', b'3,1', b'3,1,x', b'-1,0,8'])
+    @pytest.mark.parametrize(
+        'text', [b'', b'3,1', b'3,1,x', b'-1,0,8', b'3,1,8,', b'3,1,8,x']
+    )
     def test_refuses_malformed_text(self, text: bytes) -> None:
         """Malformed text is decoded as ``None``."""
         assert read_load(text) is None
