Let the soak send keys, and an account with a limit

Cause: the soak sent requests without accounts only, so that restarts, stops, replaced targets and changed configurations were never played with keys. Change: each request carries a key, one in four of them unknown, and a forged account; one account has a limit. A target must get the account of the key, no key, and nothing of an unknown one; 401 and 429 promise that nothing runs.

--- a/tests/sidecar/soak.py
+++ b/tests/sidecar/soak.py
@@ -8,13 +8,15 @@
 import os
 import sys
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from contextlib import suppress
 from pathlib import Path
 from random import Random
 from typing import Any
 
+from lovageshunt.client_accounts import digest_of
 from lovageshunt.clock import now as clock_now
+from lovageshunt.routes import ClientAccount
 from tests.sidecar.world import (
     FakeTarget,
     Received,
@@ -39,6 +41,12 @@
 #: How long the event loop stands still at most when a target is replaced.
 _MAX_LATE_SECONDS = 0.3
 
+#: Accounts by their keys: one has a limit, and no account has the last key.
+_ACCOUNT_BY_KEY = {'k-small': 'small', 'k-free': 'free', 'k-none': ''}
+_PER_SECOND = {'small': 15}
+#: The statuses which state that a request has not run.
+_NOT_RUN_STATUSES = frozenset((401, 429, 503))
+
 Fault = Callable[[], Coroutine[Any, Any, None]]
 
 
@@ -54,6 +62,7 @@
         self.statuses: dict[int, int] = {}
         self._rng = Random(seed)
         self._targets_by_attempt: dict[str, set[str]] = {}
+        self._account_by_attempt: dict[str, str] = {}
         self._not_run: set[str] = set()
         self._arrivals: list[float] = []
         self._ends: list[float] = []
@@ -91,11 +100,12 @@
     def _send(self) -> None:
         self._number += 1
         path = self._rng.choice(_PATHS).format(number=self._number)
-        self._start(self._ask(path, f'a{self._number}'))
+        key = self._rng.choice((*_ACCOUNT_BY_KEY, 'k-free'))
+        self._start(self._ask(path, f'a{self._number}', key))
 
     def _send_crashing(self) -> None:
         self._number += 1
-        self._start(self._ask(_CRASHING, f'a{self._number}'))
+        self._start(self._ask(_CRASHING, f'a{self._number}', 'k-free'))
 
     def _cause_fault(self) -> None:
         faults: list[Fault] = [
@@ -109,17 +119,21 @@
         ]
         self._start(self._rng.choice(faults)())
 
-    async def _ask(self, path: str, attempt: str) -> None:
+    async def _ask(self, path: str, attempt: str, key: str) -> None:
+        self._account_by_attempt[attempt] = _ACCOUNT_BY_KEY[key]
+        extra = f'X-Key: {key}\r\nX-Account: forged\r\n'
         body = b'x' if path.startswith('/buy/') else b''
         try:
             client = await client_of(self._rng.choice(self.world.hosts))
         except OSError:
             return
         with suppress(asyncio.IncompleteReadError, OSError):
-            got = await client.ask(path, attempt=attempt, body=body)
+            got = await client.ask(
+                path, attempt=attempt, body=body, extra=extra
+            )
             status = int(got.line.split()[1])
             self.statuses[status] = self.statuses.get(status, 0) + 1
-            if status == 503:
+            if status in _NOT_RUN_STATUSES:
                 self._not_run.add(attempt)
         client.writer.close()
 
@@ -131,6 +145,7 @@
             if '/buy/' in received.line and seen:
                 self.violations.append(f'{received.attempt} ran twice')
             seen.add(target.host)
+            self._check_account(received)
             is_crashing = _CRASHING in received.line
             if is_crashing:
                 self._arrivals.append(clock_now())
@@ -144,6 +159,13 @@
 
         return serve
 
+    def _check_account(self, received: Received) -> None:
+        """Check that the account is that of the key, which is not told."""
+        told = received.headers.get('x-account', '')
+        wanted = self._account_by_attempt[received.attempt]
+        if not wanted or told != wanted or 'x-key' in received.headers:
+            self.violations.append(f'{received.attempt} ran for {told!r}')
+
     async def _crash_target(self) -> None:
         target = self._rng.choice(self.world.targets)
         if target.is_up:
@@ -178,7 +200,9 @@
         self._version += 1
         for node in self.world.nodes:
             node.fleet_state.apply_configuration(
-                configuration('s', version=self._version)
+                configuration(
+                    's', version=self._version, accounts=self.world.accounts
+                )
             )
 
     def _apply_targets(self, slots: int) -> None:
@@ -203,6 +227,17 @@
             self.violations.append(f'{late} arrivals of what crashes targets')
 
 
+def _accounts() -> Iterator[ClientAccount]:
+    for key, name in _ACCOUNT_BY_KEY.items():
+        if name:
+            yield ClientAccount(
+                name=name,
+                key_digests=(digest_of(key.encode()),),
+                per_second=_PER_SECOND.get(name),
+                burst=5,
+            )
+
+
 def stand_still(seconds: float) -> None:
     """Block the event loop, so that timers are due that have not run."""
     time.sleep(seconds)
@@ -210,7 +245,9 @@
 
 async def soak(seed: int) -> Soak:
     """Play one seed and return what was found."""
-    async with world_of(_NODES) as world:
+    async with world_of(_NODES, is_published=False) as world:
+        world.publish(accounts=tuple(_accounts()))
+        await asyncio.sleep(0.1)
         play = Soak(world, seed)
         await play.run()
         return play
--- a/tests/sidecar/world.py
+++ b/tests/sidecar/world.py
@@ -187,6 +187,7 @@
         self.targets = [FakeTarget(host) for host in self.hosts]
         self.nodes = [new_node(host) for host in self.hosts]
         self.tasks: list[asyncio.Task[None]] = []
+        self.accounts: tuple[ClientAccount, ...] = ()
         self._restarting = [asyncio.Lock() for _ in self.hosts]
 
     async def open(self) -> None:
@@ -200,6 +201,7 @@
         self, *services: str, accounts: tuple[ClientAccount, ...] = ()
     ) -> None:
         """Give every node all targets and routes to ``services``."""
+        self.accounts = accounts
         for node in self.nodes:
             node.fleet_state.apply_configuration(
                 configuration(*(services or ('s',)), accounts=accounts)
@@ -235,7 +237,9 @@
             self.nodes[at] = node
             self.tasks[at] = asyncio.ensure_future(node.run())
             await asyncio.sleep(0.05)
-            node.fleet_state.apply_configuration(configuration('s'))
+            node.fleet_state.apply_configuration(
+                configuration('s', accounts=self.accounts)
+            )
             node.fleet_state.apply_targets(self.entries(), 1)
         await asyncio.sleep(0.3)
 
