Part resending from the executor, and messages from the first hop's decision

Change: Resends decides what is sent to a target again; RootRequest, RootDecision and AccountDemand have a module of their own.

--- a/src/lovageshunt/pressure/__init__.py
+++ b/src/lovageshunt/pressure/__init__.py
@@ -21,9 +21,9 @@
 from lovageshunt.pressure._kind_shares import KindShares, Shortage
 from lovageshunt.pressure._rates import FleetRates
 from lovageshunt.pressure._refusals import RefusalMeter
-from lovageshunt.pressure._root_admission import (
+from lovageshunt.pressure._root_admission import RootAdmission
+from lovageshunt.pressure._root_messages import (
     AccountDemand,
-    RootAdmission,
     RootDecision,
     RootRequest,
 )
--- a/src/lovageshunt/pressure/_root_admission.py
+++ b/src/lovageshunt/pressure/_root_admission.py
@@ -16,7 +16,6 @@
 from types import MappingProxyType
 from typing import Final
 
-from lovageshunt._record import Record
 from lovageshunt.pressure._demand_model import DemandModel
 from lovageshunt.pressure._fair_shares import fair_shares
 from lovageshunt.pressure._fleet_capacity import FleetCapacity
@@ -25,6 +24,11 @@
 from lovageshunt.pressure._rates import FleetRates
 from lovageshunt.pressure._refusals import RetryDemand
 from lovageshunt.pressure._returns import Returns
+from lovageshunt.pressure._root_messages import (
+    AccountDemand,
+    RootDecision,
+    RootRequest,
+)
 from lovageshunt.pressure._shares import shares_by_importance
 
 #: The interval between updates of the admitted shares, in seconds.
@@ -56,76 +60,6 @@
 )
 
 
-class RootDecision(Record):
-    """``retry_seconds`` is the time to retry after, ``None`` if admitted.
-
-    ``service`` is the overloaded one and ``shortage`` its scarce resource;
-    ``share`` is the share of the kind's requests that is admitted. The request
-    came back after a refusal if it ``is_return``.
-    """
-
-    __slots__ = ('retry_seconds', 'service', 'shortage', 'share', 'is_return')
-
-    def __init__(
-        self,
-        *,
-        retry_seconds: float | None = None,
-        service: str = '',
-        shortage: Shortage | None = None,
-        share: float = 1,
-        is_return: bool = False,
-    ) -> None:
-        self.is_return = is_return
-        self.retry_seconds = retry_seconds
-        self.service = service
-        self.shortage = shortage
-        self.share = share
-
-
-class RootRequest(Record):
-    """A request of a client at its first hop.
-
-    ``account`` is the client account that sends it, empty without one.
-    ``content`` tells equal requests; an answer is most useful within
-    ``aim_seconds``.
-    """
-
-    __slots__ = ('kind', 'importance', 'account', 'content', 'aim_seconds')
-
-    def __init__(
-        self,
-        *,
-        kind: str,
-        importance: int,
-        account: str = '',
-        content: str = '',
-        aim_seconds: float = 0,
-    ) -> None:
-        self.kind = kind
-        self.importance = importance
-        self.account = account
-        self.content = content
-        self.aim_seconds = aim_seconds
-
-
-class AccountDemand(Record):
-    """What one client account asks of the fleet.
-
-    ``importance`` is that of its requests, ``None`` if it is that of their
-    routes. It asks for ``per_second`` requests and may be served in proportion
-    to ``weight``, above 0.
-    """
-
-    __slots__ = ('importance', 'per_second', 'weight')
-
-    def __init__(
-        self, *, importance: int | None, per_second: float, weight: float
-    ) -> None:
-        self.importance = importance
-        self.per_second = per_second
-        self.weight = weight
-
-
 class RootAdmission:
     """Admits or refuses each request of a client at its first hop.
 
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -37,6 +37,7 @@
 from lovageshunt.sidecar._crash_check import CrashCheck, log_crash
 from lovageshunt.sidecar._header_names import HeaderNames
 from lovageshunt.sidecar._metrics import SidecarMetrics
+from lovageshunt.sidecar._resends import Resends
 from lovageshunt.sidecar._run import EndedCallback, Run
 from lovageshunt.sidecar._run_answers import (
     answer_of,
@@ -91,7 +92,6 @@
         suspects: Suspects,
     ) -> None:
         self._suspects = suspects
-        self._resend_budget = resend_budget
         self._has_left = has_left
         self._on_leaving = on_leaving
         self._on_refused = on_refused
@@ -100,6 +100,7 @@
         self.pool = ConnectionPool(host, port, _INITIAL_MAX_CONNECTIONS)
         self._crash_check = CrashCheck(self.pool, self._on_checked)
         self.queue = TargetQueue(slots=slots)
+        self._resends = Resends(resend_budget, self.queue, has_left)
         self.meters = TargetMeters()
         self._run_by_call_id: dict[str, Run] = {}
         self._published = ('', 0)
@@ -145,7 +146,7 @@
         self._run_by_call_id[run.call_id] = run
         self.meters.demand.asked(order.kind)
         now = clock_now()
-        self._resend_budget.requested(now)
+        self._resends.budget.requested(now)
         queue_deadline = order.deadline
         if order.importance > 0:
             queue_deadline = now + _MAX_WAIT_PART * (order.deadline - now)
@@ -310,7 +311,7 @@
             log_crash(self._published[0], lost)
         for run in lost:
             is_closed = run.lost_as is ExchangeEnd.CLOSED
-            if is_closed and not has_crashed and self._may_resend(run):
+            if is_closed and not has_crashed and self._resends.take(run):
                 self._repeats_running += not run.is_repeat
                 run.note_resent()
                 self._send(run)
@@ -372,16 +373,6 @@
         self.rate_limit = reported.per_second
         self._handle(reported)
 
-    def _may_resend(self, run: Run) -> bool:
-        if run.ended is None or run.resent or not run.order.is_repeatable:
-            return False
-        if self._has_left(run.order.target_id):
-            return False
-        now = clock_now()
-        if not self._resend_budget.may_spend(now):
-            return False
-        return self.queue.take_another(now) and self._resend_budget.spend(now)
-
     def _answer(self, run: Run, answer: RunAnswer) -> None:
         seconds = clock_now() - run.arrived_at
         self._metrics.count_run(answer.outcome, answer.reason, seconds)
