--- a/src/lovageshunt/client_accounts/_limits.py
+++ b/src/lovageshunt/client_accounts/_limits.py
@@ -79,13 +79,22 @@
     ``node_count`` is the number of nodes in the fleet.
     """
 
-    __slots__ = ('node_count', '_rng', '_limit_by_name', '_nodes', '_summed_at')
+    __slots__ = (
+        'node_count',
+        '_rng',
+        '_limit_by_name',
+        '_nodes',
+        '_summed',
+        '_summed_at',
+    )
 
     def __init__(self, rng: Random) -> None:
         self.node_count = 1
         self._rng = rng
         self._limit_by_name: dict[str, _Limit] = {}
         self._nodes = 0
+        #: The accounts in the last sums: with thousands only few are in them.
+        self._summed: frozenset[str] = frozenset()
         self._summed_at = float('-inf')
 
     def names_over_limit(self, before: frozenset[str]) -> frozenset[str]:
@@ -94,13 +103,15 @@
         One that was over its limit ``before`` is so until it has saved up half
         of its burst, so that one close to its limit does not go to and fro.
         """
-        return frozenset(
-            name
-            for name, limit in self._limit_by_name.items()
-            if limit.asked > limit.spendable
-            or name in before
-            and limit.fleet.level < limit.fleet.burst / 2
-        )
+        over: set[str] = set()
+        for name in self._summed | before:
+            limit = self._limit_by_name.get(name)
+            if limit is None:
+                continue
+            owes = limit.fleet.level < limit.fleet.burst / 2
+            if limit.asked > limit.spendable or name in before and owes:
+                over.add(name)
+        return frozenset(over)
 
     def per_second_of(self, name: str) -> float | None:
         """Return the limit of an account, ``None`` without one."""
@@ -126,7 +137,11 @@
         is_first = now - self._summed_at > _EXPIRY_SECONDS
         self._summed_at = now
         self._nodes = use.nodes
-        for name, limit in self._limit_by_name.items():
+        summed = use.asked_by_name.keys()
+        for name in summed | self._summed:
+            limit = self._limit_by_name.get(name)
+            if limit is None:
+                continue
             limit.fleet.advance(now)
             if is_first:
                 # What was used meanwhile is not known.
@@ -134,6 +149,7 @@
             limit.asked = use.asked_by_name.get(name, 0)
             limit.fleet.used_per_second = use.admitted_by_name.get(name, 0)
             limit.fleet.per_second = limit.per_second * self._part_in_sums()
+        self._summed = frozenset(summed)
 
     def refusal_seconds(self, name: str, now: float) -> float | None:
         """Admit a request, or return after how many seconds to send it again.
--- a/src/lovageshunt/sidecar/_client_accounts.py
+++ b/src/lovageshunt/sidecar/_client_accounts.py
@@ -26,7 +26,7 @@
         'directory',
         'limits',
         'over_limit',
-        '_accounts',
+        '_account_by_name',
         '_meter',
         '_asked',
         '_admitted',
@@ -37,7 +37,7 @@
         self.directory = AccountDirectory.of(())
         self.limits = AccountLimits(rng)
         self.over_limit: frozenset[str] = frozenset()
-        self._accounts: tuple[ClientAccount, ...] = ()
+        self._account_by_name: dict[str, ClientAccount] = {}
         self._meter = AccountMeter()
         self._asked = FleetRates()
         self._admitted = FleetRates()
@@ -50,9 +50,10 @@
 
     def apply(self, configuration: Configuration, now: float) -> None:
         """Put the accounts of a configuration into force."""
-        if configuration.accounts == self._accounts:
+        account_by_name = {each.name: each for each in configuration.accounts}
+        if account_by_name == self._account_by_name:
             return
-        self._accounts = configuration.accounts
+        self._account_by_name = account_by_name
         self.directory = AccountDirectory.of(configuration.accounts)
         self.limits.apply(configuration.accounts, now)
         _log.info(
@@ -113,13 +114,13 @@
         """Return what the accounts ask within their limits."""
         admitted_by_name = self._admitted.rate_by_key(now)
         return {
-            account.name: AccountDemand(
+            name: AccountDemand(
                 importance=account.importance,
-                per_second=admitted_by_name[account.name],
+                per_second=per_second,
                 weight=account.per_second or 1,
             )
-            for account in self._accounts
-            if account.name in admitted_by_name
+            for name, per_second in admitted_by_name.items()
+            if (account := self._account_by_name.get(name)) is not None
         }
 
     def _log_use(self, name: str, use: FleetUse) -> None:
