Start no pipelined request on a connection that closes

Cause: once its client had read the last response of a connection that closes, the next pipelined request was started on it (since, found by reading): it would have run with nobody to answer. Change: such a connection takes nothing more. Measured: the test fails before; tests of http1 and of the planned stop pass.

--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -168,6 +168,7 @@
         self.last_progress_at = monotonic()
         self._transport.write(encoded)
         if closes or self._is_broken:
+            self._is_broken = True
             self._transport.close()
         elif not self._unread_bytes:
             self._start_next()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -296,6 +296,18 @@
         connection.resume_writing()
         assert len(handler.requests) == 2
 
+    def test_starts_nothing_on_a_connection_that_closes(self) -> None:
+        """Also if the client reads its last response later."""
+        handler, connection, transport = connect()
+        connection.data_received(GET + GET)
+        connection.closes_next = True
+        transport.unsent_bytes = 100_000
+        connection.pause_writing()
+        respond(connection)
+        connection.resume_writing()
+        assert len(handler.requests) == 1
+        assert transport.is_closed
+
     def test_ends_a_head_that_trickles(self) -> None:
         """Each byte is progress, and the head has a time all the same."""
         _, connection, transport = connect(ServerLimits(head_seconds=5))
--- a/tests/platform/test_readers.py
+++ b/tests/platform/test_readers.py
@@ -17,7 +17,11 @@
 from standins.store import StoreStandIn
 from tests.platform.entry import ENTRY
 from tests.platform.test_configuration import published
-from tests.sidecar.world import TARGET_PORT, World, new_node
+from tests.sidecar.fake_target import TARGET_PORT
+from tests.sidecar.world import (
+    World,
+    new_node,
+)
 
 _NODES = 7
 #: How long a client waits for an answer beyond the watch, in seconds.
--- a/tests/sidecar/soak.py
+++ b/tests/sidecar/soak.py
@@ -17,11 +17,9 @@
 from lovageshunt.client_accounts import digest_of
 from lovageshunt.clock import now as clock_now
 from lovageshunt.routes import ClientAccount
+from tests.sidecar.fake_target import FakeTarget, Received, answer
 from tests.sidecar.world import (
-    FakeTarget,
-    Received,
     World,
-    answer,
     client_of,
     configuration,
     world_of,
--- a/tests/sidecar/test_crashed_target.py
+++ b/tests/sidecar/test_crashed_target.py
@@ -7,9 +7,9 @@
 
 from lovageshunt.errors import MalformedFrameError
 from lovageshunt.links import OutageNotice, decode_outage, encode_message
+from tests.sidecar.fake_target import Received
 from tests.sidecar.world import (
     Client,
-    Received,
     World,
     client_of,
     world_of,
--- a/tests/sidecar/test_crashing_requests.py
+++ b/tests/sidecar/test_crashing_requests.py
@@ -9,11 +9,9 @@
 import pytest
 
 from lovageshunt.clock import now as clock_now
+from tests.sidecar.fake_target import FakeTarget, Received, answer
 from tests.sidecar.world import (
-    FakeTarget,
-    Received,
     World,
-    answer,
     client_of,
     world_of,
 )
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -15,12 +15,9 @@
 from lovageshunt.sidecar._metrics import SidecarMetrics
 from lovageshunt.sidecar._suspects import Suspects
 from tests.loopback import own_host
+from tests.sidecar.fake_target import TARGET_PORT, FakeTarget, Received, answer
 from tests.sidecar.world import (
     HEADER_NAMES,
-    TARGET_PORT,
-    FakeTarget,
-    Received,
-    answer,
     wait_until,
 )
 
--- a/tests/sidecar/test_fleet_state.py
+++ b/tests/sidecar/test_fleet_state.py
@@ -2,7 +2,10 @@
 
 from lovageshunt.links import Greeting, encode_message
 from lovageshunt.sidecar import position_of
-from tests.sidecar.world import World, world_of
+from tests.sidecar.world import (
+    World,
+    world_of,
+)
 
 
 def listed(world: World) -> int:
--- a/tests/sidecar/test_leaving_targets.py
+++ b/tests/sidecar/test_leaving_targets.py
@@ -3,11 +3,10 @@
 import asyncio
 
 from lovageshunt.sidecar import TargetEntry
+from tests.sidecar.fake_target import Received, answer
 from tests.sidecar.world import (
     Client,
-    Received,
     World,
-    answer,
     client_of,
     world_of,
 )
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -19,7 +19,10 @@
 from lovageshunt.sidecar._responder import Responder
 from lovageshunt.sidecar._run import EndedCallback, Run
 from lovageshunt.sidecar._suspects import Suspects
-from tests.sidecar.world import HEADER_NAMES, configuration
+from tests.sidecar.world import (
+    HEADER_NAMES,
+    configuration,
+)
 
 OWN_HOST = '127.0.0.1'
 RESERVE = 40
--- a/tests/sidecar/test_path.py
+++ b/tests/sidecar/test_path.py
@@ -5,14 +5,12 @@
 
 import pytest
 
+from tests.sidecar.fake_target import FakeTarget, Received, answer
 from tests.sidecar.world import (
     METRICS_PORT,
     READY_PORT,
     Client,
-    FakeTarget,
-    Received,
     World,
-    answer,
     client_of,
     configuration,
     status_of,
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -10,11 +10,9 @@
 from lovageshunt.sidecar._origin import Origin
 from lovageshunt.sidecar._planned_stop import PlannedStop
 from tests.http1.wire import FakeTransport
+from tests.sidecar.fake_target import FakeTarget, Received, answer
 from tests.sidecar.world import (
-    FakeTarget,
-    Received,
     World,
-    answer,
     client_of,
     encode,
     status_of,
--- a/tests/sidecar/test_pressure_reports.py
+++ b/tests/sidecar/test_pressure_reports.py
@@ -4,7 +4,11 @@
 
 from lovageshunt.calls import LoadReport
 from lovageshunt.links import DemandReport, TargetLoadReport
-from tests.sidecar.world import World, client_of, world_of
+from tests.sidecar.world import (
+    World,
+    client_of,
+    world_of,
+)
 
 _NODES = 5
 
--- a/tests/sidecar/test_supervision.py
+++ b/tests/sidecar/test_supervision.py
@@ -7,7 +7,11 @@
 from lovageshunt.sidecar import keep_running
 from lovageshunt.sidecar._supervision import run_each
 from tests.only import only
-from tests.sidecar.world import client_of, status_of, world_of
+from tests.sidecar.world import (
+    client_of,
+    status_of,
+    world_of,
+)
 
 
 class DeeplyNestedError(Exception):
--- a/tests/sidecar/test_world.py
+++ b/tests/sidecar/test_world.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
-from tests.sidecar.world import CLIENTS_PORT, TARGET_PORT, world_of
+from tests.sidecar.fake_target import TARGET_PORT
+from tests.sidecar.world import (
+    CLIENTS_PORT,
+    world_of,
+)
 
 
 class TestRestarts:
--- a/tests/test_sending.py
+++ b/tests/test_sending.py
@@ -13,7 +13,7 @@
         super().__init__()
         self.writer = PacedWriter(self)
 
-    def write(self, data: bytes) -> None:  # type: ignore[override]
+    def write(self, data: bytes) -> None:
         super().write(data)
         if len(data) > 1000:
             self.writer.pause()
