Tell of accounts and of refused calls in half the time

What is beyond a limit is admitted until the sums tell of it: 0.8 s for the report, 0.8 s for the sums, and more while coordinators change. Likewise the first sums that told of refused calls waited 0.8 s, as only too little room made a coordinator send at once. Change: with client accounts reports and sums go each 0.4 s; a target that refuses calls counts as short at the coordinator it reports to.

--- a/src/lovageshunt/pressure/_fleet_capacity.py
+++ b/src/lovageshunt/pressure/_fleet_capacity.py
@@ -38,6 +38,11 @@
         self.sent_per_second = sent_per_second
         self.refused_per_second = refused_per_second
 
+    @property
+    def is_short(self) -> bool:
+        """Whether the target has too little room, or refuses calls."""
+        return self.share < 1 or self.refused_per_second > 0
+
 
 class _Report(Record):
     """The capacities that one target or coordinator reported, and when."""
--- a/src/lovageshunt/pressure/_fleet_part.py
+++ b/src/lovageshunt/pressure/_fleet_part.py
@@ -89,7 +89,7 @@
     def is_short(self) -> bool:
         """Whether the targets of some service lack capacity."""
         return any(
-            capacity.share < 1 or capacity.refused_per_second > 0
+            capacity.is_short
             for part in self.part_by_service.values()
             for capacity in part.capacities
         )
--- a/src/lovageshunt/sidecar/_coordinator_sums.py
+++ b/src/lovageshunt/sidecar/_coordinator_sums.py
@@ -1,7 +1,5 @@
 """The sums of a coordinator over the nodes that report to it."""
 
-from collections.abc import Callable
-
 from lovageshunt.clock import now as clock_now
 from lovageshunt.links import (
     DemandReport,
@@ -15,8 +13,10 @@
     PartSums,
     TargetCapacity,
 )
+from lovageshunt.sidecar._client_accounts import ClientAccounts
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._load_schedule import (
+    ACCOUNT_INTERVAL_SECONDS,
     DEMAND_INTERVAL_SECONDS,
     interval_for,
 )
@@ -27,14 +27,14 @@
     """Sums what nodes report to this one and sends the sums to all nodes.
 
     Sums are sent as often as nodes report, and faster while there is too
-    little room or ``is_over_limit`` tells that an account asks too much.
+    little room or a client account asks for more than its limit.
     """
 
     __slots__ = (
         '_fleet',
         '_channels',
         '_node',
-        '_is_over_limit',
+        '_accounts',
         '_sums',
         '_is_short',
         '_sent_at',
@@ -46,12 +46,12 @@
         fleet: Fleet,
         channels: NodeChannels,
         node: str,
-        is_over_limit: Callable[[], bool],
+        accounts: ClientAccounts,
     ) -> None:
         self._fleet = fleet
         self._channels = channels
         self._node = node
-        self._is_over_limit = is_over_limit
+        self._accounts = accounts
         self._sums = PartSums()
         self._is_short = False
         self._sent_at = float('-inf')
@@ -60,11 +60,12 @@
         """Add the load of a target."""
         entry = self._fleet.entry_by_id.get(report.target_id)
         if entry is not None:
-            self._is_short |= report.share < 1
+            capacity = capacity_of(report)
+            self._is_short |= capacity.is_short
             self._sums.add_capacity(
                 entry.service,
                 entry.target_id,
-                capacity_of(report),
+                capacity,
                 clock_now(),
             )
 
@@ -91,10 +92,7 @@
 
     def take_due(self, now: float) -> FleetPart | None:
         """Send the sums and return them, or ``None`` if they are not due."""
-        interval = DEMAND_INTERVAL_SECONDS
-        if self._is_short or self._is_over_limit():
-            interval = interval_for(self._channels.subscriber_count)
-        if now - self._sent_at < interval:
+        if now - self._sent_at < self._interval():
             return None
         self._sent_at = now
         part = self._sums.total(self._node, now)
@@ -104,6 +102,16 @@
         )
         return part
 
+    def _interval(self) -> float:
+        """Return the seconds from one sending of the sums to the next."""
+        interval = DEMAND_INTERVAL_SECONDS
+        if self._accounts.is_used:
+            interval = ACCOUNT_INTERVAL_SECONDS
+        if self._is_short or self._accounts.over_limit:
+            least = interval_for(self._channels.subscriber_count)
+            interval = min(interval, least)
+        return interval
+
 
 def capacity_of(report: TargetLoadReport) -> TargetCapacity:
     """Return what the target of a report has room for."""
--- a/src/lovageshunt/sidecar/_load_schedule.py
+++ b/src/lovageshunt/sidecar/_load_schedule.py
@@ -6,6 +6,10 @@
 
 #: The interval of the demand reports, in seconds.
 DEMAND_INTERVAL_SECONDS: Final = 0.8
+#: The interval of the demand reports, and of the sums of coordinators, while
+#: there are client accounts, in seconds. What an account asks beyond its limit
+#: is admitted until the sums tell of it.
+ACCOUNT_INTERVAL_SECONDS: Final = 0.4
 #: The interval at which an unchanged load is reported, in seconds.
 _LOAD_INTERVAL_SECONDS: Final = 1.0
 #: Larger changes than these are reported at once: of slot use, of the share
--- a/src/lovageshunt/sidecar/_pressure_reports.py
+++ b/src/lovageshunt/sidecar/_pressure_reports.py
@@ -33,6 +33,7 @@
 from lovageshunt.sidecar._fleet import Fleet
 from lovageshunt.sidecar._knowledge import FleetState
 from lovageshunt.sidecar._load_schedule import (
+    ACCOUNT_INTERVAL_SECONDS,
     DEMAND_INTERVAL_SECONDS,
     LoadSchedule,
     ReportedLoad,
@@ -106,7 +107,7 @@
             fleet=fleet,
             channels=channels,
             node=fleet_state.greeting.node,
-            is_over_limit=lambda: bool(accounts.over_limit),
+            accounts=accounts,
         )
         self._unsummed_hosts: set[str] = set()
         self._coordinators: frozenset[str] = frozenset()
@@ -194,7 +195,10 @@
         for counts in self._executor.meters.watch.take_windows(now):
             self._graph.learn(counts)
         self._report_load(now)
-        if now - self._demand_reported_at >= DEMAND_INTERVAL_SECONDS:
+        interval = DEMAND_INTERVAL_SECONDS
+        if self._accounts.is_used:
+            interval = ACCOUNT_INTERVAL_SECONDS
+        if now - self._demand_reported_at >= interval:
             self._report_demand(now)
         if self._channels.is_coordinator:
             part = self.own_sums.take_due(now)
