Carry any importance in an order

Change: 255 is the lowest that an order carries. Measured: the test ends with a fatal error of the protocol before, passes now.

--- a/src/lovageshunt/sidecar/_origin.py
+++ b/src/lovageshunt/sidecar/_origin.py
@@ -47,6 +47,8 @@
 )
 
 _MS_PER_SECOND: Final = 1000
+#: The lowest importance that an order can carry.
+_MAX_ORDER_IMPORTANCE: Final = 255
 #: A node without a configuration requests one several times a second.
 _SETTLING: Final = Refusal(reason=RefusalReason.SETTLING, retry_ms=500)
 #: No target of the service is reachable.
@@ -82,7 +84,6 @@
         rng: Random,
     ) -> None:
         self._suspects = suspects
-        self._accounts = accounts
         self._own_host = own_host
         self._own_service = own_service
         self._header_names = header_names
@@ -226,7 +227,7 @@
             target_id=entry.target_id,
             kind=route.name,
             caller_service=self._own_service,
-            importance=0 if call.is_internal else 1 + call.importance,
+            importance=_order_importance(call),
             is_repeatable=route.is_repeatable,
             is_repeat=call.is_repeat or call.has_run,
             deadline=call.deadline,
@@ -357,3 +358,10 @@
         self.open_count -= 1
         if call.overdue is not None:
             call.overdue.cancel()
+
+
+def _order_importance(call: OriginCall) -> int:
+    """Return that of an order: calls by the target go first."""
+    if call.is_internal:
+        return 0
+    return min(_MAX_ORDER_IMPORTANCE, 1 + call.importance)
--- a/tests/sidecar/test_client_accounts.py
+++ b/tests/sidecar/test_client_accounts.py
@@ -101,6 +101,16 @@
         async with world_of(1, is_published=False) as world:
             assert await status_at(world, '/read/a', key_field(KEY)) == 503
 
+    async def test_serves_an_account_of_the_least_importance(self) -> None:
+        """An order has room for 255; a greater number counts as that."""
+        least = account()
+        least.importance = 1_000_000
+        async with world_of(2, is_published=False) as world:
+            world.publish(accounts=(least,))
+            # The only target is beside the other node.
+            world.nodes[0].fleet_state.apply_targets(world.entries()[1:], 2)
+            assert await status_at(world, '/read/a', key_field(KEY)) == 200
+
     async def test_changes_nothing_without_accounts(self) -> None:
         """A header field of that name is an ordinary one then."""
         async with world_of(1) as world:
