Play crowds at the listener of links and in the soak

Cause: the bound of the listener between nodes had no test on processes, and no crowd was played beside ordinary clients, restarts and lost links.

--- a/tests/platform/test_crowds.py
+++ b/tests/platform/test_crowds.py
@@ -66,6 +66,12 @@
     return repeated(request_head(None), b'2\r\nab\r\n', 2 * MIB)
 
 
+def frames_that_do_not_end() -> Iterable[bytes]:
+    """What is no node announces large frames to the listener of links."""
+    announced = (64 * MIB).to_bytes(4, 'big') + b'\2' + bytes(4)
+    return repeated(announced, bytes(1024), BODY_BYTES)
+
+
 CROWDS = {
     'a header value without end': lambda: repeated(
         LINE + b'X: ', b'a', ENDLESS_BYTES
@@ -148,6 +154,12 @@
             crowd = [body_short_of_its_end() for _ in range(CROWD)]
             await play(nodes[0], crowd, nodes[0].ready)
 
+    async def test_links_listener_outlives(self, tmp_path: Path) -> None:
+        """The listener of the links between nodes is bounded too."""
+        async with nodes_of(tmp_path, count=1, body_bytes=BODY_BYTES) as nodes:
+            crowd = [frames_that_do_not_end() for _ in range(CROWD)]
+            await play(nodes[0], crowd, nodes[0].links)
+
 
 class TestSingleRequest:
     """What the limits allow is served in calm, within the machine."""
--- a/tests/sidecar/soak.py
+++ b/tests/sidecar/soak.py
@@ -22,6 +22,7 @@
     World,
     client_of,
     configuration,
+    encode,
     world_of,
 )
 
@@ -45,6 +46,13 @@
 #: The statuses which state that a request has not run.
 _NOT_RUN_STATUSES = frozenset((401, 429, 503))
 
+#: A crowd of clients that stop one byte short of the end of a body, and what a
+#: node may hold of them: half of what they send.
+_CROWD = 6
+_STALLED_BYTES = 90_000
+_HELD_BYTES = _CROWD * _STALLED_BYTES // 2
+_STALLED_KEY = 'X-Key: k-free\r\n'
+
 Fault = Callable[[], Coroutine[Any, Any, None]]
 
 
@@ -114,6 +122,7 @@
             self._change_list,
             self._limit_targets,
             self._replace_target,
+            self._stall_clients,
         ]
         self._start(self._rng.choice(faults)())
 
@@ -187,6 +196,22 @@
         await asyncio.sleep(self._rng.uniform(1, 4))
         self._limited = set()
 
+    async def _stall_clients(self) -> None:
+        """Let a crowd stop short of the end of large bodies at one node."""
+        at = self._rng.randrange(_NODES)
+        self.world.nodes[at]._listeners.buffers.limit_bytes = _HELD_BYTES
+        body = bytes(_STALLED_BYTES)
+        with suppress(OSError):
+            crowd = [
+                await client_of(self.world.hosts[at]) for _ in range(_CROWD)
+            ]
+            for client in crowd:
+                request = encode('/buy/stalled', body=body, extra=_STALLED_KEY)
+                client.writer.write(request[:-1])
+            await asyncio.sleep(self._rng.uniform(1, 3))
+            for client in crowd:
+                client.writer.close()
+
     async def _replace_target(self) -> None:
         """Put another target in the place of one, while nodes are late."""
         self._replaced[self._rng.randrange(_NODES)] += 1
