Count the time of a head from its first byte, not from an empty line

Cause: an empty line that a client sends behind a body began the time of the next head, so that a kept connection was closed with 408 after twice header_timeout_s instead of after idle_timeout_s (since, found by reading): a client inside the limits would have met it. Change: the time begins with the first byte of a request.

--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -234,7 +234,7 @@
     def _note_unfinished(self) -> None:
         """Note when a head began; read no large request ahead."""
         reader = self._reader
-        if reader.held_bytes and self._began_at is None:
+        if reader.is_reading and self._began_at is None:
             self._began_at = self.last_progress_at
         if reader.expects_continue and self._transport is not None:
             reader.expects_continue = False
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -308,6 +308,17 @@
         assert len(handler.requests) == 1
         assert transport.is_closed
 
+    def test_keeps_a_connection_after_an_empty_line(self) -> None:
+        """Some clients send one behind a body; no head has begun with it."""
+        _, connection, transport = connect(
+            ServerLimits(head_seconds=3, idle_seconds=15)
+        )
+        connection.data_received(GET)
+        respond(connection)
+        connection.data_received(b'\r\n')
+        connection.close_if_due(connection.last_progress_at + 12)
+        assert not transport.is_closed
+
     def test_ends_a_head_that_trickles(self) -> None:
         """Each byte is progress, and the head has a time all the same."""
         _, connection, transport = connect(ServerLimits(head_seconds=5))
