Bound the connections of a crowd that stalls within its requests, too

Cause: above the limit of connections only an idle one was closed; with none idle, as beside a crowd that stops within heads or bodies, each new one was accepted all the same, until their times were over (since, found by reading). Change: then one whose request is not whole is given up, 503 and not run, the one without progress for longest. Requests in progress stay.

--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -183,14 +183,14 @@
             return False
         return self._unread_bytes > 0 or self._reader.held_bytes > 0
 
-    def give_up(self) -> None:
+    def give_up(self, cause: str = 'memory') -> None:
         """Close the connection; tell a client whose request is not whole."""
         if self._unread_bytes and self._transport is not None:
             self._log_refusal('unread')
             self._is_broken = True
             self._transport.abort()
         else:
-            self._refuse(_UNAVAILABLE, 'memory', _GIVEN_UP_FIELDS)
+            self._refuse(_UNAVAILABLE, cause, _GIVEN_UP_FIELDS)
 
     @property
     def is_idle(self) -> bool:
--- a/src/lovageshunt/settings/_sidecar_keys.py
+++ b/src/lovageshunt/settings/_sidecar_keys.py
@@ -74,7 +74,8 @@
                 unit='connections',
                 meaning=(
                     'Connections of clients at a time; above it the one idle '
-                    'for longest is closed.'
+                    'for longest is closed, or else one whose request is not '
+                    'whole.'
                 ),
             ),
         ),
--- a/src/lovageshunt/sidecar/_listeners.py
+++ b/src/lovageshunt/sidecar/_listeners.py
@@ -21,8 +21,9 @@
 class Listeners:
     """Opens listeners and closes connections whose time is over.
 
-    ``clients`` are the open connections of clients, at most as
-    many as the settings allow; ``buffers`` bounds what all connections hold.
+    ``clients`` are the open connections of clients, at most as many as the
+    settings allow beside those with a request in progress; ``buffers`` bounds
+    what all connections hold.
     """
 
     __slots__ = (
@@ -98,13 +99,29 @@
     def _new_connection(
         self, handler: RequestHandler, others: set[ServerConnection]
     ) -> ServerConnection:
-        """Return a connection; close the longest idle one if they are many."""
+        """Return a connection; close another one if they are many.
+
+        An idle one goes first, then one whose request is not whole, each time
+        the one without progress for longest.
+        """
         if len(others) >= self._max_connections:
-            idle = [each for each in others if each.is_idle]
+            spare = [
+                each for each in others if each.is_idle or each.can_be_given_up
+            ]
             oldest = min(
-                idle, key=lambda each: each.last_progress_at, default=None
+                spare,
+                key=lambda each: (not each.is_idle, each.last_progress_at),
+                default=None,
             )
             if oldest is not None:
-                oldest.close_idle()
-                self.buffers.refused_by_cause['connections'] += 1
+                others.discard(oldest)
+                self._close_spare(oldest)
         return ServerConnection(handler, self._limits, others, self.buffers)
+
+    def _close_spare(self, connection: ServerConnection) -> None:
+        """Close a connection in favour of a new one."""
+        if connection.is_idle:
+            self.buffers.refused_by_cause['connections'] += 1
+            connection.close_idle()
+        else:
+            connection.give_up('connections')
