Start requests sent ahead in a loop, and answer only the request in progress

A client that sends 301 requests without waiting, 150 of them refused at once, got 149 to 151 answers of other requests. Cause: a response that is sent within the handler's call started the next request in a deeper call, so that about 140 of them in a row exhausted the stack. The error left calls that were answered with a timer, and a connection answered whatever request was in progress, not the one that was meant. Change: requests that wait are started in a loop, and a response names its request; one that is not in progress is not answered. Evidence: on the first new test ends with RecursionError, the second sends the late response for the next request (both run there without the new argument); both pass now.

--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -37,7 +37,8 @@
     def handle(self, request: Request, connection: 'ServerConnection') -> Any:
         """Start to handle a request; return a token for ``abandon``.
 
-        ``connection.respond`` is called once, within this call or later.
+        ``connection.respond`` is called once with the request, within this
+        call or later.
         """
 
     def abandon(self, token: Any) -> None:
@@ -66,6 +67,7 @@
         '_current_bytes',
         '_unread_bytes',
         '_token',
+        '_is_starting',
         '_is_broken',
         'closes_next',
         'last_progress_at',
@@ -90,6 +92,7 @@
         self._current_bytes = 0
         self._unread_bytes = 0
         self._token: Any = None
+        self._is_starting = False
         self._is_broken = False
         self.closes_next = False
         self.last_progress_at = monotonic()
@@ -108,10 +111,11 @@
         self._pipelined.clear()
         self._reader.discard()
         self._buffers.release_all(self)
-        if self._current is not None:
-            self._current = None
-            self._handler.abandon(self._token)
-            self._token = None
+        token = self._token
+        self._current = None
+        self._token = None
+        if token is not None:
+            self._handler.abandon(token)
 
     def data_received(self, data: bytes) -> None:
         """Parse data from the client; refuse what is no request."""
@@ -149,10 +153,15 @@
 
     # Called by the handler.
 
-    def respond(self, *, status: int, fields: bytes, body: bytes) -> bool:
-        """Send the response; return false if the client has disconnected."""
-        request = self._current
-        if request is None or self._transport is None:
+    def respond(
+        self, request: Request, *, status: int, fields: bytes, body: bytes
+    ) -> bool:
+        """Send the response to a request; return whether it was sent.
+
+        It is not if the client has disconnected, nor if the request was
+        responded to before.
+        """
+        if request is not self._current or self._transport is None:
             return False
         self._current = None
         self._token = None
@@ -174,6 +183,11 @@
             self._start_next()
         return True
 
+    @property
+    def current(self) -> Request | None:
+        """The request in progress, if there is one."""
+        return self._current
+
     # Called by ``ReceiveBuffers``.
 
     @property
@@ -228,8 +242,9 @@
             self._start(request, received_bytes)
             return
         self._pipelined.append((request, received_bytes))
-        if len(self._pipelined) >= _MAX_PIPELINED_REQUESTS:
-            self._pause_reading()
+        is_full = len(self._pipelined) >= _MAX_PIPELINED_REQUESTS
+        if is_full and self._transport is not None:
+            self._transport.pause_reading()
 
     def _note_unfinished(self) -> None:
         """Note when a head began; read no large request ahead."""
@@ -240,8 +255,9 @@
             reader.expects_continue = False
             self._transport.write(_CONTINUE)
         ahead = reader.held_bytes + sum(size for _, size in self._pipelined)
-        if self._current is not None and ahead > _MAX_AHEAD_BYTES:
-            self._pause_reading()
+        is_ahead = self._current is not None and ahead > _MAX_AHEAD_BYTES
+        if is_ahead and self._transport is not None:
+            self._transport.pause_reading()
 
     def _is_late(self, now: float) -> bool:
         """Return whether a request makes no progress, or its head is late."""
@@ -252,17 +268,23 @@
             return False
         return now - self._began_at > seconds * _HEAD_TIME_FACTOR
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None:
-            self._transport.pause_reading()
-
     def _start_next(self) -> None:
-        """Start the next request that waits, and read on."""
-        if self._transport is None or self._is_broken:
+        """Start the requests that wait, and read on.
+
+        A handler may respond within its call, so that the next request starts
+        in this loop and not in a deeper call.
+        """
+        if self._is_starting or self._transport is None or self._is_broken:
             return
         self._transport.resume_reading()
-        if self._pipelined:
-            self._start(*self._pipelined.popleft())
+        self._is_starting = True
+        try:
+            while self._pipelined and self._current is None:
+                if self._unread_bytes or self._is_broken:
+                    break
+                self._start(*self._pipelined.popleft())
+        finally:
+            self._is_starting = False
 
     def _start(self, request: Request, received_bytes: int) -> None:
         self._current = request
--- a/src/lovageshunt/sidecar/_metrics.py
+++ b/src/lovageshunt/sidecar/_metrics.py
@@ -152,6 +152,7 @@
             f'{name}: {text}\r\n' for name, text in headers.items()
         )
         connection.respond(
+            request,
             status=200,
             fields=fields.lower().encode(),
             body=body,
--- a/src/lovageshunt/sidecar/_readiness.py
+++ b/src/lovageshunt/sidecar/_readiness.py
@@ -20,7 +20,7 @@
     def handle(self, request: Request, connection: ServerConnection) -> None:
         """Respond at once."""
         status = _READY if self._is_ready() else _NOT_READY
-        connection.respond(status=status, fields=b'', body=b'')
+        connection.respond(request, status=status, fields=b'', body=b'')
 
     def abandon(self, token: None) -> None:
         """Do nothing: every request is complete when ``handle`` returns."""
--- a/src/lovageshunt/sidecar/_responder.py
+++ b/src/lovageshunt/sidecar/_responder.py
@@ -40,6 +40,7 @@
     def forward(self, call: OriginCall, answer: RunAnswer) -> None:
         """Forward a target's own response, whatever its status."""
         call.connection.respond(
+            call.request,
             status=answer.status,
             fields=answer.fields,
             body=answer.body,
@@ -128,4 +129,6 @@
             fields = b'retry-after: %.3f\r\n' % (retry_ms / _MS_PER_SECOND)
         if call.attempt_id:
             fields += b'%b: %b\r\n' % (self._attempt_id_field, call.attempt_id)
-        call.connection.respond(status=status, fields=fields, body=b'')
+        call.connection.respond(
+            call.request, status=status, fields=fields, body=b''
+        )
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -40,7 +40,8 @@
 
 
 def respond(connection: ServerConnection, body: bytes = b'ok') -> bool:
-    return connection.respond(status=200, fields=b'', body=body)
+    request = connection.current or Request(method=b'', target=b'', headers=[])
+    return connection.respond(request, status=200, fields=b'', body=body)
 
 
 class TestServerConnection:
@@ -326,3 +327,51 @@
         connection.last_progress_at += 100
         connection.close_if_due(connection.last_progress_at)
         assert transport.written.startswith(b'HTTP/1.1 408 ')
+
+
+class RefusingHandler(Handler):
+    """Responds to every request but the first within its call."""
+
+    def handle(self, request: Request, connection: ServerConnection) -> int:
+        token = super().handle(request, connection)
+        if token > 1:
+            connection.respond(
+                request, status=503, fields=b'id: %d\r\n' % token, body=b''
+            )
+        return token
+
+
+class TestRequestsSentAhead:
+    """A client that does not wait for its responses."""
+
+    def test_are_answered_in_their_order(self) -> None:
+        """However many are refused at once, one after the other.
+
+        Guards against MIXED: each response started the next request in a
+        deeper call, until the stack was exhausted.
+        """
+        handler = RefusingHandler()
+        connection = ServerConnection(handler, ServerLimits(), set())
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        connection.data_received(GET * 1500)
+        respond(connection)
+        assert len(handler.requests) == 1500
+        ids = [
+            int(line.removeprefix(b'id: '))
+            for line in transport.written.split(b'\r\n')
+            if line.startswith(b'id: ')
+        ]
+        assert ids == list(range(2, 1501))
+
+    def test_get_no_response_of_another_one(self) -> None:
+        """A handler that responds twice does not answer the next request."""
+        handler, connection, transport = connect()
+        connection.data_received(GET + GET)
+        first = handler.requests[0]
+        assert respond(connection)
+        assert not connection.respond(
+            first, status=504, fields=b'', body=b'late'
+        )
+        assert connection.current is handler.requests[1]
+        assert b'late' not in transport.written
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -40,7 +40,7 @@
     def repeat_share(self) -> float:
         return self.share
 
-    def submit(self, order: RunOrder, ended: EndedCallback) -> None:  # type: ignore[override]
+    def submit(self, order: RunOrder, ended: EndedCallback) -> None:
         self.orders.append(order)
         self.ended.append(ended)
 
@@ -70,7 +70,7 @@
     def call_started(self, entry: TargetEntry) -> None:
         """Do nothing."""
 
-    def call_ended(self, *_: object) -> None:  # type: ignore[override]
+    def call_ended(self, *_: object) -> None:
         """Do nothing."""
 
 
@@ -91,7 +91,9 @@
         self.statuses: list[int] = []
         self.fields: list[bytes] = []
 
-    def respond(self, *, status: int, fields: bytes, body: bytes) -> bool:
+    def respond(
+        self, request: Request, *, status: int, fields: bytes, body: bytes
+    ) -> bool:
         self.statuses.append(status)
         self.fields.append(fields)
         return True
