Let the stand-in of the platform's store name the request that it answers

Cause: gave responses their request and left the stand-in out, so that its tests, and each process that reads from it, got no answer of the store. Change: it passes the request.

--- a/standins/store.py
+++ b/standins/store.py
@@ -6,6 +6,8 @@
 
 import asyncio
 from base64 import b64encode
+from collections.abc import Callable
+from functools import partial
 from urllib.parse import parse_qs, urlsplit
 
 import orjson
@@ -121,15 +123,16 @@
             return
         if self.status is not None:
             connection.respond(
-                status=self.status, fields=self._fields(), body=b''
+                request, status=self.status, fields=self._fields(), body=b''
             )
             return
+        respond = partial(connection.respond, request)
         url = urlsplit(request.target.decode())
         query = {name: found[0] for name, found in parse_qs(url.query).items()}
         if url.path == '/kv-range':
-            self._read_range(query, connection)
+            self._read_range(query, respond)
         else:
-            task = asyncio.ensure_future(self._watch(query, connection))
+            task = asyncio.ensure_future(self._watch(query, respond))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
@@ -139,7 +142,7 @@
     def _read_range(
         self,
         query: dict[str, str],
-        connection: ServerConnection,
+        respond: Callable[..., bool],
     ) -> None:
         prefix = query.get('prefix', '')
         found = [
@@ -152,18 +155,16 @@
             'has_more': len(found) > self.page_size,
             'at': self.revision,
         }
-        connection.respond(
-            status=200, fields=self._fields(), body=orjson.dumps(body)
-        )
+        respond(status=200, fields=self._fields(), body=orjson.dumps(body))
 
     async def _watch(
         self,
         query: dict[str, str],
-        connection: ServerConnection,
+        respond: Callable[..., bool],
     ) -> None:
         after = int(query['after'])
         if after < self.compacted_revision:
-            connection.respond(status=410, fields=self._fields(), body=b'{}')
+            respond(status=410, fields=self._fields(), body=b'{}')
             return
         try:
             async with asyncio.timeout(int(query['wait_ms']) / 1000):
@@ -172,14 +173,10 @@
         except TimeoutError:
             pass
         if self.status is not None:
-            connection.respond(
-                status=self.status, fields=self._fields(), body=b''
-            )
+            respond(status=self.status, fields=self._fields(), body=b'')
             return
         body = {'events': self._events_after(after), 'at': self.revision}
-        connection.respond(
-            status=200, fields=self._fields(), body=orjson.dumps(body)
-        )
+        respond(status=200, fields=self._fields(), body=orjson.dumps(body))
 
     def _events_after(self, after: int) -> list[dict[str, object]]:
         return [event for event in self._events if int(event['rev']) > after]  # type: ignore[call-overload]
