--- a/src/lovageshunt/_sending.py
+++ b/src/lovageshunt/_sending.py
@@ -4,12 +4,16 @@
 from collections import deque
 from typing import Final
 
+from lovageshunt._memory_account import COPIED_BYTES
 from lovageshunt._receiving import ReceivingProtocol
 
 #: What may be sent: a body is a view of the buffer that it was received in.
 Buffer = bytes | bytearray | memoryview
 #: The most that is handed to the transport at a time, in bytes.
-_SLICE_BYTES: Final = 256 * 1024
+_SLICE_BYTES: Final = COPIED_BYTES
+#: A message of up to this size is copied even if the transport is full, in
+#: bytes.
+_SMALL_BYTES: Final = 16 * 1024
 
 
 class PacedWriter:
@@ -32,7 +36,8 @@
 
     def write(self, message: Buffer) -> None:
         """Write a message, now or when those before it are written."""
-        if len(message) <= _SLICE_BYTES and not self._waiting:
+        most = _SMALL_BYTES if self._is_paused else _SLICE_BYTES
+        if len(message) <= most and not self._waiting:
             self._transport.write(message)
             return
         self._waiting.append(memoryview(message))
--- a/src/lovageshunt/http1/_client.py
+++ b/src/lovageshunt/http1/_client.py
@@ -8,6 +8,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from lovageshunt._memory_account import FIELD_BYTES
 from lovageshunt._sending import Buffer, PacedProtocol, PacedWriter
 from lovageshunt.errors import MalformedResponseError
 from lovageshunt.http1._limits import ResponseBuffers
@@ -27,9 +28,14 @@
 _STATUSES: Final = range(100, 600)
 _FRAMING_FIELDS: Final = frozenset((b'content-length', b'transfer-encoding'))
 _TIMEOUT_OPTION: Final = b'timeout='
+#: The characters of a field's line besides its name and value, in bytes.
+_FIELD_FRAMING_BYTES: Final = len(b': \r\n')
 #: A body of up to this size is sent together with its head, in bytes.
 _MAX_JOINED_BYTES: Final = 16 * 1024
 
+#: Called with how an exchange ended, and with its response if it is complete.
+EndedCallback = Callable[[ExchangeEnd, Response | None], None]
+
 
 class Exchange:
     """A request, with a callback for its end.
@@ -49,7 +55,7 @@
         self,
         *,
         encoded: bytes,
-        ended: Callable[[ExchangeEnd, Response | None], None],
+        ended: EndedCallback,
         body: Buffer = b'',
         identity: Header | None = None,
         has_body: bool = True,
@@ -76,6 +82,8 @@
         '_on_free',
         '_buffers',
         '_held_bytes',
+        '_taken_bytes',
+        '_field_count',
         '_header_bytes',
         '_transport',
         '_parser',
@@ -89,6 +97,7 @@
         '_has_head',
         '_has_bytes',
         '_has_surplus',
+        '_has_room',
         '_keeps_alive',
         '_complete_response',
         '_is_first',
@@ -108,6 +117,8 @@
         self._on_free = on_free
         self._buffers = buffers
         self._held_bytes = 0
+        self._taken_bytes = 0
+        self._field_count = 0
         self._transport: Transport | None = None
         self._parser = HttpResponseParser(self)
         self._exchange: Exchange | None = None
@@ -118,6 +129,7 @@
         self.idle_limit_seconds: float | None = None
         self._has_bytes = False
         self._has_surplus = False
+        self._has_room = True
         self._keeps_alive = True
         self._complete_response: Response | None = None
         self.on_message_begin()
@@ -175,6 +187,9 @@
         if exc is None and self._is_ended_by_close():
             self._end(ExchangeEnd.COMPLETE, self._response())
         self._end(self._end_after_loss(), None)
+        # The parser refers to this object, so that both are freed late.
+        self.on_message_begin()
+        self.paced_writer = None
         self._on_closed(self)
 
     def data_received(self, data: bytes) -> None:
@@ -187,7 +202,8 @@
             return
         self._has_bytes = True
         self._held_bytes += len(data)
-        if not self._buffers.hold(len(data)) or self._is_too_long():
+        self._count_taken()
+        if self._is_too_long():
             self._cut()
             return
         try:
@@ -196,6 +212,10 @@
             self._has_surplus = True
             if self._complete_response is None:
                 self._cut()
+        if self._complete_response is None:
+            self._count_taken()
+            if self._is_too_long():
+                self._cut()
         self._deliver()
 
     # Called by the parser.
@@ -214,7 +234,8 @@
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; note if it determines where the body ends."""
-        self._header_bytes += len(name) + len(text)
+        self._header_bytes += len(name) + len(text) + _FIELD_FRAMING_BYTES
+        self._field_count += 1
         lower = name.lower()
         if lower in _FRAMING_FIELDS:
             self._is_delimited = True
@@ -255,8 +276,19 @@
             return
         is_framed = self._is_delimited or self._status in BODILESS_STATUSES
         self._keeps_alive = is_framed and self._parser.should_keep_alive()
-        self._note_idle_limit()
+        self.idle_limit_seconds = _idle_limit_of(
+            self._headers, self.idle_limit_seconds
+        )
         self._complete_response = self._response()
+        # The connection may be idle for long, and holds no response then.
+        self._headers = []
+        self._body = bytearray()
+
+    def _count_taken(self) -> None:
+        """Count the memory that the response takes."""
+        taken = self._held_bytes + self._field_count * FIELD_BYTES
+        self._has_room = self._buffers.hold(taken - self._taken_bytes)
+        self._taken_bytes = taken
 
     def _response(self) -> Response:
         return Response(
@@ -287,6 +319,8 @@
 
     def _is_too_long(self) -> bool:
         """Return whether the response exceeds a limit, complete or not."""
+        if not self._has_room:
+            return True
         limits = self._buffers.limits
         if not self._has_head and self._held_bytes > limits.head_bytes:
             return True
@@ -310,8 +344,11 @@
             return
         self._exchange = None
         self._is_first = False
-        self._buffers.release(self._held_bytes)
+        self._buffers.release(self._taken_bytes)
         self._held_bytes = 0
+        self._taken_bytes = 0
+        self._field_count = 0
+        self._has_room = True
         self.idle_since = monotonic()
         if self._transport is not None:
             self._on_free(self)
@@ -330,11 +367,12 @@
             return ExchangeEnd.INCOMPLETE
         return ExchangeEnd.CLOSED
 
-    def _note_idle_limit(self) -> None:
-        options = first_header(self._headers, b'keep-alive')
-        if not options.startswith(_TIMEOUT_OPTION):
-            return
-        first = options.partition(b',')[0]
-        seconds = first.removeprefix(_TIMEOUT_OPTION).strip()
-        if seconds.isdigit():
-            self.idle_limit_seconds = float(seconds)
+
+def _idle_limit_of(headers: list[Header], known: float | None) -> float | None:
+    """Return how long the server keeps an idle connection, in seconds."""
+    options = first_header(headers, b'keep-alive')
+    if not options.startswith(_TIMEOUT_OPTION):
+        return known
+    first = options.partition(b',')[0]
+    seconds = first.removeprefix(_TIMEOUT_OPTION).strip()
+    return float(seconds) if seconds.isdigit() else known
--- a/src/lovageshunt/http1/_limits.py
+++ b/src/lovageshunt/http1/_limits.py
@@ -1,5 +1,6 @@
 """Limits on the size and the duration of messages that are received."""
 
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt._record import Record
 
 
@@ -34,7 +35,8 @@
     ``head_bytes`` limits everything before the body, and the fields after it;
     ``body_bytes`` one response as a whole, with responses that are ignored
     before it. ``total_bytes`` limits what all connections of the pool hold
-    together. A response that exceeds a limit is cut off.
+    together, in memory as it is taken. A response that exceeds a limit is cut
+    off.
     """
 
     __slots__ = ('head_bytes', 'body_bytes', 'total_bytes')
@@ -52,19 +54,25 @@
 
 
 class ResponseBuffers:
-    """Counts the bytes of responses that the connections of a pool hold."""
+    """Counts what the connections of a pool hold of responses, in bytes.
 
-    __slots__ = ('limits', '_held_bytes')
+    ``account`` is that of the process.
+    """
+
+    __slots__ = ('limits', '_holding')
 
-    def __init__(self, limits: ResponseLimits) -> None:
+    def __init__(
+        self, limits: ResponseLimits, account: MemoryAccount | None = None
+    ) -> None:
         self.limits = limits
-        self._held_bytes = 0
+        self._holding = (account or MemoryAccount()).open()
 
     def hold(self, count: int) -> bool:
-        """Count bytes that were received; return whether there is room."""
-        self._held_bytes += count
-        return self._held_bytes <= self.limits.total_bytes
+        """Count memory that is taken; return whether there is room."""
+        held = self._holding.taken_bytes + count
+        self._holding.update(held)
+        return held <= self.limits.total_bytes
 
     def release(self, count: int) -> None:
-        """Count bytes that are no longer held."""
-        self._held_bytes -= count
+        """Count memory that is no longer taken."""
+        self._holding.update(self._holding.taken_bytes - count)
--- a/src/lovageshunt/http1/_pool.py
+++ b/src/lovageshunt/http1/_pool.py
@@ -5,7 +5,12 @@
 from time import monotonic
 from typing import Final
 
-from lovageshunt.http1._client import ClientConnection, Exchange
+from lovageshunt._memory_account import MemoryAccount
+from lovageshunt.http1._client import (
+    ClientConnection,
+    EndedCallback,
+    Exchange,
+)
 from lovageshunt.http1._limits import ResponseBuffers, ResponseLimits
 from lovageshunt.http1._messages import ExchangeEnd, Response
 
@@ -25,11 +30,11 @@
 class PendingExchange:
     """An exchange that was handed to a pool; it ends exactly once."""
 
-    __slots__ = ('_ended', '_exchange', '_connection', '_is_over')
+    __slots__ = ('_ended', '_exchange', '_connection')
 
     def __init__(self, exchange: Exchange) -> None:
-        self._ended = exchange.ended
-        self._exchange = Exchange(
+        self._ended: EndedCallback | None = exchange.ended
+        self._exchange: Exchange | None = Exchange(
             encoded=exchange.encoded,
             body=exchange.body,
             identity=exchange.identity,
@@ -37,24 +42,29 @@
             ended=self.end,
         )
         self._connection: ClientConnection | None = None
-        self._is_over = False
 
     @property
     def is_over(self) -> bool:
         """Whether the end of the exchange was reported."""
-        return self._is_over
+        return self._ended is None
 
     def begin(self, connection: ClientConnection) -> None:
         """Send the request on a connection."""
-        self._connection = connection
-        connection.send(self._exchange)
+        if self._exchange is not None:
+            self._connection = connection
+            connection.send(self._exchange)
 
     def end(self, end: ExchangeEnd, response: Response | None) -> None:
         """Report the end, unless one was reported before."""
-        if not self._is_over:
-            self._is_over = True
-            self._connection = None
-            self._ended(end, response)
+        ended = self._ended
+        if ended is None:
+            return
+        # Without these references the request is freed at once, not when the
+        # garbage collector finds the cycle.
+        self._ended = None
+        self._exchange = None
+        self._connection = None
+        ended(end, response)
 
     def withdraw(self) -> None:
         """End the exchange unsent, unless it has been given a connection."""
@@ -72,7 +82,7 @@
     """Sends exchanges to one address, reusing idle connections.
 
     At most ``max_connections`` connections are open at a time; ``limits``
-    bounds what they hold of responses.
+    bounds what they hold of responses, which ``account`` counts.
     """
 
     def __init__(
@@ -81,8 +91,9 @@
         port: int,
         max_connections: int,
         limits: ResponseLimits | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
-        self._buffers = ResponseBuffers(limits or ResponseLimits())
+        self._buffers = ResponseBuffers(limits or ResponseLimits(), account)
         self._host = host
         self._port = port
         self.max_connections = max_connections
--- a/src/lovageshunt/http1/_request_reader.py
+++ b/src/lovageshunt/http1/_request_reader.py
@@ -6,6 +6,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
+from lovageshunt._memory_account import FIELD_BYTES, REQUEST_BYTES
 from lovageshunt.http1._limits import ServerLimits
 from lovageshunt.http1._messages import Header, Request
 from lovageshunt.http1._upgrade import encode_head_without_upgrade
@@ -13,6 +14,8 @@
 _CONNECT: Final = b'CONNECT'
 #: Bytes of a head that its limit does not count, such as those of line ends.
 _HEAD_ALLOWANCE_BYTES: Final = 4096
+#: The characters of a field's line besides its name and value, in bytes.
+_FIELD_FRAMING_BYTES: Final = len(b': \r\n')
 #: How many bytes of framing a chunked body may have for each of its own.
 _MAX_FRAMING_RATIO: Final = 16
 
@@ -41,9 +44,10 @@
     """Turns received bytes into requests.
 
     ``fault`` tells why nothing more is read. ``held_bytes`` were received of a
-    request that is not complete; ``is_reading`` is true if one has begun,
-    ``is_in_head`` until its head is complete. ``expects_continue`` is true if
-    its client waits for ``100 Continue``.
+    request that is not complete, which takes ``taken_bytes`` of memory;
+    ``is_reading`` is true if one has begun, ``is_in_head`` until its head is
+    complete. ``expects_continue`` is true if its client waits for
+    ``100 Continue``.
     """
 
     __slots__ = (
@@ -53,6 +57,8 @@
         '_headers',
         '_body',
         '_head_size',
+        '_handed_over',
+        '_unparsed_bytes',
         '_complete',
         'fault',
         'held_bytes',
@@ -67,15 +73,25 @@
         self._complete: list[tuple[Request, int]] = []
         self.fault: RequestFault | None = None
         self.held_bytes = 0
+        self._handed_over = 0
+        self._unparsed_bytes = 0
         self._begin()
 
+    @property
+    def taken_bytes(self) -> int:
+        """The memory that a request takes that is not complete."""
+        if not self.is_reading:
+            return self.held_bytes
+        return self._parsed_bytes + self._unparsed_bytes
+
     def feed(self, data: bytes) -> list[tuple[Request, int]]:
         """Return the requests that the data completes.
 
-        Each comes with the number of bytes that were received of it.
+        Each comes with the memory that it takes, in bytes.
         """
-        self._complete = []
+        self._handed_over = 0
         self.held_bytes += len(data)
+        received = len(data)
         while data and self.fault is None:
             try:
                 self._parser.feed_data(data)
@@ -85,9 +101,12 @@
             except HttpParserError:
                 self._refuse(RequestFault.MALFORMED)
             break
+        self._note_unparsed(received)
         if not self._complete:
             self._check_unfinished()
-        return self._complete
+        complete = self._complete
+        self._complete = []
+        return complete
 
     def discard(self) -> None:
         """Release what is held, and read nothing more."""
@@ -99,8 +118,10 @@
     def on_message_begin(self) -> None:
         """Reset the state of the message."""
         held_bytes = self.held_bytes
+        unparsed_bytes = self._unparsed_bytes
         self._begin()
         self.held_bytes = held_bytes
+        self._unparsed_bytes = unparsed_bytes
         self.is_reading = True
 
     def on_url(self, url: bytes) -> None:
@@ -111,7 +132,7 @@
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header, also one that follows a chunked body."""
         self._headers.append((name.lower(), text))
-        self._count_head(len(name) + len(text))
+        self._count_head(len(name) + len(text) + _FIELD_FRAMING_BYTES)
 
     def on_headers_complete(self) -> None:
         """Note whether the client waits before it sends the body."""
@@ -124,6 +145,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
+        self._handed_over += len(body)
         if len(self._body) + len(body) > self._limits.body_bytes:
             self._refuse(RequestFault.BODY_TOO_LARGE)
         else:
@@ -140,20 +162,38 @@
             body=self._body,
             keeps_alive=self._parser.should_keep_alive(),
         )
-        self._complete.append((request, self.held_bytes))
+        self._complete.append((request, self._parsed_bytes))
         self._begin()
 
     def _begin(self) -> None:
         self._target = b''
         self._headers: list[Header] = []
         self._body = bytearray()
-        self._head_size = 0
+        self._head_size: int = 0
+        self._unparsed_bytes = 0
         self.held_bytes = 0
         self.is_reading = False
         self.is_in_head = True
         self.expects_continue = False
 
+    @property
+    def _parsed_bytes(self) -> int:
+        """The memory of what the parser has handed over."""
+        fields = len(self._headers) * FIELD_BYTES
+        return REQUEST_BYTES + self._head_size + fields + len(self._body)
+
+    def _note_unparsed(self, received: int) -> None:
+        """Note what the parser holds of what was received.
+
+        The framing of chunks in the last read counts as held, too.
+        """
+        unparsed = self._unparsed_bytes + received
+        if self._handed_over:
+            unparsed = min(unparsed - self._handed_over, received)
+        self._unparsed_bytes = max(0, unparsed)
+
     def _count_head(self, count: int) -> None:
+        self._handed_over += count
         self._head_size += count
         if self._head_size > self._limits.head_bytes:
             self._refuse(RequestFault.HEAD_TOO_LARGE)
@@ -168,7 +208,10 @@
         if self.is_in_head:
             if self.held_bytes > most:
                 self._refuse(RequestFault.HEAD_TOO_LARGE)
-        elif self.held_bytes > most + len(self._body) * _MAX_FRAMING_RATIO:
+            return
+        is_endless = not self._handed_over and self._unparsed_bytes > most
+        longest = most + len(self._body) * _MAX_FRAMING_RATIO
+        if is_endless or self.held_bytes > longest:
             self._refuse(RequestFault.FRAMING_TOO_LARGE)
 
     def _refuse(self, fault: RequestFault) -> None:
--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -1,30 +1,24 @@
 """The server side: connections that receive requests from clients."""
 
 from asyncio import BaseTransport, Transport
-from collections import deque
 from logging import getLogger
 from time import monotonic
 from typing import Any, Final, cast
 from typing import Protocol as Interface
 
-from lovageshunt._receive_buffers import ReceiveBuffers
+from lovageshunt._memory_account import (
+    CALL_BYTES,
+    COPIED_BYTES,
+    MemoryAccount,
+)
 from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt.http1._limits import ServerLimits
 from lovageshunt.http1._messages import Request, encode_response
-from lovageshunt.http1._request_reader import STATUS_BY_FAULT, RequestReader
+from lovageshunt.http1._received_requests import ReceivedRequests
+from lovageshunt.http1._request_reader import STATUS_BY_FAULT
 
 _log = getLogger(__name__)
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-#: Reading is paused once this many requests wait for the one in progress.
-_MAX_PIPELINED_REQUESTS: Final = 8
-#: Reading is paused once this much was received beyond the request in
-#: progress, in bytes.
-_MAX_AHEAD_BYTES: Final = 64 * 1024
-#: A response of which no more is unread does not count as held, in bytes.
-_MIN_UNREAD_BYTES: Final = 64 * 1024
-#: How many times its limit a head may take to arrive as a whole: a limit that
-#: holds for clients on a slow machine, too.
-_HEAD_TIME_FACTOR: Final = 2
 _REQUEST_TIMEOUT: Final = 408
 _UNAVAILABLE: Final = 503
 #: ``retry-after`` of a request that is given up for others, in seconds.
@@ -49,7 +43,7 @@
     """One client connection; requests are handled one at a time.
 
     ``open_connections`` is the set that the connection is in while it is
-    open, ``buffers`` bounds what all of them hold. If ``closes_next`` is true,
+    open, ``account`` bounds what all of them hold. If ``closes_next`` is true,
     the next response announces that the connection closes.
     ``last_progress_at`` is in seconds on the monotonic clock.
     """
@@ -58,11 +52,10 @@
         '_handler',
         '_limits',
         '_open_connections',
-        '_buffers',
+        '_account',
+        '_holding',
         '_transport',
-        '_reader',
-        '_began_at',
-        '_pipelined',
+        '_received',
         '_current',
         '_current_bytes',
         '_unread_bytes',
@@ -78,16 +71,14 @@
         handler: RequestHandler,
         limits: ServerLimits,
         open_connections: set['ServerConnection'],
-        buffers: ReceiveBuffers | None = None,
+        account: MemoryAccount | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits
         self._open_connections = open_connections
-        self._buffers = buffers or ReceiveBuffers()
+        self._account = account or MemoryAccount()
+        self._holding = self._account.open(self)
         self._transport: Transport | None = None
-        self._reader = RequestReader(limits)
-        self._began_at: float | None = None
-        self._pipelined: deque[tuple[Request, int]] = deque()
         self._current: Request | None = None
         self._current_bytes = 0
         self._unread_bytes = 0
@@ -96,6 +87,7 @@
         self._is_broken = False
         self.closes_next = False
         self.last_progress_at = monotonic()
+        self._received = ReceivedRequests(limits, self.last_progress_at)
 
     # Called by asyncio.
 
@@ -103,14 +95,15 @@
         """Join the set of open connections."""
         self._transport = cast(Transport, transport)
         self._open_connections.add(self)
+        # Tells of each byte that is not sent at once.
+        self._transport.set_write_buffer_limits(high=0)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Give up the request in progress; its client has disconnected."""
         self._transport = None
         self._open_connections.discard(self)
-        self._pipelined.clear()
-        self._reader.discard()
-        self._buffers.release_all(self)
+        self._received.drop()
+        self._holding.close()
         token = self._token
         self._current = None
         self._token = None
@@ -122,14 +115,13 @@
         self.last_progress_at = monotonic()
         if self._is_broken:
             return
-        self._buffers.hold(self, len(data))
-        if self._is_broken:
-            # It was given up itself.
-            return
-        for request, received_bytes in self._reader.feed(data):
-            self._take(request, received_bytes)
-        self._note_unfinished()
-        fault = self._reader.fault
+        self._received.feed(data, self.last_progress_at)
+        # What is whole is started only if there is room for it.
+        self._count_held()
+        self._start_waiting()
+        if self._received.take_expectation() and self._transport is not None:
+            self._transport.write(_CONTINUE)
+        fault = self._received.fault
         if fault is not None:
             self._refuse(STATUS_BY_FAULT[fault], fault)
 
@@ -141,15 +133,14 @@
         transport = self._transport
         if transport is not None and not self._unread_bytes:
             self._unread_bytes = transport.get_write_buffer_size()
-            self._buffers.hold(self, self._unread_bytes)
+            self._count_held()
 
     def resume_writing(self) -> None:
         """Go on with the next request once the client has read."""
-        self._buffers.release(self, self._unread_bytes)
         self._unread_bytes = 0
         self.last_progress_at = monotonic()
-        if self._current is None:
-            self._start_next()
+        self._count_held()
+        self._start_waiting()
 
     # Called by the handler.
 
@@ -165,8 +156,8 @@
             return False
         self._current = None
         self._token = None
-        self._buffers.release(self, self._current_bytes)
-        closes = self.closes_next or not request.keeps_alive
+        self._current_bytes = 0
+        closes = self.closes_next or not request.keeps_alive or self._is_broken
         encoded = encode_response(
             status=status,
             fields=fields,
@@ -176,40 +167,46 @@
         )
         self.last_progress_at = monotonic()
         self._transport.write(encoded)
-        if closes or self._is_broken:
+        if closes:
             self._is_broken = True
+            self._received.drop()
             self._transport.close()
-        elif not self._unread_bytes:
-            self._start_next()
+        self._count_held()
+        self._start_waiting()
         return True
 
-    @property
-    def current(self) -> Request | None:
-        """The request in progress, if there is one."""
-        return self._current
-
-    # Called by ``ReceiveBuffers``.
+    # Called by ``MemoryAccount``.
 
     @property
     def can_be_given_up(self) -> bool:
-        """Whether no request that is whole would be lost."""
-        if self._current is not None or self._transport is None:
-            return False
-        return self._unread_bytes > 0 or self._reader.held_bytes > 0
+        """Whether something is held that was not started, or not read."""
+        return self._holding.releasable_bytes > 0
 
     def give_up(self, cause: str = 'memory') -> None:
-        """Close the connection; tell a client whose request is not whole."""
+        """Release what was not started, and what the client does not read.
+
+        A client whose request was not started is told; one whose request is
+        in progress gets its response, and then the connection is closed.
+        """
         if self._unread_bytes and self._transport is not None:
             self._log_refusal('unread')
             self._is_broken = True
+            self._unread_bytes = 0
+            self._received.drop()
             self._transport.abort()
+            self._count_held()
         else:
             self._refuse(_UNAVAILABLE, cause, _GIVEN_UP_FIELDS)
 
+    @property
+    def current(self) -> Request | None:
+        """The request in progress, if there is one."""
+        return self._current
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is in progress or partly received."""
-        return self._current is None and not self._reader.is_reading
+        return self._current is None and not self._received.is_reading
 
     @property
     def is_sending(self) -> bool:
@@ -225,70 +222,62 @@
         if self._transport is None or self._current is not None:
             return
         elapsed = now - self.last_progress_at
-        if self._is_late(now):
+        if self._received.is_late(now):
             self._refuse(_REQUEST_TIMEOUT, 'time')
         elif elapsed > self._limits.idle_seconds:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close the connection now, with what its client has not read."""
+        if self._transport is not None:
+            self._transport.abort()
+
     def close_idle(self) -> None:
         """Close the connection if no request would be lost."""
         if self._transport is not None and self.is_idle:
             self._transport.close()
 
-    def _take(self, request: Request, received_bytes: int) -> None:
-        """Handle a request, or queue it behind the one in progress."""
-        self._began_at = None
-        if self._current is None and not self._unread_bytes:
-            self._start(request, received_bytes)
-            return
-        self._pipelined.append((request, received_bytes))
-        is_full = len(self._pipelined) >= _MAX_PIPELINED_REQUESTS
-        if is_full and self._transport is not None:
-            self._transport.pause_reading()
-
-    def _note_unfinished(self) -> None:
-        """Note when a head began; read no large request ahead."""
-        reader = self._reader
-        if reader.is_reading and self._began_at is None:
-            self._began_at = self.last_progress_at
-        if reader.expects_continue and self._transport is not None:
-            reader.expects_continue = False
-            self._transport.write(_CONTINUE)
-        ahead = reader.held_bytes + sum(size for _, size in self._pipelined)
-        is_ahead = self._current is not None and ahead > _MAX_AHEAD_BYTES
-        if is_ahead and self._transport is not None:
-            self._transport.pause_reading()
+    def _count_held(self) -> None:
+        """Tell the account what is held, and what could be released."""
+        releasable = 0
+        if self._transport is not None:
+            releasable = self._unread_bytes
+            releasable += self._received.taken_bytes
+        self._holding.update(self._current_bytes + releasable, releasable)
 
-    def _is_late(self, now: float) -> bool:
-        """Return whether a request makes no progress, or its head is late."""
-        seconds = self._limits.head_seconds
-        if self._reader.is_reading and now - self.last_progress_at > seconds:
-            return True
-        if self._began_at is None or not self._reader.is_in_head:
-            return False
-        return now - self._began_at > seconds * _HEAD_TIME_FACTOR
+    @property
+    def _is_busy(self) -> bool:
+        """Whether no request can be started now."""
+        return self._current is not None or self._unread_bytes > 0
 
-    def _start_next(self) -> None:
+    def _start_waiting(self) -> None:
         """Start the requests that wait, and read on.
 
         A handler may respond within its call, so that the next request starts
         in this loop and not in a deeper call.
         """
-        if self._is_starting or self._transport is None or self._is_broken:
+        if self._is_starting:
             return
-        self._transport.resume_reading()
+        received = self._received
         self._is_starting = True
         try:
-            while self._pipelined and self._current is None:
-                if self._unread_bytes or self._is_broken:
-                    break
-                self._start(*self._pipelined.popleft())
+            # What was received on a connection that closes is dropped.
+            while received.has_whole and not self._is_busy:
+                self._start(*received.take())
         finally:
             self._is_starting = False
+        if self._transport is None:
+            return
+        if received.are_many or self._is_busy and received.are_large:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
-    def _start(self, request: Request, received_bytes: int) -> None:
+    def _start(self, request: Request, taken_bytes: int) -> None:
         self._current = request
-        self._current_bytes = received_bytes
+        copied = min(len(request.body), COPIED_BYTES)
+        self._current_bytes = taken_bytes + copied + CALL_BYTES
+        self._count_held()
         token = self._handler.handle(request, self)
         # The handler may have responded within the call.
         if self._current is request:
@@ -300,8 +289,8 @@
             return
         self._is_broken = True
         self._log_refusal(cause)
-        self._buffers.release(self, self._reader.held_bytes)
-        self._reader.discard()
+        self._received.drop()
+        self._count_held()
         if self._current is not None or self._transport is None:
             return
         encoded = encode_response(
@@ -312,7 +301,7 @@
 
     def _log_refusal(self, cause: str) -> None:
         """Count and log a client that is not served any more."""
-        self._buffers.refused_by_cause[cause] += 1
+        self._account.refused_by_cause[cause] += 1
         peer = None
         if self._transport is not None:
             peer = self._transport.get_extra_info('peername')
@@ -321,7 +310,7 @@
             extra={
                 'cause': cause,
                 'peer': peer and f'{peer[0]}:{peer[1]}',
-                'held_bytes': self._reader.held_bytes,
-                'all_held_bytes': self._buffers.held_bytes,
+                'held_bytes': self._holding.taken_bytes,
+                'all_held_bytes': self._account.held_bytes,
             },
         )
--- a/src/lovageshunt/links/__init__.py
+++ b/src/lovageshunt/links/__init__.py
@@ -24,7 +24,7 @@
     encode_load,
     encode_order,
 )
-from lovageshunt.links._incoming import IncomingLink, OrderHandler
+from lovageshunt.links._incoming import IncomingLink
 from lovageshunt.links._incoming_links import IncomingLinks
 from lovageshunt.links._messages import (
     DemandReport,
@@ -37,6 +37,7 @@
     Subscription,
     TargetLoadReport,
 )
+from lovageshunt.links._order_intake import OrderHandler
 from lovageshunt.links._recent_orders import RecentOrders
 
 __all__ = [
--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 from typing import Final
 
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt._record import Record
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
@@ -76,7 +77,8 @@
     node continues those that it already has; thus a lost connection neither
     loses a call nor runs it twice. ``numbers`` is shared by all dialers of a
     process, because a node identifies an order by its stream number and the
-    sender's incarnation. ``greeting`` describes this node.
+    sender's incarnation. ``greeting`` describes this node; ``account`` counts
+    what the link holds.
     """
 
     __slots__ = (
@@ -86,6 +88,7 @@
         '_listener',
         '_sent_by_stream',
         '_numbers',
+        '_account',
         '_connection',
         '_incarnation',
         '_task',
@@ -102,6 +105,7 @@
         greeting: Greeting,
         listener: LinkListener,
         numbers: Iterator[int],
+        account: MemoryAccount | None = None,
     ) -> None:
         self._host = host
         self._port = port
@@ -109,6 +113,7 @@
         self._listener = listener
         self._sent_by_stream: dict[int, _SentOrder] = {}
         self._numbers = numbers
+        self._account = account or MemoryAccount()
         self._connection: DialedConnection | None = None
         self._incarnation = ''
         self._task: Task[None] | None = None
@@ -177,6 +182,7 @@
             return
         if self._connection is not None:
             self._connection.write(encode_frame(FrameKind.CANCEL, stream))
+            self._connection.note_ended(len(sent.order.body))
 
     def send_frame(self, kind: FrameKind, payload: bytes = b'') -> None:
         """Send a frame that belongs to no call; drop it if the link is down."""
@@ -207,6 +213,8 @@
         if frame.kind == FrameKind.ANSWER:
             sent = self._sent_by_stream.pop(frame.stream, None)
             if sent is not None:
+                if self._connection is not None:
+                    self._connection.note_ended(len(sent.order.body))
                 sent.ended(decode_answer(frame.payload))
             return
         self._listener.on_frame(self._host, frame)
@@ -261,7 +269,7 @@
     async def _connect(self) -> None:
         loop = get_running_loop()
         while not self._is_closed and self._connection is None:
-            connection = DialedConnection(self)
+            connection = DialedConnection(self, self._account)
             try:
                 async with timeout(_CONNECT_TIMEOUT_SECONDS):
                     await loop.create_connection(
--- a/src/lovageshunt/links/_frames.py
+++ b/src/lovageshunt/links/_frames.py
@@ -82,13 +82,15 @@
     ``held_bytes`` is what is held of a frame that is not complete.
     """
 
-    __slots__ = ('_buffer', '_large', '_large_bytes')
+    __slots__ = ('_buffer', '_large', '_large_bytes', '_skipped_bytes')
 
     def __init__(self) -> None:
         self._buffer = b''
         #: What was received of a large frame, and its size.
         self._large = bytearray()
         self._large_bytes = 0
+        #: What is still to come of a frame that is skipped.
+        self._skipped_bytes = 0
 
     @property
     def held_bytes(self) -> int:
@@ -100,6 +102,10 @@
 
         Raises ``MalformedFrameError`` if a frame's length is out of bounds.
         """
+        if self._skipped_bytes:
+            skipped = min(self._skipped_bytes, len(received))
+            self._skipped_bytes -= skipped
+            received = received[skipped:]
         if not self._large_bytes:
             return self._split_buffer(self._buffer + received)
         missing = self._large_bytes - len(self._large)
@@ -109,6 +115,20 @@
         frame = self._take_large()
         return [frame, *self._split_buffer(received[missing:])]
 
+    def skip_large(self) -> Frame | None:
+        """Release a large frame that is not complete, and skip its rest.
+
+        Return it without its payload, or ``None`` if no large frame is being
+        received. Frames behind it are returned as usual.
+        """
+        if not self._large_bytes:
+            return None
+        _, kind, stream = _PREFIX.unpack_from(self._large)
+        self._skipped_bytes = self._large_bytes - len(self._large)
+        self._large = bytearray()
+        self._large_bytes = 0
+        return Frame(kind=kind, stream=stream, payload=b'')
+
     def _take_large(self) -> Frame:
         """Return the large frame, a view of what was collected of it."""
         view = memoryview(self._large)
--- a/src/lovageshunt/links/_recent_orders.py
+++ b/src/lovageshunt/links/_recent_orders.py
@@ -4,6 +4,7 @@
 from heapq import heappop, heappush
 from typing import Any, Final
 
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.links._frames import encode_answer
 from lovageshunt.links._messages import RunAnswer, RunOrder
@@ -16,6 +17,10 @@
 _LATE_ANSWER_SECONDS: Final = 0.5
 #: The most that kept answers hold together; the earliest to expire go first.
 _MAX_KEPT_BYTES: Final = 8 * 1024 * 1024
+#: The most answers that are kept, however small.
+_MAX_KEPT_ANSWERS: Final = 16384
+#: What a kept answer takes besides its bytes, in bytes.
+_ENTRY_BYTES: Final = 512
 #: The largest number of senders whose last forgotten order is known; when it
 #: is exceeded, the one that was forgotten first is dropped.
 _MAX_SENDERS: Final = 16384
@@ -34,6 +39,7 @@
 class AcceptedOrder:
     """An order that was accepted from a sender.
 
+    ``order`` is ``None`` if it was refused before it was whole.
     ``token`` is the handler's while the order runs, ``answer`` the encoded
     answer afterwards. ``link`` is the one that the sender used last.
     ``keep_until`` is in seconds on the process's clock.
@@ -41,12 +47,12 @@
 
     __slots__ = ('token', 'answer', 'link', 'keep_until')
 
-    def __init__(self, link: Any, order: RunOrder) -> None:
+    def __init__(self, link: Any, order: RunOrder | None) -> None:
         self.token: Any = None
         self.answer: bytes | None = None
         self.link = link
         self.keep_until = float(0)
-        if not order.is_repeatable:
+        if order is not None and not order.is_repeatable:
             self.keep_until = order.deadline + _LATE_ANSWER_SECONDS
 
 
@@ -59,18 +65,20 @@
     forgotten is told from a new one by its stream number: a sender numbers its
     orders in the order in which it sends them. Times are in seconds on the
     process's clock. ``again_by_state`` counts the orders that arrived again, by
-    what had become of them.
+    what had become of them; ``account`` counts what is kept.
     """
 
     __slots__ = (
         'by_key',
         '_answered',
         '_kept_bytes',
+        '_holding',
         '_last_forgotten_by_sender',
         'again_by_state',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, account: MemoryAccount | None = None) -> None:
+        self._holding = (account or MemoryAccount()).open()
         self.by_key: dict[OrderKey, AcceptedOrder] = {}
         self._answered: list[tuple[float, OrderKey]] = []
         self._kept_bytes = 0
@@ -107,10 +115,14 @@
         heappush(self._answered, (keep_until, key))
         while self._is_first_due(now):
             self._forget(heappop(self._answered)[1])
+        entries = len(self._answered) * _ENTRY_BYTES
+        self._holding.update(self._kept_bytes + entries)
 
     def _is_first_due(self, now: float) -> bool:
         if not self._answered:
             return False
+        if len(self._answered) > _MAX_KEPT_ANSWERS:
+            return True
         return self._answered[0][0] < now or self._kept_bytes > _MAX_KEPT_BYTES
 
     def _forget(self, key: OrderKey) -> None:
--- a/src/lovageshunt/settings/_sidecar.py
+++ b/src/lovageshunt/settings/_sidecar.py
@@ -37,8 +37,8 @@
 class SidecarClientsSection(Record):
     """What clients may make a node hold.
 
-    All connections together hold at most ``held_mebibytes``, in MiB, of what
-    they have received or not sent. At most ``connections`` of clients are open.
+    The process holds at most ``held_mebibytes``, in MiB of memory as it is
+    taken, of what it has received or not sent. At most ``connections`` of clients are open.
     """
 
     __slots__ = ('held_mebibytes', 'connections')
--- a/src/lovageshunt/settings/_sidecar_keys.py
+++ b/src/lovageshunt/settings/_sidecar_keys.py
@@ -61,10 +61,10 @@
                 default='80',
                 unit='MiB',
                 meaning=(
-                    'What all connections hold together of requests, unread '
-                    'responses and parts of frames; above it those without '
-                    'progress for longest are closed. More than the largest '
-                    'body, and less than half of the memory.'
+                    'What the process holds, in memory as it is taken, of '
+                    'requests, orders and answers; above it those without '
+                    'progress for longest are given up. More than the '
+                    'largest body, and less than half of the memory.'
                 ),
             ),
             Key(
--- a/src/lovageshunt/sidecar/_executor.py
+++ b/src/lovageshunt/sidecar/_executor.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from lovageshunt._dispatch import DispatchedMethod
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt.admission import (
     Abort,
     Action,
@@ -43,6 +44,7 @@
     answer_of,
     refusal_of_departed,
     refusal_of_suspect,
+    refusal_without_room,
 )
 from lovageshunt.sidecar._suspects import Suspects
 from lovageshunt.sidecar._target_meters import TargetMeters
@@ -75,6 +77,7 @@
     ``on_refused`` when it refuses a connection. ``suspects`` decides which
     calls are kept from the target as they may crash it. ``rate_limit`` is the
     number of calls a second that the target takes, ``None`` without a limit.
+    ``account`` counts what orders and responses take.
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         on_leaving: Callable[[str], None],
         on_refused: Callable[[], None],
         suspects: Suspects,
+        account: MemoryAccount | None = None,
     ) -> None:
         self._suspects = suspects
         self._has_left = has_left
@@ -97,7 +101,10 @@
         self._on_refused = on_refused
         self._header_names = header_names
         self._metrics = metrics
-        self.pool = ConnectionPool(host, port, _INITIAL_MAX_CONNECTIONS)
+        self._account = account or MemoryAccount()
+        self.pool = ConnectionPool(
+            host, port, _INITIAL_MAX_CONNECTIONS, account=self._account
+        )
         self._crash_check = CrashCheck(self.pool, self._on_checked)
         self.queue = TargetQueue(slots=slots)
         self._resends = Resends(resend_budget, self.queue, has_left)
@@ -134,15 +141,36 @@
         self._published = (target_id, slots)
         self._handle(LoadReported(running=0, slots=slots))
 
-    def submit(self, order: RunOrder, ended: EndedCallback) -> Run:
-        """Queue an order; call ``ended`` once, unless it is abandoned."""
+    def submit(
+        self,
+        order: RunOrder,
+        ended: EndedCallback,
+        *,
+        received_bytes: int = 0,
+    ) -> Run:
+        """Queue an order; call ``ended`` once, unless it is abandoned.
+
+        ``received_bytes`` is the memory that is held for it and that nobody
+        else counts.
+        """
         self._next_number += 1
-        run = Run(str(self._next_number), order, ended)
+        run = Run(
+            str(self._next_number),
+            order,
+            ended,
+            account=self._account,
+            on_evicted=self._evict,
+            received_bytes=received_bytes,
+        )
         if self._has_left(order.target_id):
             self._answer(
                 run, refusal_of_departed(self.meters.told(self.queue.load()))
             )
             return run
+        run.hold_waiting()
+        if run.ended is None:
+            # There was no room for it.
+            return run
         self._run_by_call_id[run.call_id] = run
         self.meters.demand.asked(order.kind)
         now = clock_now()
@@ -173,6 +201,7 @@
         is_waiting = run.sending is None
         if is_waiting:
             self._run_by_call_id.pop(run.call_id, None)
+            run.release()
         self._handle(Cancelled(run.call_id))
         return Outcome.NOT_RUN if is_waiting else Outcome.UNKNOWN
 
@@ -222,6 +251,13 @@
         for run in list(self._run_by_call_id.values()):
             run.cancel_exchange()
 
+    def _evict(self, run: Run) -> None:
+        """Refuse an order that there is no memory for, and that waits."""
+        if run.call_id in self._run_by_call_id:
+            self._handle(Cancelled(run.call_id))
+        load = self.meters.told(self.queue.load())
+        self._answer(run, refusal_without_room(load))
+
     def _handle(self, event: Event) -> None:
         now = clock_now()
         for action in self.queue.handle(event, now):
@@ -236,10 +272,15 @@
 
     @_perform.register
     def _dispatch(self, action: Admit) -> None:
-        run = self._run_by_call_id[action.call_id]
+        run = self._run_by_call_id.get(action.call_id)
+        if run is None:
+            # It was abandoned or evicted since the queue has decided.
+            self._handle(
+                Finished(action.call_id, was_complete=False, was_shed=True)
+            )
+            return
         retry_ms = self._suspects.start(run)
         if retry_ms is not None:
-            self._run_by_call_id.pop(run.call_id)
             self._answer(
                 run,
                 refusal_of_suspect(
@@ -251,6 +292,7 @@
             )
             return
         run.sent_at = clock_now()
+        run.hold_running()
         self._repeats_running += run.is_repeat
         self._send(run)
         delay = max(0, run.order.deadline - clock_now()) + _CANCEL_DELAY_SECONDS
@@ -259,7 +301,9 @@
 
     @_perform.register
     def _refuse(self, action: Refuse) -> None:
-        run = self._run_by_call_id.pop(action.call_id)
+        run = self._run_by_call_id.get(action.call_id)
+        if run is None:
+            return
         self._answer(
             run,
             RunAnswer(
@@ -374,6 +418,8 @@
         self._handle(reported)
 
     def _answer(self, run: Run, answer: RunAnswer) -> None:
+        self._run_by_call_id.pop(run.call_id, None)
+        run.release()
         seconds = clock_now() - run.arrived_at
         self._metrics.count_run(answer.outcome, answer.reason, seconds)
         ended = run.ended
--- a/src/lovageshunt/sidecar/_listeners.py
+++ b/src/lovageshunt/sidecar/_listeners.py
@@ -5,7 +5,7 @@
 from time import monotonic
 from typing import Final
 
-from lovageshunt._receive_buffers import ReceiveBuffers
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt.http1 import RequestHandler, ServerConnection, ServerLimits
 from lovageshunt.routes import Configuration
 from lovageshunt.settings import Address, SidecarClientsSection
@@ -22,21 +22,21 @@
     """Opens listeners and closes connections whose time is over.
 
     ``clients`` are the open connections of clients, at most as many as the
-    settings allow beside those with a request in progress; ``buffers`` bounds
-    what all connections hold.
+    settings allow beside those with a request in progress; ``account`` bounds
+    what the process holds.
     """
 
     __slots__ = (
         'clients',
         '_others',
-        'buffers',
+        'account',
         '_max_connections',
         '_limits',
         '_servers',
     )
 
     def __init__(self, settings: SidecarClientsSection) -> None:
-        self.buffers = ReceiveBuffers(
+        self.account = MemoryAccount(
             settings.held_mebibytes * _BYTES_PER_MEBIBYTE
         )
         self._max_connections = settings.connections
@@ -116,12 +116,15 @@
             if oldest is not None:
                 others.discard(oldest)
                 self._close_spare(oldest)
-        return ServerConnection(handler, self._limits, others, self.buffers)
+        return ServerConnection(handler, self._limits, others, self.account)
 
     def _close_spare(self, connection: ServerConnection) -> None:
         """Close a connection in favour of a new one."""
         if connection.is_idle:
-            self.buffers.refused_by_cause['connections'] += 1
+            self.account.refused_by_cause['connections'] += 1
             connection.close_idle()
+            if connection.is_sending:
+                # It would stay open until its client reads.
+                connection.abort()
         else:
             connection.give_up('connections')
--- a/src/lovageshunt/sidecar/_node_links.py
+++ b/src/lovageshunt/sidecar/_node_links.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from itertools import count
 
-from lovageshunt._receive_buffers import ReceiveBuffers
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt.links import (
     Dialer,
     Frame,
@@ -23,7 +23,7 @@
 
     ``port`` is the same at every node of a fleet. ``frame_handler`` is set
     once the parts that handle frames exist; until then frames are ignored.
-    ``buffers`` bounds what links hold of frames that are not complete.
+    ``account`` bounds what links hold.
     """
 
     __slots__ = (
@@ -32,18 +32,18 @@
         '_numbers',
         '_recent_orders',
         '_incoming',
-        '_buffers',
+        '_account',
         'frame_handler',
     )
 
     def __init__(
-        self, *, port: int, greeting: Greeting, buffers: ReceiveBuffers
+        self, *, port: int, greeting: Greeting, account: MemoryAccount
     ) -> None:
-        self._buffers = buffers
+        self._account = account
         self._port = port
         self._greeting = greeting
         self._numbers = count(1)
-        self._recent_orders = RecentOrders()
+        self._recent_orders = RecentOrders(account)
         self._incoming: IncomingLinks[IncomingLink] = IncomingLinks()
         self.frame_handler: FrameHandler | None = None
 
@@ -58,6 +58,7 @@
                 on_greeting=self._on_greeted,
             ),
             numbers=self._numbers,
+            account=self._account,
         )
 
     def accept(self, handler: OrderHandler) -> IncomingLink:
@@ -68,7 +69,7 @@
             greeting=self._greeting,
             open_links=self._incoming,
             on_frame=self._on_incoming,
-            buffers=self._buffers,
+            account=self._account,
         )
 
     @property
--- a/src/lovageshunt/sidecar/_run.py
+++ b/src/lovageshunt/sidecar/_run.py
@@ -4,6 +4,13 @@
 from collections.abc import Callable
 from typing import Final
 
+from lovageshunt._memory_account import (
+    CALL_BYTES,
+    COPIED_BYTES,
+    Holding,
+    MemoryAccount,
+    Use,
+)
 from lovageshunt.clock import now as clock_now
 from lovageshunt.http1 import ExchangeEnd, PendingExchange, encode_request_head
 from lovageshunt.links import RunAnswer, RunOrder
@@ -23,6 +30,9 @@
     it did without a response, ``overdue`` the timer that cancels it after the
     deadline. ``arrived_at`` and ``sent_at`` are in seconds on the process's
     clock. ``resent`` is whether a closed connection caused a second sending.
+
+    The order takes ``received_bytes`` that nobody else counts in ``account``.
+    ``on_evicted`` is called if there is too little memory to let it wait.
     """
 
     __slots__ = (
@@ -36,6 +46,9 @@
         'overdue',
         'resent',
         'is_repeat',
+        '_received_bytes',
+        '_on_evicted',
+        '_holding',
     )
 
     def __init__(
@@ -43,6 +56,10 @@
         call_id: str,
         order: RunOrder,
         ended: EndedCallback,
+        *,
+        on_evicted: Callable[['Run'], None],
+        account: MemoryAccount,
+        received_bytes: int = 0,
     ) -> None:
         self.call_id = call_id
         self.order = order
@@ -54,6 +71,30 @@
         self.overdue: TimerHandle | None = None
         self.resent = False
         self.is_repeat = order.is_repeat
+        self._received_bytes = received_bytes
+        self._on_evicted = on_evicted
+        use = Use.WAITING if order.importance > 0 else Use.INNER
+        self._holding: Holding = account.open(self, use)
+
+    def hold_waiting(self) -> None:
+        """Count the order; it may be evicted within this call and later."""
+        order = self.order
+        held = CALL_BYTES + self._received_bytes
+        releasable = CALL_BYTES + len(order.body) + len(order.fields)
+        self._holding.update(held, max(held, releasable))
+
+    def hold_running(self) -> None:
+        """Count the order and the copy of it that is being sent."""
+        copied = min(len(self.order.body), COPIED_BYTES)
+        self._holding.update(CALL_BYTES + self._received_bytes + copied)
+
+    def release(self) -> None:
+        """Count nothing any more."""
+        self._holding.close()
+
+    def give_up(self) -> None:
+        """Refuse the order, which was not sent."""
+        self._on_evicted(self)
 
     def note_resent(self) -> None:
         """Record that the order is sent again to the same target."""
--- a/src/lovageshunt/sidecar/_run_answers.py
+++ b/src/lovageshunt/sidecar/_run_answers.py
@@ -1,6 +1,7 @@
 """The answers that a node gives to orders."""
 
 from logging import INFO, getLogger
+from typing import Final
 
 from lovageshunt.calls import LoadReport, Outcome, RefusalReason
 from lovageshunt.http1 import Response, forwarded_fields
@@ -10,6 +11,8 @@
 from lovageshunt.sidecar._run import Run
 
 _log = getLogger(__name__)
+#: How long the sender of an order without room is told to wait, in ms.
+_NO_ROOM_RETRY_MS: Final = 1000
 
 
 def answer_of(
@@ -63,3 +66,13 @@
         reason=RefusalReason.LEAVING,
         load=load,
     )
+
+
+def refusal_without_room(load: LoadReport) -> RunAnswer:
+    """Return the answer to an order that there is no memory for: not run."""
+    return RunAnswer(
+        outcome=Outcome.NOT_RUN,
+        reason=RefusalReason.QUEUE_FULL,
+        retry_after_ms=_NO_ROOM_RETRY_MS,
+        load=load,
+    )
--- a/src/lovageshunt/sidecar/_sidecar.py
+++ b/src/lovageshunt/sidecar/_sidecar.py
@@ -90,7 +90,7 @@
         self._links = NodeLinks(
             port=settings.listen.nodes.port,
             greeting=greeting,
-            buffers=self._listeners.buffers,
+            account=self._listeners.account,
         )
         self._peers = Peers(own_host, self._links.make_dialer)
         self._fleet = Fleet(
@@ -111,6 +111,7 @@
             header_names=header_names,
             metrics=self._metrics,
             resend_budget=self._resend_budget,
+            account=self._listeners.account,
             has_left=self._fleet.has_left,
             on_leaving=self._on_target_leaving,
             on_refused=self._on_target_refused,
@@ -287,8 +288,8 @@
             again_by_state=self._links.again_by_state,
         )
         self._metrics.set_received(
-            held_bytes=self._listeners.buffers.held_bytes,
-            refused_by_cause=self._listeners.buffers.refused_by_cause,
+            held_bytes=self._listeners.account.held_bytes,
+            refused_by_cause=self._listeners.account.refused_by_cause,
         )
         self._metrics.set_accounts(over_limit=len(self.accounts.over_limit))
         self._metrics.set_suppressed(self._suppressed())
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt.http1 import (
     ClientConnection,
     Exchange,
@@ -323,6 +324,33 @@
         other.receive(HEAD + b'\r\n', b'x' * 99000)
         assert not other.ends
 
+    def test_are_counted_as_objects(self) -> None:
+        """Trailing fields of four bytes, each of which takes a hundred."""
+        account = MemoryAccount()
+        limits = ResponseLimits(head_bytes=10**6, total_bytes=10**6)
+        wire = Wire(buffers=ResponseBuffers(limits, account))
+        wire.receive(HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n')
+        wire.receive(b'a:\r\n' * 5000)
+        assert account.held_bytes > 5000 * 100
+        wire.receive(b'a:\r\n' * 5000)
+        assert wire.only_end is ExchangeEnd.INCOMPLETE
+        assert account.held_bytes == 0
+
+    def test_trailing_fields_count_with_their_framing(self) -> None:
+        """Fields without a name and a value to speak of end, too."""
+        wire = Wire()
+        wire.receive(HEAD + b'Transfer-Encoding: chunked\r\n\r\n0\r\n')
+        wire.receive(b'a:\r\n' * 20_000)
+        assert wire.only_end is ExchangeEnd.INCOMPLETE
+
+    def test_nothing_is_held_between_exchanges(self) -> None:
+        """A kept connection may be idle for long."""
+        account = MemoryAccount()
+        wire = Wire(buffers=ResponseBuffers(ResponseLimits(), account))
+        wire.receive(HEAD + b'Content-Length: 90000\r\n\r\n', b'x' * 90_000)
+        assert wire.only_end is ExchangeEnd.COMPLETE
+        assert account.held_bytes == 0
+
 
 def response_with(status: str, extra: str = '') -> bytes:
     return (
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt.http1 import Request, ServerConnection, ServerLimits
 from tests.http1.wire import FakeTransport
 
@@ -375,3 +376,85 @@
         )
         assert connection.current is handler.requests[1]
         assert b'late' not in transport.written
+
+    def test_are_dropped_without_room(self) -> None:
+        """The one in progress is answered, and then the connection closes."""
+        handler, connection, transport = connect()
+        connection.data_received(GET * 3)
+        assert connection.can_be_given_up
+        connection.give_up()
+        assert not connection.can_be_given_up
+        assert not transport.written
+        respond(connection)
+        assert transport.written.startswith(b'HTTP/1.1 200 ')
+        assert b'connection: close\r\n' in transport.written
+        assert len(handler.requests) == 1
+
+
+class TestHeldMemory:
+    """What a connection holds is counted as it is taken."""
+
+    def connected(
+        self, account: MemoryAccount
+    ) -> tuple[Handler, ServerConnection, FakeTransport]:
+        handler = Handler()
+        connection = ServerConnection(handler, ServerLimits(), set(), account)
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        return handler, connection, transport
+
+    @pytest.mark.parametrize(
+        'sent',
+        [
+            b'POST / HTTP/1.1\r\n' + b'a:\r\n' * 3000,
+            b'POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n'
+            b'1\r\na\r\n0\r\n' + b'a:\r\n' * 3000,
+        ],
+        ids=['head', 'trailing fields'],
+    )
+    def test_counts_fields_as_objects(self, sent: bytes) -> None:
+        """A field of four bytes takes more than a hundred."""
+        account = MemoryAccount()
+        _, connection, _ = self.connected(account)
+        connection.data_received(sent)
+        assert account.held_bytes > 3000 * 100
+        connection.connection_lost(None)
+        assert account.held_bytes == 0
+
+    def test_counts_requests_that_wait(self) -> None:
+        """They are objects, too, and go before anything is started late."""
+        account = MemoryAccount()
+        _, connection, _ = self.connected(account)
+        connection.data_received(GET * 1000)
+        assert account.held_bytes > 1000 * 400
+
+    def test_counts_nothing_when_all_is_answered(self) -> None:
+        """An idle connection holds nothing."""
+        account = MemoryAccount()
+        handler, connection, _ = self.connected(account)
+        connection.data_received(GET * 20)
+        for _ in range(20):
+            respond(connection)
+        assert len(handler.requests) == 20
+        assert account.held_bytes == 0
+
+    def test_counts_no_framing_of_a_body(self) -> None:
+        """A body in the smallest chunks is held without them."""
+        account = MemoryAccount()
+        _, connection, _ = self.connected(account)
+        connection.data_received(
+            b'POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        for _ in range(100):
+            connection.data_received(b'1\r\na\r\n' * 1000)
+        assert 100_000 < account.held_bytes < 110_000
+
+    def test_starts_no_request_without_room(self) -> None:
+        """Not even one that arrives whole: 503 is true, it has not run."""
+        account = MemoryAccount(2000)
+        handler, connection, transport = self.connected(account)
+        account.open().update(10_000)
+        connection.data_received(GET)
+        assert not handler.requests
+        assert transport.written.startswith(b'HTTP/1.1 503 ')
+        assert b'retry-after: ' in transport.written
--- a/tests/http1/wire.py
+++ b/tests/http1/wire.py
@@ -24,6 +24,11 @@
         """Record the bytes."""
         self.written += data
 
+    def set_write_buffer_limits(
+        self, high: int | None = None, low: int | None = None
+    ) -> None:
+        """Ignore the limits: the test calls the protocol itself."""
+
     def get_write_buffer_size(self) -> int:
         """Return the number of bytes that the test sets."""
         return self.unsent_bytes
--- a/tests/links/test_frames.py
+++ b/tests/links/test_frames.py
@@ -80,6 +80,30 @@
             FrameReader().feed(b'\xff' * 9)
 
 
+class TestSkippedFrame:
+    """A large frame that there is no room for."""
+
+    def test_is_returned_without_its_payload(self) -> None:
+        """What follows it is read as usual."""
+        large = encode_frame(FrameKind.ORDER, 7, bytes(10**6))
+        after = encode_frame(FrameKind.PING, 0) * 2
+        reader = FrameReader()
+        assert not reader.feed(large[:400_000])
+        skipped = reader.skip_large()
+        assert skipped is not None
+        assert (skipped.kind, skipped.stream) == (FrameKind.ORDER, 7)
+        assert reader.held_bytes == 0
+        assert not reader.feed(large[400_000:700_000])
+        frames = reader.feed(large[700_000:] + after)
+        assert [frame.kind for frame in frames] == [FrameKind.PING] * 2
+
+    def test_is_none_of_a_small_one(self) -> None:
+        """A part of a small frame is not skipped."""
+        reader = FrameReader()
+        reader.feed(encode_frame(FrameKind.ORDER, 7, bytes(1000))[:500])
+        assert reader.skip_large() is None
+
+
 class TestOrders:
     """Encoding and decoding of orders."""
 
--- a/tests/links/test_incoming.py
+++ b/tests/links/test_incoming.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.links import (
     FrameKind,
@@ -23,6 +24,7 @@
 from tests.http1.wire import FakeTransport
 from tests.links.orders import order
 
+LARGE = order(body=bytes(1_000_000))
 ANSWER = RunAnswer(outcome=Outcome.ANSWERED, status=200, body=b'ok')
 
 
@@ -32,13 +34,19 @@
     def __init__(self) -> None:
         self.started: list[RunOrder] = []
         self.ends: list[Callable[[RunAnswer], None]] = []
+        self.received_bytes: list[int] = []
 
     def submit(
-        self, order: RunOrder, ended: Callable[[RunAnswer], None]
+        self,
+        order: RunOrder,
+        ended: Callable[[RunAnswer], None],
+        *,
+        received_bytes: int = 0,
     ) -> Any:
         """Note an order and the callback for its end."""
         self.started.append(order)
         self.ends.append(ended)
+        self.received_bytes.append(received_bytes)
         return order
 
     def abandon(self, token: Any) -> Outcome | None:
@@ -53,9 +61,10 @@
         self.now = float(1000)
         self.handler = ScriptedHandler()
         self.recent_orders = RecentOrders()
+        self.account = MemoryAccount()
         self.open_links: IncomingLinks[IncomingLink] = IncomingLinks()
         monkeypatch.setattr(
-            'lovageshunt.links._incoming.clock_now', lambda: self.now
+            'lovageshunt.links._order_intake.clock_now', lambda: self.now
         )
 
     def accept_link(self, sender: str = 'sender-1') -> 'SenderLink':
@@ -65,6 +74,7 @@
             greeting=Greeting(node='b', service='s', incarnation='own'),
             open_links=self.open_links,
             on_frame=lambda link, frame: None,
+            account=self.account,
         )
         return SenderLink(self, link, sender)
 
@@ -78,6 +88,7 @@
         self._receiver = receiver
         self._link = link
         self._transport = FakeTransport()
+        self._rest = b''
         link.connection_made(self._transport)
         if sender:
             self.greet(sender)
@@ -98,6 +109,25 @@
         payload = encode_order(sent, self._receiver.now)
         self._link.data_received(encode_frame(FrameKind.ORDER, stream, payload))
 
+    def send_part(self, stream: int, sent: RunOrder, *, kept_back: int) -> None:
+        """Send an order but for its last bytes."""
+        payload = encode_order(sent, self._receiver.now)
+        frame = encode_frame(FrameKind.ORDER, stream, payload)
+        self._rest = frame[-kept_back:]
+        self._link.data_received(frame[:-kept_back])
+
+    def send_rest(self) -> None:
+        self._link.data_received(self._rest)
+
+    def pause(self, unsent_bytes: int) -> None:
+        """Read nothing more of what the receiver writes."""
+        self._transport.unsent_bytes = unsent_bytes
+        self._link.pause_writing()
+
+    @property
+    def is_closed(self) -> bool:
+        return self._transport.is_closed
+
     @property
     def answers(self) -> dict[int, RunAnswer]:
         """The answers that were written, by stream number."""
@@ -254,6 +284,54 @@
         assert link.answers[1].outcome is Outcome.ANSWERED
 
 
+class TestOrderWithoutRoom:
+    """There is too little memory for a large order that arrives."""
+
+    def test_is_refused_before_it_is_whole(self, receiver: Receiver) -> None:
+        """It is not run, and the link serves what comes after it."""
+        link = receiver.accept_link()
+        link.send_part(1, LARGE, kept_back=100)
+        receiver.account.open().update(receiver.account.limit_bytes)
+        assert link.answers[1].outcome is Outcome.NOT_RUN
+        assert link.answers[1].retry_after_ms > 0
+        link.send_rest()
+        link.send(2, order())
+        assert len(receiver.handler.started) == 1
+        assert not link.is_closed
+
+    def test_is_not_told_as_not_run_if_it_runs(
+        self, receiver: Receiver
+    ) -> None:
+        """One that is sent again may be running since before."""
+        receiver.accept_link().send(1, LARGE)
+        link = receiver.accept_link()
+        link.send_part(1, LARGE, kept_back=100)
+        receiver.account.open().update(receiver.account.limit_bytes)
+        assert not link.answers
+        receiver.handler.ends[0](ANSWER)
+        assert link.answers[1].outcome is Outcome.ANSWERED
+
+    def test_is_counted_until_it_is_handed_over(
+        self, receiver: Receiver
+    ) -> None:
+        """From then on the handler counts it."""
+        link = receiver.accept_link()
+        link.send_part(1, LARGE, kept_back=100)
+        assert receiver.account.held_bytes > len(LARGE.body) - 100
+        link.send_rest()
+        assert receiver.account.held_bytes == 0
+        assert receiver.handler.received_bytes[0] > len(LARGE.body)
+
+    def test_unread_answers_are_counted(self, receiver: Receiver) -> None:
+        """A peer that does not read is cut off when room is needed."""
+        link = receiver.accept_link()
+        link.send(1, order())
+        link.pause(70_000)
+        assert receiver.account.held_bytes == 70_000
+        receiver.account.open().update(receiver.account.limit_bytes)
+        assert link.is_closed
+
+
 class TestIncomingLinks:
     """The links of a node."""
 
--- a/tests/platform/node_process.py
+++ b/tests/platform/node_process.py
@@ -20,16 +20,33 @@
 #: The memory of the smallest machine that nodes run on, in bytes.
 MACHINE_BYTES = 200 * 1000 * 1000
 _MEMORY_INTERVAL_SECONDS = 0.02
+_SETTLE_SECONDS = 2
 #: Guards against a test that hangs; no test is about this time.
 _GUARD_SECONDS = 60
 
 
+#: Paths at which a target does not behave as usual, see ``Target``.
+UNREAD = '/a/unread'
+HELD = '/a/held'
+LARGE_ANSWER = '/a/large'
+ENDLESS_TRAILERS = '/a/trailers'
+LARGE_ANSWER_BYTES = 3 * 1024 * 1024
+#: The trailing fields that a target sends at once.
+_TRAILERS = b'a:\r\n' * 65_000
+
+
 class Target:
-    """A target that reads each request whole and answers 200."""
+    """A target that reads each request whole and answers 200.
+
+    It reads no body at ``UNREAD`` and answers nothing at ``HELD`` before
+    ``released`` is set. At ``ENDLESS_TRAILERS`` it sends a body whose trailing
+    fields do not end.
+    """
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.body_bytes: list[int] = []
+        self.released = asyncio.Event()
 
     async def open(self) -> asyncio.Server:
         host, port = self.address.split(':')
@@ -42,22 +59,37 @@
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 lines = head.decode().lower().split('\r\n')
+                path = lines[0].split(' ')[1]
                 fields = dict(
                     line.split(': ', 1) for line in lines if ': ' in line
                 )
+                if path in {UNREAD, HELD}:
+                    await self.released.wait()
+                if path == ENDLESS_TRAILERS:
+                    await self._send_trailers(writer)
                 left = int(fields.get('content-length', '0'))
                 self.body_bytes.append(left)
                 while left:
                     left -= len(await reader.read(min(left, 65536)))
                 attempt = fields['lovageshunt-attempt-id']
+                size = LARGE_ANSWER_BYTES if path == LARGE_ANSWER else 2
                 writer.write(
                     f'HTTP/1.1 200 OK\r\nLovageshunt-Attempt-Id: {attempt}\r\n'
                     'Lovageshunt-Response-Seal: s\r\n'
-                    'Content-Length: 2\r\n\r\nok'.encode()
+                    f'Content-Length: {size}\r\n\r\n'.encode()
                 )
+                writer.write(b'k' * size)
+                await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    async def _send_trailers(self, writer: asyncio.StreamWriter) -> None:
+        writer.write(b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n')
+        writer.write(b'4\r\ndone\r\n0\r\n' + _TRAILERS)
+        await writer.drain()
+        await self.released.wait()
+        raise ConnectionResetError
+
 
 class NodeProcess:
     """One node as a process; ``most_bytes`` is the most memory it held.
@@ -121,6 +153,14 @@
             self._process.kill()
             await self._process.wait()
 
+    async def until_settled(self) -> None:
+        """Wait until the process has not grown for some time."""
+        async with asyncio.timeout(_GUARD_SECONDS):
+            before = 0
+            while self.is_alive and before != self.most_bytes:
+                before = self.most_bytes
+                await asyncio.sleep(_SETTLE_SECONDS)
+
     async def connect(
         self, address: str = ''
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -129,13 +169,20 @@
             host, int(port), local_addr=('127.0.8.1', 0)
         )
 
-    async def ask(self, body: bytes = b'') -> int:
-        """Send one ordinary request; return the status of its answer."""
+    async def ask(self, body: bytes = b'', path: str = '/a/x') -> int:
+        """Send one request, by default an ordinary one; return its status.
+
+        It is 0 if the connection was closed without an answer.
+        """
         reader, writer = await self.connect()
-        async with asyncio.timeout(_GUARD_SECONDS):
-            writer.write(request_head(len(body)))
-            writer.write(body)
-            line = await reader.readline()
+        line = b''
+        try:
+            async with asyncio.timeout(_GUARD_SECONDS):
+                writer.write(request_head(len(body), path))
+                writer.write(body)
+                line = await reader.readline()
+        except ConnectionError:
+            return 0
         writer.close()
         return int(line.split()[1]) if line else 0
 
@@ -164,13 +211,13 @@
         return psutil.Process(self._process.pid)
 
 
-def request_head(length: int | None = 0) -> bytes:
+def request_head(length: int | None = 0, path: str = '/a/x') -> bytes:
     """Encode the head of a request, with a chunked body if no length."""
     framing = 'Transfer-Encoding: chunked'
     if length is not None:
         framing = f'Content-Length: {length}'
     return (
-        f'POST /a/x HTTP/1.1\r\n{HOST_FIELD}\r\n'
+        f'POST {path} HTTP/1.1\r\n{HOST_FIELD}\r\n'
         'Lovageshunt-Attempt-Id: a\r\n'
         f'Lovageshunt-Deadline-Remaining-Ms: 60000\r\n{framing}\r\n\r\n'
     ).encode()
@@ -178,9 +225,17 @@
 
 @asynccontextmanager
 async def nodes_of(
-    folder: Path, *, count: int, body_bytes: int
+    folder: Path,
+    *,
+    count: int,
+    body_bytes: int,
+    slots: int = 8,
+    connections: int = 20,
 ) -> AsyncIterator[list[NodeProcess]]:
-    """Run ``count`` nodes; the last one is beside the only target."""
+    """Run ``count`` nodes; the last one is beside the only target.
+
+    ``slots`` and ``connections`` are the limits of that target.
+    """
     store = StoreStandIn()
     await store.open()
     nodes = [
@@ -190,6 +245,7 @@
     fields = published(
         action={'service': 's1', 'timeout_s': 60, 'max_attempts': 2}
     )
+    fields['clusters'][0]['max_connections'] = connections
     fields['limits'] |= {'max_body_bytes': body_bytes}
     store.put('op/config', orjson.dumps(fields))
     servers = [await node.target.open() for node in nodes]
@@ -197,6 +253,7 @@
         entry = ENTRY | {
             'address': node.target.address,
             'service': node.service,
+            'slots': slots,
         }
         store.put(f'servers/i-{node.name}', orjson.dumps(entry))
     try:
--- a/tests/sidecar/test_executor.py
+++ b/tests/sidecar/test_executor.py
@@ -1,11 +1,15 @@
 """The executor, with a fake target and no other nodes."""
 
 import asyncio
-from collections.abc import AsyncIterator, Container
+import gc
+import weakref
+from collections.abc import AsyncIterator, Container, Iterator
 from functools import partial
 
 import pytest
 
+from lovageshunt._memory_account import MemoryAccount
+from lovageshunt._sending import Buffer
 from lovageshunt.admission import RateLimitReported
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.clock import now as clock_now
@@ -46,6 +50,7 @@
 def executor_of(
     target: FakeTarget,
     departed: Container[str] = (),
+    account: MemoryAccount | None = None,
 ) -> Executor:
     settings = FleetBudgetSettings(ratio=0.2, reserve=10, window_seconds=10)
     return Executor(
@@ -59,11 +64,16 @@
         on_leaving=lambda _: None,
         on_refused=lambda: None,
         suspects=Suspects(broadcast=lambda *_: None, has_spare=lambda: True),
+        account=account,
     )
 
 
 def order(
-    attempt: str, *, is_repeat: bool = False, is_repeatable: bool = True
+    attempt: str,
+    *,
+    is_repeat: bool = False,
+    is_repeatable: bool = True,
+    body: Buffer = b'',
 ) -> RunOrder:
     return RunOrder(
         attempt_id=attempt.encode(),
@@ -77,7 +87,7 @@
         method=b'GET',
         request_target=b'/read/a',
         fields=f'x-attempt: {attempt}\r\n'.encode(),
-        body=b'',
+        body=body,
     )
 
 
@@ -112,6 +122,75 @@
         assert executor.repeat_share == 0
 
 
+@pytest.fixture
+def without_collector() -> Iterator[None]:
+    """Free only what nothing refers to."""
+    gc.disable()
+    yield
+    gc.enable()
+
+
+class TestMemory:
+    """What orders take from their arrival to their answer."""
+
+    async def test_orders_that_wait_are_refused_without_room(
+        self, target: HeldTarget
+    ) -> None:
+        """The one that runs goes on; one that waits was not run."""
+        account = MemoryAccount(1_250_000)
+        executor = executor_of(target, account=account)
+        executor.apply_published_slots('i-1', 1)
+        answers: dict[str, RunAnswer] = {}
+        for name in ('a', 'b', 'c'):
+            executor.submit(
+                order(name, body=bytes(300_000)),
+                partial(answers.__setitem__, name),
+                received_bytes=300_000,
+            )
+        assert not answers
+        account.open().update(200_000)
+        assert list(answers) == ['c']
+        assert answers['c'].outcome is Outcome.NOT_RUN
+        assert answers['c'].reason is RefusalReason.QUEUE_FULL
+        target.go_on.set()
+        await wait_until(lambda: len(answers) == 3)
+        assert answers['a'].outcome is Outcome.ANSWERED
+        assert answers['b'].outcome is Outcome.ANSWERED
+        assert account.held_bytes == 200_000
+
+    async def test_refuses_an_order_without_room(
+        self, target: HeldTarget
+    ) -> None:
+        """It is not run, though the target is idle."""
+        account = MemoryAccount(1_000_000)
+        account.open().update(900_000)
+        executor = executor_of(target, account=account)
+        answers: list[RunAnswer] = []
+        executor.submit(
+            order('a', body=bytes(300_000)),
+            answers.append,
+            received_bytes=300_000,
+        )
+        assert answers[0].outcome is Outcome.NOT_RUN
+        assert executor.is_empty
+        assert account.held_bytes == 900_000
+
+    @pytest.mark.usefixtures('without_collector')
+    async def test_releases_a_body_with_its_answer(
+        self, target: HeldTarget
+    ) -> None:
+        """It does not wait for the garbage collector to find a cycle."""
+        executor = executor_of(target)
+        target.go_on.set()
+        answers: list[RunAnswer] = []
+        body = memoryview(bytes(300_000))
+        is_kept = weakref.ref(body)
+        executor.submit(order('a', body=body), answers.append)
+        del body
+        await wait_until(lambda: bool(answers))
+        await wait_until(lambda: is_kept() is None)
+
+
 class TestDeparture:
     """A target leaves while calls wait for it."""
 
--- a/tests/sidecar/test_listeners.py
+++ b/tests/sidecar/test_listeners.py
@@ -40,7 +40,7 @@
         crowd = [connected(listeners, b'GET / HT') for _ in range(20)]
         assert sum(not each.is_closed for each in crowd) == MOST
         assert crowd[0].written.startswith(b'HTTP/1.1 503 ')
-        assert listeners.buffers.refused_by_cause['connections'] == 17
+        assert listeners.account.refused_by_cause['connections'] == 17
 
     def test_keeps_requests_in_progress(self) -> None:
         """What is whole may run already."""
--- a/tests/sidecar/test_origin.py
+++ b/tests/sidecar/test_origin.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lovageshunt._memory_account import MemoryAccount
 from lovageshunt.calls import Outcome, RefusalReason
 from lovageshunt.http1 import Request, ServerConnection
 from lovageshunt.links import Dialer, RunAnswer, RunOrder
@@ -40,7 +41,7 @@
     def repeat_share(self) -> float:
         return self.share
 
-    def submit(self, order: RunOrder, ended: EndedCallback) -> None:
+    def submit(self, order: RunOrder, ended: EndedCallback) -> None:  # type: ignore[override]
         self.orders.append(order)
         self.ended.append(ended)
 
@@ -70,7 +71,7 @@
     def call_started(self, entry: TargetEntry) -> None:
         """Do nothing."""
 
-    def call_ended(self, *_: object) -> None:
+    def call_ended(self, *_: object) -> None:  # type: ignore[override]
         """Do nothing."""
 
 
@@ -91,7 +92,7 @@
         self.statuses: list[int] = []
         self.fields: list[bytes] = []
 
-    def respond(
+    def respond(  # type: ignore[override]
         self, request: Request, *, status: int, fields: bytes, body: bytes
     ) -> bool:
         self.statuses.append(status)
@@ -196,7 +197,13 @@
     def crash_targets(self, first_hop: FirstHop, count: int) -> None:
         """Let the last order run at targets that crash one after another."""
         for number in range(count):
-            run = Run(str(number), first_hop.executor.orders[-1], print)
+            run = Run(
+                str(number),
+                first_hop.executor.orders[-1],
+                print,
+                account=MemoryAccount(),
+                on_evicted=print,
+            )
             first_hop.suspects.start(run)
             first_hop.suspects.crash([run])
 
