--- a/src/lovageshunt/settings/_sidecar.py
+++ b/src/lovageshunt/settings/_sidecar.py
@@ -38,7 +38,8 @@
     """What clients may make a node hold.
 
     The process holds at most ``held_mebibytes``, in MiB of memory as it is
-    taken, of what it has received or not sent. At most ``connections`` of clients are open.
+    taken, of what it has received or not sent. At most ``connections`` of
+    clients are open.
     """
 
     __slots__ = ('held_mebibytes', 'connections')
