Never wait for the reader of the log

While nobody reads the standard output of a node, it stands still: nothing is answered, and the readiness probe fails. Cause: each log line was written to the pipe with a write that blocks, on the only thread.

--- a/src/lovageshunt/observability/_logs.py
+++ b/src/lovageshunt/observability/_logs.py
@@ -1,14 +1,18 @@
 """Rate-limited JSON log lines with request and trace ids."""
 
 import logging
+import sys
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
+from io import UnsupportedOperation
 from typing import Final, TextIO
 
 from pythonjsonlogger.orjson import OrjsonFormatter
 
+from lovageshunt.observability._log_stream import LogStream
+
 _FORMAT: Final = '%(levelname)s %(name)s %(message)s'
 _SCOPE: ContextVar[tuple[str, str]] = ContextVar(
     'lovageshunt_log_scope',
@@ -66,6 +70,11 @@
         self.suppressed_total += 1
         return False
 
+    def note_dropped(self) -> None:
+        """Count a record that passed and could not be written."""
+        self._suppressed += 1
+        self.suppressed_total += 1
+
     def _start_second(self, second: int) -> None:
         if second == self._second:
             return
@@ -122,10 +131,11 @@
 
     ``level`` is a name such as ``INFO``. Existing handlers of the root logger
     are removed. If ``node`` is given, every line has it as a field.
+    A stream with a descriptor is never waited for: see ``LogStream``.
     Returns the rate limit, whose ``suppressed_total`` is for the metrics.
     """
     limit = LogRateLimit(records_per_second)
-    handler = logging.StreamHandler(stream)
+    handler = logging.StreamHandler(_stream_of(stream or sys.stderr, limit))
     static_fields = {'node': node} if node else {}
     handler.setFormatter(
         OrjsonFormatter(
@@ -140,3 +150,12 @@
     logging.getLogger('uvicorn').setLevel(logging.WARNING)
     logging.basicConfig(level=level, handlers=[handler], force=True)
     return limit
+
+
+def _stream_of(stream: TextIO, limit: LogRateLimit) -> TextIO | LogStream:
+    """Return a stream that does not block; one without descriptor does not."""
+    try:
+        descriptor = stream.fileno()
+    except (UnsupportedOperation, ValueError):
+        return stream
+    return LogStream(descriptor, limit.note_dropped)
