Bound the links whose sender has not greeted

Seen by reading: each connection to the port of the links was kept, however many there were, so that a crowd that sends nothing could use up the descriptors. Change: of more than 1,000 the oldest is closed; links of nodes are not touched. Test: test_bounds_those_that_do_not_greet; there was no such bound before.

--- a/src/lovageshunt/links/_incoming.py
+++ b/src/lovageshunt/links/_incoming.py
@@ -144,9 +144,9 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Close the link at once: its sender has opened a newer one."""
+        """Close the link at once, in favour of a newer one."""
         _log.info(
-            'closing a link whose sender has opened another',
+            'closing a link in favour of a newer one',
             extra={'peer': self.peer.node if self.peer else ''},
         )
         if self._transport is not None:
--- a/src/lovageshunt/links/_incoming_links.py
+++ b/src/lovageshunt/links/_incoming_links.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Iterator
 from itertools import count
-from typing import Generic, Protocol, TypeVar
+from typing import Final, Generic, Protocol, TypeVar
+
+#: The largest number of links whose sender has not greeted: more than the
+#: nodes that connect at once after a restart.
+_MAX_UNNAMED: Final = 1000
 
 
 class AbortableLink(Protocol):
@@ -23,12 +27,19 @@
     given up, so the older link is aborted.
     """
 
-    __slots__ = ('_numbers', '_number_by_link', '_link_by_sender')
+    __slots__ = (
+        '_numbers',
+        '_number_by_link',
+        '_link_by_sender',
+        '_unnamed',
+    )
 
     def __init__(self) -> None:
         self._numbers = count()
         self._number_by_link: dict[LinkT, int] = {}
         self._link_by_sender: dict[str, LinkT] = {}
+        #: The links whose sender has not greeted, in the order of accepting.
+        self._unnamed: dict[LinkT, None] = {}
 
     def __iter__(self) -> Iterator[LinkT]:
         """Iterate over the links that are open now."""
@@ -39,12 +50,21 @@
         return len(self._number_by_link)
 
     def add(self, link: LinkT) -> None:
-        """Add a link that was accepted, after those accepted before."""
+        """Add a link that was accepted, after those accepted before.
+
+        Of too many whose sender has not greeted the oldest is aborted.
+        """
         self._number_by_link[link] = next(self._numbers)
+        self._unnamed[link] = None
+        if len(self._unnamed) > _MAX_UNNAMED:
+            oldest = next(iter(self._unnamed))
+            self._unnamed.pop(oldest)
+            oldest.abort()
 
     def discard(self, link: LinkT, sender: str) -> None:
         """Remove a link that is closed; ``sender`` is empty if not known."""
         self._number_by_link.pop(link, None)
+        self._unnamed.pop(link, None)
         if self._link_by_sender.get(sender) is link:
             self._link_by_sender.pop(sender)
 
@@ -53,6 +73,7 @@
 
         ``sender`` is the incarnation of the node that opened it.
         """
+        self._unnamed.pop(link, None)
         other = self._link_by_sender.get(sender)
         if other is None or other is link:
             self._link_by_sender[sender] = link
--- a/tests/links/test_incoming.py
+++ b/tests/links/test_incoming.py
@@ -345,3 +345,26 @@
         later = receiver.accept_link()
         later.send(1, order(deadline=receiver.now + 6))
         assert len(receiver.handler.started) == 1
+
+    async def test_bounds_those_that_do_not_greet(self) -> None:
+        """The oldest goes first; links of nodes are not touched."""
+        links: IncomingLinks[QuietLink] = IncomingLinks()
+        named = QuietLink()
+        links.add(named)
+        links.assign(named, 'sender')
+        unnamed = [QuietLink() for _ in range(1002)]
+        for each in unnamed:
+            links.add(each)
+        assert not named.is_aborted
+        assert [each.is_aborted for each in unnamed[:3]] == [True, True, False]
+        assert not any(each.is_aborted for each in unnamed[3:])
+
+
+class QuietLink:
+    """A link on which nothing arrives."""
+
+    def __init__(self) -> None:
+        self.is_aborted = False
+
+    def abort(self) -> None:
+        self.is_aborted = True
