Accept connections at a constant cost

Cause: above the limit of connections each new one looked at all of them for one to close, so that a crowd that connects again and again cost the loop more the more were open. Change: connections are kept in the order of their last progress, and the 64 without progress for longest are looked at: an idle one of them goes first, then one whose request is not whole, as before.

--- a/src/lovageshunt/http1/__init__.py
+++ b/src/lovageshunt/http1/__init__.py
@@ -19,6 +19,7 @@
     first_header,
     forwarded_fields,
 )
+from lovageshunt.http1._open_connections import OpenConnections
 from lovageshunt.http1._pool import ConnectionPool, PendingExchange
 from lovageshunt.http1._server import RequestHandler, ServerConnection
 
@@ -27,6 +28,7 @@
     'ConnectionPool',
     'Exchange',
     'ExchangeEnd',
+    'OpenConnections',
     'Request',
     'RequestHandler',
     'Response',
--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -14,6 +14,7 @@
 from lovageshunt._receiving import ReceivingProtocol
 from lovageshunt.http1._limits import ServerLimits
 from lovageshunt.http1._messages import Request, encode_response
+from lovageshunt.http1._open_connections import OpenConnections
 from lovageshunt.http1._received_requests import ReceivedRequests
 from lovageshunt.http1._request_reader import STATUS_BY_FAULT
 
@@ -42,7 +43,7 @@
 class ServerConnection(ReceivingProtocol):
     """One client connection; requests are handled one at a time.
 
-    ``open_connections`` is the set that the connection is in while it is
+    ``open_connections`` are those that the connection is one of while it is
     open, ``account`` bounds what all of them hold. If ``closes_next`` is true,
     the next response announces that the connection closes.
     ``last_progress_at`` is in seconds on the monotonic clock.
@@ -70,7 +71,7 @@
         self,
         handler: RequestHandler,
         limits: ServerLimits,
-        open_connections: set['ServerConnection'],
+        open_connections: OpenConnections['ServerConnection'],
         account: MemoryAccount | None = None,
     ) -> None:
         self._handler = handler
@@ -113,6 +114,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse data from the client; refuse what is no request."""
         self.last_progress_at = monotonic()
+        self._open_connections.touch(self)
         if self._is_broken:
             return
         self._received.feed(data, self.last_progress_at)
@@ -139,6 +141,7 @@
         """Go on with the next request once the client has read."""
         self._unread_bytes = 0
         self.last_progress_at = monotonic()
+        self._open_connections.touch(self)
         self._count_held()
         self._start_waiting()
 
@@ -166,6 +169,7 @@
             has_body=request.method != b'HEAD',
         )
         self.last_progress_at = monotonic()
+        self._open_connections.touch(self)
         self._transport.write(encoded)
         if closes:
             self._is_broken = True
--- a/src/lovageshunt/sidecar/_listeners.py
+++ b/src/lovageshunt/sidecar/_listeners.py
@@ -6,13 +6,21 @@
 from typing import Final
 
 from lovageshunt._memory_account import MemoryAccount
-from lovageshunt.http1 import RequestHandler, ServerConnection, ServerLimits
+from lovageshunt.http1 import (
+    OpenConnections,
+    RequestHandler,
+    ServerConnection,
+    ServerLimits,
+)
 from lovageshunt.routes import Configuration
 from lovageshunt.settings import Address, SidecarClientsSection
 
 _BYTES_PER_MEBIBYTE: Final = 1024 * 1024
 #: The largest number of connections that wait to be accepted.
 _MAX_BACKLOG: Final = 1024
+#: How many connections are looked at to close one of them in favour of a new
+#: one: accepting must stay cheap.
+_MAX_CANDIDATES: Final = 64
 #: Request heads may have this many times the configured size, because the
 #: configuration counts their bytes differently.
 _HEAD_SIZE_FACTOR: Final = 2
@@ -40,8 +48,8 @@
             settings.held_mebibytes * _BYTES_PER_MEBIBYTE
         )
         self._max_connections = settings.connections
-        self.clients: set[ServerConnection] = set()
-        self._others: set[ServerConnection] = set()
+        self.clients: OpenConnections[ServerConnection] = OpenConnections()
+        self._others: OpenConnections[ServerConnection] = OpenConnections()
         self._limits = ServerLimits()
         self._servers: list[Server] = []
 
@@ -88,8 +96,9 @@
     def close_due(self) -> None:
         """Close the connections whose time limits have passed."""
         now = monotonic()
-        for connection in self.clients | self._others:
-            connection.close_if_due(now)
+        for connections in (self.clients, self._others):
+            for connection in connections:
+                connection.close_if_due(now)
 
     def close(self) -> None:
         """Stop accepting connections."""
@@ -97,23 +106,18 @@
             server.close()
 
     def _new_connection(
-        self, handler: RequestHandler, others: set[ServerConnection]
+        self, handler: RequestHandler, others: OpenConnections[ServerConnection]
     ) -> ServerConnection:
         """Return a connection; close another one if they are many.
 
-        An idle one goes first, then one whose request is not whole, each time
-        the one without progress for longest.
+        Of those without progress for longest an idle one goes first, then one
+        whose request is not whole.
         """
         if len(others) >= self._max_connections:
-            spare = [
-                each for each in others if each.is_idle or each.can_be_given_up
-            ]
-            oldest = min(
-                spare,
-                key=lambda each: (not each.is_idle, each.last_progress_at),
-                default=None,
-            )
-            if oldest is not None:
+            stalled = others.longest_stalled(_MAX_CANDIDATES)
+            idle = [each for each in stalled if each.is_idle]
+            partial = [each for each in stalled if each.can_be_given_up]
+            for oldest in (idle or partial)[:1]:
                 others.discard(oldest)
                 self._close_spare(oldest)
         return ServerConnection(handler, self._limits, others, self.account)
--- a/src/lovageshunt/sidecar/_planned_stop.py
+++ b/src/lovageshunt/sidecar/_planned_stop.py
@@ -6,7 +6,7 @@
 from typing import Final
 
 from lovageshunt.clock import now as clock_now
-from lovageshunt.http1 import ServerConnection
+from lovageshunt.http1 import OpenConnections, ServerConnection
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._origin import Origin
 
@@ -41,7 +41,7 @@
         *,
         origin: Origin,
         executor: Executor,
-        clients: set[ServerConnection],
+        clients: OpenConnections[ServerConnection],
         tick: Callable[[], None],
         close: Callable[[], None],
     ) -> None:
@@ -63,7 +63,7 @@
             stops_at=started_at + max_seconds,
         )
         while clock_now() - started_at < max_seconds:
-            for connection in list(self._clients):
+            for connection in self._clients:
                 connection.closes_next = True
             await self._pause()
             if clock_now() - started_at < _MIN_LINGER_SECONDS:
@@ -109,5 +109,5 @@
         await sleep(_STOP_TICK_SECONDS)
 
     def _close_idle(self) -> None:
-        for connection in list(self._clients):
+        for connection in self._clients:
             connection.close_idle()
--- a/standins/store.py
+++ b/standins/store.py
@@ -12,7 +12,12 @@
 
 import orjson
 
-from lovageshunt.http1 import Request, ServerConnection, ServerLimits
+from lovageshunt.http1 import (
+    OpenConnections,
+    Request,
+    ServerConnection,
+    ServerLimits,
+)
 
 
 class StoreCopy:
@@ -53,7 +58,7 @@
         self._items: dict[str, dict[str, object]] = {}
         self._events: list[dict[str, object]] = []
         self._changed = asyncio.Event()
-        self._connections: set[ServerConnection] = set()
+        self._connections: OpenConnections[ServerConnection] = OpenConnections()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -5,7 +5,12 @@
 import pytest
 
 from lovageshunt._memory_account import MemoryAccount
-from lovageshunt.http1 import Request, ServerConnection, ServerLimits
+from lovageshunt.http1 import (
+    OpenConnections,
+    Request,
+    ServerConnection,
+    ServerLimits,
+)
 from tests.http1.wire import FakeTransport
 
 UPGRADE = (
@@ -34,7 +39,9 @@
     limits: ServerLimits | None = None,
 ) -> tuple[Handler, ServerConnection, FakeTransport]:
     handler = Handler()
-    connection = ServerConnection(handler, limits or ServerLimits(), set())
+    connection = ServerConnection(
+        handler, limits or ServerLimits(), OpenConnections()
+    )
     transport = FakeTransport()
     connection.connection_made(transport)
     return handler, connection, transport
@@ -352,7 +359,9 @@
         deeper call, until the stack was exhausted.
         """
         handler = RefusingHandler()
-        connection = ServerConnection(handler, ServerLimits(), set())
+        connection = ServerConnection(
+            handler, ServerLimits(), OpenConnections()
+        )
         transport = FakeTransport()
         connection.connection_made(transport)
         connection.data_received(GET * 1500)
@@ -398,7 +407,9 @@
         self, account: MemoryAccount
     ) -> tuple[Handler, ServerConnection, FakeTransport]:
         handler = Handler()
-        connection = ServerConnection(handler, ServerLimits(), set(), account)
+        connection = ServerConnection(
+            handler, ServerLimits(), OpenConnections(), account
+        )
         transport = FakeTransport()
         connection.connection_made(transport)
         return handler, connection, transport
--- a/tests/sidecar/test_listeners.py
+++ b/tests/sidecar/test_listeners.py
@@ -47,3 +47,13 @@
         listeners = Listeners(SidecarClientsSection(connections=MOST))
         whole = [connected(listeners, GET) for _ in range(MOST + 2)]
         assert not any(each.is_closed for each in whole)
+
+    def test_looks_at_few_of_them(self) -> None:
+        """Accepting stays cheap, however many requests are in progress."""
+        listeners = Listeners(SidecarClientsSection(connections=MOST))
+        idle = connected(listeners)
+        for _ in range(500):
+            connected(listeners, GET)
+        assert idle.is_closed
+        looked_at = listeners.clients.longest_stalled(1000)
+        assert len(looked_at) == 500
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from lovageshunt.http1 import Request, ServerConnection, ServerLimits
+from lovageshunt.http1 import (
+    OpenConnections,
+    Request,
+    ServerConnection,
+    ServerLimits,
+)
 from lovageshunt.sidecar._executor import Executor
 from lovageshunt.sidecar._origin import Origin
 from lovageshunt.sidecar._planned_stop import PlannedStop
@@ -138,7 +143,7 @@
         self.open_count = 0
         self.is_empty = True
         self.transport = FakeTransport()
-        self.clients: set[ServerConnection] = set()
+        self.clients: OpenConnections[ServerConnection] = OpenConnections()
         client = ServerConnection(NoHandler(), ServerLimits(), self.clients)
         client.connection_made(self.transport)
 
