Count the body of an ended order when its request no longer does

Seen by reading: the sender of a large order that is refused before it was written to the end counted its body twice for a moment, with the request and with the link, so that it could exceed the account and cut the link, on which the calls of others are. Change: the link counts it in the next turn of the loop, when the request has been answered. Evidence: tests/links pass, and test_whole_bodies once in 19 s; that a link was cut before was not shown.

--- a/src/lovageshunt/links/_dialed_connection.py
+++ b/src/lovageshunt/links/_dialed_connection.py
@@ -106,6 +106,14 @@
         self._pinged_at = float('-inf')
         self.greeting = get_running_loop().create_future()
 
+    @property
+    def is_all_sent(self) -> bool:
+        """Whether everything that was written was handed to the system."""
+        writer = self.paced_writer
+        if self._transport is None or writer is None:
+            return True
+        return writer.is_done and not self._transport.get_write_buffer_size()
+
     def connection_made(self, transport: BaseTransport) -> None:
         """Store the transport."""
         self._transport = cast(Transport, transport)
@@ -141,7 +149,7 @@
 
     def note_ended(self, body_bytes: int) -> None:
         """Count the body of an order that ended and may not be written yet."""
-        if not self._is_all_sent:
+        if not self.is_all_sent:
             self._ended_bodies.add(body_bytes)
 
     def give_up(self) -> None:
@@ -186,15 +194,8 @@
         if not self.greeting.done():
             self.greeting.cancel()
 
-    @property
-    def _is_all_sent(self) -> bool:
-        writer = self.paced_writer
-        if self._transport is None or writer is None:
-            return True
-        return writer.is_done and not self._transport.get_write_buffer_size()
-
     def _clear_ended(self) -> None:
-        if self._is_all_sent:
+        if self.is_all_sent:
             self._ended_bodies.clear()
 
     def _on_frame(self, frame: Frame) -> None:
--- a/src/lovageshunt/links/_dialer.py
+++ b/src/lovageshunt/links/_dialer.py
@@ -182,7 +182,7 @@
             return
         if self._connection is not None:
             self._connection.write(encode_frame(FrameKind.CANCEL, stream))
-            self._connection.note_ended(len(sent.order.body))
+            self._note_ended(sent)
 
     def send_frame(self, kind: FrameKind, payload: bytes = b'') -> None:
         """Send a frame that belongs to no call; drop it if the link is down."""
@@ -213,8 +213,7 @@
         if frame.kind == FrameKind.ANSWER:
             sent = self._sent_by_stream.pop(frame.stream, None)
             if sent is not None:
-                if self._connection is not None:
-                    self._connection.note_ended(len(sent.order.body))
+                self._note_ended(sent)
                 sent.ended(decode_answer(frame.payload))
             return
         self._listener.on_frame(self._host, frame)
@@ -240,6 +239,15 @@
             )
         self.open()
 
+    def _note_ended(self, sent: _SentOrder) -> None:
+        """Have the body counted that may not be written to the end yet."""
+        connection = self._connection
+        if connection is not None and not connection.is_all_sent:
+            # Until then its request counts it.
+            get_running_loop().call_soon(
+                connection.note_ended, len(sent.order.body)
+            )
+
     def _log_resumed(self, is_same: bool) -> None:
         """Log the orders that were in flight when the link was lost."""
         written = [
