Count what requests take at less cost

Cause: each update looked up the group of a holding twice, and each field was counted twice. Change: a holding knows its group, and what the parser has handed over in a read follows from what it had before.

--- a/src/lovageshunt/_memory_account.py
+++ b/src/lovageshunt/_memory_account.py
@@ -66,10 +66,17 @@
     """What one owner holds.
 
     ``taken_bytes`` is what it takes in memory, ``releasable_bytes`` the part
-    that giving up releases.
+    that giving up releases. ``group`` belongs to the account.
     """
 
-    __slots__ = ('owner', 'use', 'taken_bytes', 'releasable_bytes', '_account')
+    __slots__ = (
+        'owner',
+        'use',
+        'taken_bytes',
+        'releasable_bytes',
+        'group',
+        '_account',
+    )
 
     def __init__(
         self, account: 'MemoryAccount', owner: Owner | None, use: Use
@@ -79,11 +86,7 @@
         self.use = use
         self.taken_bytes = 0
         self.releasable_bytes = 0
-
-    @property
-    def is_small(self) -> bool:
-        """Whether giving up releases little."""
-        return self.releasable_bytes <= _SMALL_BYTES
+        self.group: OrderedDict[Holding, None] | None = None
 
     def update(self, taken_bytes: int, releasable_bytes: int = 0) -> None:
         """Tell what is held now; this counts as progress of the owner.
@@ -145,22 +148,25 @@
         self, holding: Holding, taken_bytes: int, releasable_bytes: int
     ) -> None:
         """Note what a holding takes now; see ``Holding.update``."""
-        self._remove(holding)
-        grows = taken_bytes > holding.taken_bytes
-        self.held_bytes += taken_bytes - holding.taken_bytes
+        if holding.group is not None:
+            self._ungroup(holding)
+        growth = taken_bytes - holding.taken_bytes
+        self.held_bytes += growth
         holding.taken_bytes = taken_bytes
         holding.releasable_bytes = releasable_bytes
         if releasable_bytes > 0 and holding.owner is not None:
-            self._of(holding)[holding] = None
-        if grows and self.held_bytes > self.limit_bytes:
+            is_small = releasable_bytes <= _SMALL_BYTES
+            group = self._releasable_by_order[is_small, holding.use]
+            group[holding] = None
+            holding.group = group
+        if growth > 0 and self.held_bytes > self.limit_bytes:
             self._make_room()
 
-    def _of(self, holding: Holding) -> OrderedDict[Holding, None]:
-        return self._releasable_by_order[holding.is_small, holding.use]
-
-    def _remove(self, holding: Holding) -> None:
-        if holding.releasable_bytes > 0:
-            self._of(holding).pop(holding, None)
+    def _ungroup(self, holding: Holding) -> None:
+        """Take a holding out of those that can be given up."""
+        if holding.group is not None:
+            holding.group.pop(holding)
+            holding.group = None
 
     def _make_room(self) -> None:
         """Give up holdings until the limit is kept, or none is left."""
@@ -181,7 +187,7 @@
             victim.owner.give_up()
         if self.held_bytes >= before:
             # It has nothing to release after all.
-            self._remove(victim)
+            self._ungroup(victim)
             victim.releasable_bytes = 0
 
     def _victim(self) -> Holding | None:
--- a/src/lovageshunt/http1/_request_reader.py
+++ b/src/lovageshunt/http1/_request_reader.py
@@ -57,7 +57,7 @@
         '_headers',
         '_body',
         '_head_size',
-        '_handed_over',
+        '_is_stuck',
         '_unparsed_bytes',
         '_complete',
         'fault',
@@ -73,8 +73,9 @@
         self._complete: list[tuple[Request, int]] = []
         self.fault: RequestFault | None = None
         self.held_bytes = 0
-        self._handed_over = 0
         self._unparsed_bytes = 0
+        #: Whether the last read completed nothing, not even a field.
+        self._is_stuck = False
         self._begin()
 
     @property
@@ -89,7 +90,7 @@
 
         Each comes with the memory that it takes, in bytes.
         """
-        self._handed_over = 0
+        before = self._head_size + len(self._body)
         self.held_bytes += len(data)
         received = len(data)
         while data and self.fault is None:
@@ -101,7 +102,7 @@
             except HttpParserError:
                 self._refuse(RequestFault.MALFORMED)
             break
-        self._note_unparsed(received)
+        self._note_unparsed(received, before)
         if not self._complete:
             self._check_unfinished()
         complete = self._complete
@@ -145,7 +146,6 @@
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body."""
-        self._handed_over += len(body)
         if len(self._body) + len(body) > self._limits.body_bytes:
             self._refuse(RequestFault.BODY_TOO_LARGE)
         else:
@@ -182,18 +182,23 @@
         fields = len(self._headers) * FIELD_BYTES
         return REQUEST_BYTES + self._head_size + fields + len(self._body)
 
-    def _note_unparsed(self, received: int) -> None:
+    def _note_unparsed(self, received: int, before: int) -> None:
         """Note what the parser holds of what was received.
 
-        The framing of chunks in the last read counts as held, too.
+        It had handed over ``before`` bytes of the request until the last read,
+        whose framing of chunks counts as held, too.
         """
-        unparsed = self._unparsed_bytes + received
-        if self._handed_over:
-            unparsed = min(unparsed - self._handed_over, received)
-        self._unparsed_bytes = max(0, unparsed)
+        handed_over = self._head_size + len(self._body)
+        unparsed = received - handed_over
+        if not self._complete:
+            handed_over -= before
+            unparsed += self._unparsed_bytes + before
+        self._is_stuck = not self._complete and not handed_over
+        if not self._is_stuck:
+            unparsed = min(unparsed, received)
+        self._unparsed_bytes = max(0, unparsed) if self.is_reading else 0
 
     def _count_head(self, count: int) -> None:
-        self._handed_over += count
         self._head_size += count
         if self._head_size > self._limits.head_bytes:
             self._refuse(RequestFault.HEAD_TOO_LARGE)
@@ -209,7 +214,7 @@
             if self.held_bytes > most:
                 self._refuse(RequestFault.HEAD_TOO_LARGE)
             return
-        is_endless = not self._handed_over and self._unparsed_bytes > most
+        is_endless = self._is_stuck and self._unparsed_bytes > most
         longest = most + len(self._body) * _MAX_FRAMING_RATIO
         if is_endless or self.held_bytes > longest:
             self._refuse(RequestFault.FRAMING_TOO_LARGE)
--- a/src/lovageshunt/http1/_server.py
+++ b/src/lovageshunt/http1/_server.py
@@ -245,8 +245,7 @@
         """Tell the account what is held, and what could be released."""
         releasable = 0
         if self._transport is not None:
-            releasable = self._unread_bytes
-            releasable += self._received.taken_bytes
+            releasable = self._unread_bytes + self._received.taken_bytes
         self._holding.update(self._current_bytes + releasable, releasable)
 
     @property
